--- /dev/null
+++ b/cmd/endiveflow/main.go
@@ -0,0 +1,21 @@
+// Command endiveflow runs and operates the endiveflow load balancer.
+package main
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli lists the commands, each in a file of its own.
+type cli struct {
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+	var c cli
+	k := kong.Parse(&c, kong.Name("endiveflow"), kong.Description("Layer-4 load balancer for QUIC."))
+	k.FatalIfErrorf(k.Run())
+}
