--- a/fleetkey/ring_test.go
+++ b/fleetkey/ring_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/fleetkey"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func key(id uint8) fleetkey.Key {
