--- /dev/null
+++ b/flowid/reset.go
@@ -0,0 +1,76 @@
+package flowid
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"fmt"
+	"strconv"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/fleetkey"
+)
+
+// ResetTokenBytes is the length of a stateless reset token.
+const ResetTokenBytes = 16
+
+// StatelessResetKey returns the key that an agent gives to quic.Transport.
+// keyID is the fleet key that issues the agent's connection IDs. An unknown
+// key ID gives an error of kind errors.NotFound.
+func StatelessResetKey(ring *fleetkey.Ring, keyID uint8, service config.ServiceTag) (quic.StatelessResetKey, error) {
+	var key quic.StatelessResetKey
+	derived, err := ring.Derive(keyID, fleetkey.PurposeStatelessReset, strconv.FormatUint(uint64(service), 16), len(key))
+	if err != nil {
+		return key, fmt.Errorf("deriving stateless reset key: %w", err)
+	}
+	copy(key[:], derived)
+	return key, nil
+}
+
+// ResetToken returns the stateless reset token of a connection ID, equal to
+// the one that quic.Transport announces with the same key.
+func ResetToken(key quic.StatelessResetKey, id []byte) [ResetTokenBytes]byte {
+	mac := hmac.New(sha256.New, key[:])
+	mac.Write(id)
+	var sum [sha256.Size]byte
+	return [ResetTokenBytes]byte(mac.Sum(sum[:0]))
+}
+
+// ResetTokens computes tokens for the IDs of any accepted key and caches the
+// derived keys. It is safe for concurrent use.
+type ResetTokens struct {
+	ring *fleetkey.Ring
+	// keys maps resetKeyOf to quic.StatelessResetKey. It is bounded by the
+	// number of accepted keys times the number of services ever seen.
+	keys sync.Map
+}
+
+type resetKeyOf struct {
+	keyID   uint8
+	service config.ServiceTag
+}
+
+// NewResetTokens returns the tokens of a ring.
+func NewResetTokens(ring *fleetkey.Ring) *ResetTokens { return &ResetTokens{ring: ring} }
+
+// Token returns the token of an ID that an agent of a service issued. Errors
+// are of kind errors.NotValid (length) or errors.NotFound (key). The caller
+// has decoded the ID, so that foreign IDs fill no cache.
+func (r *ResetTokens) Token(id []byte, service config.ServiceTag) ([ResetTokenBytes]byte, error) {
+	if len(id) != Length {
+		return [ResetTokenBytes]byte{}, errors.NotValidf("connection ID of %d bytes", len(id))
+	}
+	of := resetKeyOf{keyID: id[0], service: service}
+	if key, ok := r.keys.Load(of); ok {
+		return ResetToken(key.(quic.StatelessResetKey), id), nil
+	}
+	key, err := StatelessResetKey(r.ring, of.keyID, of.service)
+	if err != nil {
+		return [ResetTokenBytes]byte{}, fmt.Errorf("reset token: %w", err)
+	}
+	r.keys.Store(of, key)
+	return ResetToken(key, id), nil
+}
