--- a/flowid/reset.go
+++ b/flowid/reset.go
@@ -4,6 +4,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 
@@ -74,3 +75,28 @@
 	r.keys.Store(of, key)
 	return ResetToken(key, id), nil
 }
+
+// Lengths of a stateless reset packet in bytes (RFC 9000, section 10.3).
+const (
+	// minResetBytes is the shortest packet that a caller takes for a reset.
+	minResetBytes = 21
+	// maxResetBytes is the length that needs no shortening to look like any other packet.
+	maxResetBytes = 43
+)
+
+// AppendReset appends the stateless reset packet that answers a packet of the
+// given length. The reset is shorter than that packet, so that two endpoints
+// cannot answer each other's resets without end; it is false when that leaves
+// too little room.
+func AppendReset(dst []byte, token [ResetTokenBytes]byte, answered int) ([]byte, bool) {
+	n := min(answered-1, maxResetBytes)
+	if n < minResetBytes {
+		return dst, false
+	}
+	// A reset starts like a packet with a short header: first bits 01, then random bytes.
+	dst = append(dst, byte(0x40|rand.Uint32()&0x3f))
+	for range n - 1 - ResetTokenBytes {
+		dst = append(dst, byte(rand.Uint32()))
+	}
+	return append(dst, token[:]...), true
+}
--- /dev/null
+++ b/tunnel/conn.go
@@ -0,0 +1,288 @@
+package tunnel
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/quicheader"
+)
+
+// Bounds of what a Conn remembers.
+const (
+	// DefaultCallers is the number of callers whose paths are remembered. A
+	// host has about 2,000 connections.
+	DefaultCallers = 16384
+	// firstFlights is the number of first flights that are remembered as
+	// accepted. A handshake takes at most 10 s, so that 800 new flows per
+	// second are covered.
+	firstFlights = 8192
+)
+
+// minOpeningPacket is the length in bytes of the shortest datagram that opens
+// a flow (RFC 9000, section 14.1).
+const minOpeningPacket = 1200
+
+// bufferBytes holds the largest datagram and one byte more, so that longer
+// ones are recognized.
+const bufferBytes = HeaderBytes + MaxInnerPacket + 1
+
+// ConnConfig configures a Conn.
+type ConnConfig struct {
+	// Socket receives the datagrams of entries. The Conn closes it.
+	Socket *net.UDPConn
+	Codec  *Codec
+	// Service and Incarnation are those of the agent.
+	Service     config.ServiceTag
+	Incarnation uint16
+	// Entries returns the tunnel addresses of the live entries. The result is
+	// not changed by the Conn and may be shared.
+	Entries func() []netip.AddrPort
+	// AcceptsFlows says whether the agent opens new flows; nil means always.
+	AcceptsFlows func() bool
+	// ResetToken returns the stateless reset token of a connection ID. With
+	// it, flows of the agent's former incarnations are reset; nil means that
+	// their packets are only dropped.
+	ResetToken func(id []byte, service config.ServiceTag) ([flowid.ResetTokenBytes]byte, error)
+	// Callers is the number of remembered callers; 0 means DefaultCallers.
+	Callers int
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
+}
+
+// Conn is the net.PacketConn of an agent's QUIC transport. Its addresses are
+// those of callers; the entries between are not visible. It is safe for
+// concurrent use.
+type Conn struct {
+	// cfg holds the socket in a field. Were it embedded, the QUIC library
+	// would find ReadMsgUDP and read datagrams past the Conn.
+	cfg   ConnConfig
+	paths *recent[path]
+	// opened holds the accepted first flights by caller and connection ID.
+	opened *recent[struct{}]
+	// buffers holds *[bufferBytes]byte.
+	buffers sync.Pool
+}
+
+var _ net.PacketConn = (*Conn)(nil)
+
+// NewConn returns a Conn, or an error of kind errors.NotValid.
+func NewConn(cfg ConnConfig) (*Conn, error) {
+	if cfg.Socket == nil || cfg.Codec == nil || cfg.Entries == nil {
+		return nil, errors.NotValidf("tunnel connection without socket, codec or entries")
+	}
+	if cfg.AcceptsFlows == nil {
+		cfg.AcceptsFlows = func() bool { return true }
+	}
+	if cfg.Callers <= 0 {
+		cfg.Callers = DefaultCallers
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	c := &Conn{cfg: cfg, paths: newRecent[path](cfg.Callers), opened: newRecent[struct{}](firstFlights)}
+	c.buffers.New = func() any { return new([bufferBytes]byte) }
+	return c, nil
+}
+
+// Counters of dropped packets, by reason.
+var (
+	dropLong        = dropCounter("too long")
+	dropDatagram    = dropCounter("datagram")
+	dropKind        = dropCounter("kind")
+	dropService     = dropCounter("service")
+	dropIncarnation = dropCounter("incarnation")
+	dropNoEntry     = dropCounter("no entry")
+	dropWrite       = dropCounter("write")
+
+	handedOn = metrics.GetOrCreateCounter("endiveflow_tunnel_handed_on_total")
+	resets   = metrics.GetOrCreateCounter("endiveflow_tunnel_resets_total")
+)
+
+func dropCounter(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("endiveflow_tunnel_dropped_total{reason=%q}", reason))
+}
+
+// ReadFrom returns the next packet of a caller and the caller's address, a
+// *net.UDPAddr that must not be changed. Errors are those of the socket.
+func (c *Conn) ReadFrom(p []byte) (int, net.Addr, error) {
+	buf := c.buffers.Get().(*[bufferBytes]byte)
+	defer c.buffers.Put(buf)
+	for {
+		n, from, err := c.cfg.Socket.ReadFromUDPAddrPort(buf[:])
+		if err != nil {
+			return 0, nil, err
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		packet, caller := c.receive(buf[:n], from)
+		if caller != nil {
+			return copy(p, packet), caller, nil
+		}
+	}
+}
+
+// receive returns the packet in a datagram and its caller, or nil when the
+// packet is not for this agent.
+func (c *Conn) receive(datagram []byte, from netip.AddrPort) ([]byte, *net.UDPAddr) {
+	if len(datagram) == bufferBytes {
+		dropLong.Inc()
+		return nil, nil
+	}
+	h, packet, err := c.cfg.Codec.Parse(datagram)
+	switch {
+	case err != nil || !h.Caller.IsValid():
+		dropDatagram.Inc()
+		return nil, nil
+	case h.Kind == KindReturn:
+		dropKind.Inc()
+		return nil, nil
+	case h.Service != c.cfg.Service:
+		dropService.Inc()
+		return nil, nil
+	}
+	if h.HandedOn {
+		// The agent that passed the packet on knows neither this agent's
+		// incarnation nor a path to the caller; it names the entry instead.
+		from = h.Second
+	} else if h.Incarnation != c.cfg.Incarnation {
+		dropIncarnation.Inc()
+		c.reset(h, packet, from)
+		return nil, nil
+	}
+	if h.Kind == KindFirstFlight && !c.takes(h, packet) {
+		c.handOn(h, datagram, from)
+		return nil, nil
+	}
+	return packet, c.heard(h.Caller, from)
+}
+
+// takes says whether the agent keeps a first flight. It does so for a flow
+// that it has opened, and for any packet that no other agent can take.
+func (c *Conn) takes(h Header, packet []byte) bool {
+	key := recentKey{caller: h.Caller, number: flightNumber(packet)}
+	canHandOn := !h.HandedOn && h.Second.IsValid()
+	// A short datagram opens no flow, so an agent that has not opened it
+	// leaves it to the one that may have.
+	opens := len(packet) >= minOpeningPacket && c.cfg.AcceptsFlows()
+	if opens || !canHandOn {
+		c.opened.with(key, true, func(*struct{}) {})
+		return true
+	}
+	return c.opened.with(key, false, func(*struct{}) {})
+}
+
+// flightNumber identifies a first flight among those of its caller.
+func flightNumber(packet []byte) uint64 {
+	head, err := quicheader.Parse(packet)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(head.Destination)
+}
+
+// handOn passes a first flight to the second candidate.
+func (c *Conn) handOn(h Header, datagram []byte, entry netip.AddrPort) {
+	second := h.Second
+	h.HandedOn = true
+	h.Second = entry
+	c.cfg.Codec.Encapsulate(datagram, h)
+	if _, err := c.cfg.Socket.WriteToUDPAddrPort(datagram, second); err != nil {
+		dropWrite.Inc()
+		return
+	}
+	handedOn.Inc()
+}
+
+// heard notes the entry that a caller's packet came through and returns the
+// caller's address.
+func (c *Conn) heard(caller, entry netip.AddrPort) *net.UDPAddr {
+	now := c.cfg.Now()
+	var addr *net.UDPAddr
+	c.paths.with(recentKey{caller: caller}, true, func(p *path) {
+		if p.addr == nil {
+			p.addr = net.UDPAddrFromAddrPort(caller)
+		}
+		p.hear(entry, now)
+		addr = p.addr
+	})
+	return addr
+}
+
+// reset answers a packet of a former incarnation of this agent. The flow is
+// gone, since incarnations of one address follow each other.
+func (c *Conn) reset(h Header, packet []byte, entry netip.AddrPort) {
+	head, err := quicheader.Parse(packet)
+	if c.cfg.ResetToken == nil || h.Kind != KindFlow || err != nil || head.Long {
+		return
+	}
+	token, err := c.cfg.ResetToken(head.Destination, h.Service)
+	if err != nil {
+		return
+	}
+	var buf [64]byte
+	answer, ok := flowid.AppendReset(buf[:0], token, len(packet))
+	if ok && c.send(answer, h.Caller, entry) == nil {
+		resets.Inc()
+	}
+}
+
+// WriteTo sends a packet to a caller through an entry. A packet that cannot be
+// carried is dropped and counted like one that the network loses. Errors are
+// those of the socket or of kind errors.NotValid (address).
+func (c *Conn) WriteTo(p []byte, addr net.Addr) (int, error) {
+	udp, ok := addr.(*net.UDPAddr)
+	if !ok {
+		return 0, errors.NotValidf("caller address %v of type %T", addr, addr)
+	}
+	caller := udp.AddrPort()
+	caller = netip.AddrPortFrom(caller.Addr().Unmap(), caller.Port())
+	if !caller.Addr().Is4() {
+		return 0, errors.NotValidf("caller address %v that is not IPv4", caller)
+	}
+	if len(p) > MaxInnerPacket {
+		dropLong.Inc()
+		return len(p), nil
+	}
+	entry := c.entryFor(caller)
+	if !entry.IsValid() {
+		dropNoEntry.Inc()
+		return len(p), nil
+	}
+	if err := c.send(p, caller, entry); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+func (c *Conn) entryFor(caller netip.AddrPort) netip.AddrPort {
+	now := c.cfg.Now()
+	live := c.cfg.Entries()
+	var entry netip.AddrPort
+	c.paths.with(recentKey{caller: caller}, true, func(p *path) {
+		if p.addr == nil {
+			p.addr = net.UDPAddrFromAddrPort(caller)
+		}
+		entry = p.choose(live, now)
+	})
+	return entry
+}
+
+func (c *Conn) send(packet []byte, caller, entry netip.AddrPort) error {
+	buf := c.buffers.Get().(*[bufferBytes]byte)
+	defer c.buffers.Put(buf)
+	h := Header{Kind: KindReturn, Service: c.cfg.Service, Incarnation: c.cfg.Incarnation, Caller: caller}
+	datagram := c.cfg.Codec.Append(buf[:0], h, packet)
+	if _, err := c.cfg.Socket.WriteToUDPAddrPort(datagram, entry); err != nil {
+		dropWrite.Inc()
+		return fmt.Errorf("sending to entry %v: %w", entry, err)
+	}
+	return nil
+}
