entry: forwarder between callers and agents

One socket per service, a tunnel socket to agents, and stateless resets for agents that are known to be gone. The forwarder holds no state of any flow.

--- /dev/null
+++ b/entry/forward.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/quicheader"
+	"endiveflow.example/endiveflow/tunnel"
+)
+
+// packetBuffer has room for the tunnel header, the largest packet, and one
+// byte more, so that longer packets are recognized.
+type packetBuffer [tunnel.HeaderBytes + tunnel.MaxInnerPacket + 1]byte
+
+// readPause follows an error of reading, so that one that persists does not
+// occupy a core.
+const readPause = 10 * time.Millisecond
+
+// Counters of packets and of drops, by reason.
+var (
+	flowPackets   = packetCounter("flow")
+	firstFlights  = packetCounter("first flight")
+	returnPackets = packetCounter("return")
+
+	dropLong      = dropCounter("too long")
+	dropMalformed = dropCounter("malformed")
+	dropID        = dropCounter("unknown connection ID")
+	dropService   = dropCounter("other service")
+	dropHost      = dropCounter("host not allowed")
+	dropGone      = dropCounter("agent gone")
+	dropNoAgent   = dropCounter("no agent")
+	dropDatagram  = dropCounter("datagram")
+	dropKind      = dropCounter("kind")
+	dropNoSocket  = dropCounter("service not bound")
+	dropWrite     = dropCounter("write")
+	dropRead      = dropCounter("read")
+
+	resetPackets = map[GoneReason]*metrics.Counter{
+		GoneLeft:     resetCounter(GoneLeft),
+		GoneReplaced: resetCounter(GoneReplaced),
+		GoneDead:     resetCounter(GoneDead),
+	}
+)
+
+func packetCounter(kind string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("endiveflow_entry_packets_total{kind=%q}", kind))
+}
+
+func dropCounter(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("endiveflow_entry_dropped_total{reason=%q}", reason))
+}
+
+func resetCounter(reason GoneReason) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("endiveflow_entry_resets_total{reason=%q}", reason))
+}
+
+// readService forwards the packets of callers until the socket is closed.
+func (f *Forwarder) readService(ctx context.Context, s *serviceSocket) {
+	var buf packetBuffer
+	for {
+		n, caller, err := s.conn.ReadFromUDPAddrPort(buf[tunnel.HeaderBytes:])
+		if err != nil {
+			if !f.afterReadError(ctx, err) {
+				return
+			}
+			continue
+		}
+		f.fromCaller(s, buf[:tunnel.HeaderBytes+n], unmap(caller))
+	}
+}
+
+// readTunnel passes answers to callers until the socket is closed.
+func (f *Forwarder) readTunnel(ctx context.Context) {
+	var buf packetBuffer
+	for {
+		n, _, err := f.cfg.Tunnel.ReadFromUDPAddrPort(buf[:])
+		if err != nil {
+			if !f.afterReadError(ctx, err) {
+				return
+			}
+			continue
+		}
+		f.fromAgent(buf[:n])
+	}
+}
+
+// afterReadError pauses after a passing error. It is false when the socket is
+// closed or the context has ended.
+func (f *Forwarder) afterReadError(ctx context.Context, err error) bool {
+	if errors.Is(err, net.ErrClosed) {
+		return false
+	}
+	dropRead.Inc()
+	timer := time.NewTimer(readPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// fromCaller forwards one packet, which lies in datagram behind room for the
+// tunnel header.
+func (f *Forwarder) fromCaller(s *serviceSocket, datagram []byte, caller netip.AddrPort) {
+	packet := datagram[tunnel.HeaderBytes:]
+	if len(packet) > tunnel.MaxInnerPacket {
+		dropLong.Inc()
+		return
+	}
+	head, err := quicheader.Parse(packet)
+	if err != nil {
+		dropMalformed.Inc()
+		return
+	}
+	place, err := f.ids.Decode(head.Destination)
+	switch {
+	case err == nil:
+		f.forwardFlow(s, head, place, datagram, caller)
+	case !head.Long:
+		dropID.Inc()
+	case head.Version == 0:
+		// Only servers send version negotiation.
+		dropMalformed.Inc()
+	default:
+		f.forwardFirstFlight(s, head, datagram, caller)
+	}
+}
+
+// forwardFlow sends a packet to the agent that its connection ID names,
+// whatever the members are, unless that agent is known to be gone.
+func (f *Forwarder) forwardFlow(s *serviceSocket, head quicheader.Header, place flowid.Place, datagram []byte, caller netip.AddrPort) {
+	if place.Service != s.tag {
+		dropService.Inc()
+		return
+	}
+	if !f.cfg.AllowsHost(s.tag, place.Agent.Addr()) {
+		dropHost.Inc()
+		return
+	}
+	if gone := *f.gone.Load(); len(gone) > 0 {
+		if reason, ok := gone[place]; ok {
+			f.reset(s, head, reason, datagram, caller)
+			return
+		}
+	}
+	f.send(datagram, tunnel.Header{
+		Kind:        tunnel.KindFlow,
+		Service:     s.tag,
+		Incarnation: place.Incarnation,
+		Caller:      caller,
+	}, place.Agent)
+	flowPackets.Inc()
+}
+
+// forwardFirstFlight sends a packet whose connection ID the caller chose.
+func (f *Forwarder) forwardFirstFlight(s *serviceSocket, head quicheader.Header, datagram []byte, caller netip.AddrPort) {
+	first, second, ok := s.table.Load().Choose(head.Destination)
+	if !ok {
+		dropNoAgent.Inc()
+		return
+	}
+	f.send(datagram, tunnel.Header{
+		Kind:        tunnel.KindFirstFlight,
+		Service:     s.tag,
+		Incarnation: first.Incarnation,
+		Caller:      caller,
+		Second:      second.Tunnel,
+	}, first.Tunnel)
+	firstFlights.Inc()
+}
+
+func (f *Forwarder) send(datagram []byte, h tunnel.Header, agent netip.AddrPort) {
+	f.codec.Encapsulate(datagram, h)
+	if _, err := f.cfg.Tunnel.WriteToUDPAddrPort(datagram, agent); err != nil {
+		dropWrite.Inc()
+	}
+}
+
+// reset ends the caller's flow. Only packets with a short header are answered,
+// since a caller in its handshake has no token yet.
+func (f *Forwarder) reset(s *serviceSocket, head quicheader.Header, reason GoneReason, datagram []byte, caller netip.AddrPort) {
+	if head.Long {
+		dropGone.Inc()
+		return
+	}
+	token, err := f.tokens.Token(head.Destination, s.tag)
+	if err != nil {
+		dropGone.Inc()
+		return
+	}
+	answer, ok := flowid.AppendReset(datagram[:0], token, len(datagram)-tunnel.HeaderBytes)
+	if !ok {
+		dropGone.Inc()
+		return
+	}
+	if _, err := s.conn.WriteToUDPAddrPort(answer, caller); err != nil {
+		dropWrite.Inc()
+		return
+	}
+	resetPackets[reason].Inc()
+}
+
+// fromAgent passes one answer to its caller from the address of its service.
+func (f *Forwarder) fromAgent(datagram []byte) {
+	if len(datagram) == len(packetBuffer{}) {
+		dropLong.Inc()
+		return
+	}
+	h, packet, err := f.codec.Parse(datagram)
+	if err != nil || !h.Caller.IsValid() {
+		dropDatagram.Inc()
+		return
+	}
+	if h.Kind != tunnel.KindReturn {
+		dropKind.Inc()
+		return
+	}
+	s := (*f.sockets.Load())[h.Service]
+	if s == nil {
+		dropNoSocket.Inc()
+		return
+	}
+	if _, err := s.conn.WriteToUDPAddrPort(packet, h.Caller); err != nil {
+		dropWrite.Inc()
+		return
+	}
+	returnPackets.Inc()
+}
