--- /dev/null
+++ b/flowid/codec_test.go
@@ -0,0 +1,124 @@
+package flowid_test
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/flowid"
+)
+
+func newRing(t require.TestingT, ids ...uint8) *fleetkey.Ring {
+	var cfg fleetkey.Config
+	for _, id := range ids {
+		cfg.Keys = append(cfg.Keys, fleetkey.Key{ID: id, Secret: bytes.Repeat([]byte{id}, fleetkey.MinSecretBytes)})
+	}
+	ring, err := fleetkey.New(cfg)
+	require.NoError(t, err)
+	return ring
+}
+
+func newCodec(t require.TestingT, ids ...uint8) *flowid.Codec {
+	codec, err := flowid.New(flowid.Config{Ring: newRing(t, ids...)})
+	require.NoError(t, err)
+	return codec
+}
+
+func issue(t require.TestingT, c *flowid.Codec, p flowid.Place) []byte {
+	id, err := c.NewGenerator(p).GenerateConnectionID()
+	require.NoError(t, err)
+	return id.Bytes()
+}
+
+func drawPlace(t *rapid.T) flowid.Place {
+	ip := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "ip"))
+	return flowid.Place{
+		Agent:       netip.AddrPortFrom(netip.AddrFrom4(ip), rapid.Uint16().Draw(t, "port")),
+		Service:     config.ServiceTag(rapid.Uint32().Draw(t, "service")),
+		Incarnation: rapid.Uint16().Draw(t, "incarnation"),
+	}
+}
+
+// An ID must lead to its place during each step of a key rotation, whichever
+// of two neighbouring steps the agent and the entry have made.
+func TestPlaceSurvivesRotation(t *testing.T) {
+	steps := []*flowid.Codec{newCodec(t, 1), newCodec(t, 1, 2), newCodec(t, 2, 1), newCodec(t, 2)}
+	rapid.Check(t, func(t *rapid.T) {
+		place := drawPlace(t)
+		step := rapid.IntRange(0, len(steps)-2).Draw(t, "step")
+		agent, entry := steps[step], steps[step+1]
+		if rapid.Bool().Draw(t, "entry first") {
+			agent, entry = entry, agent
+		}
+		got, err := entry.Decode(issue(t, agent, place))
+		require.NoError(t, err)
+		require.Equal(t, place, got)
+	})
+}
+
+// A changed or foreign ID must not lead to any agent.
+func TestForeignIDIsRejected(t *testing.T) {
+	codec := newCodec(t, 7)
+	rapid.Check(t, func(t *rapid.T) {
+		id := issue(t, codec, drawPlace(t))
+		bit := rapid.IntRange(0, len(id)*8-1).Draw(t, "bit")
+		id[bit/8] ^= 1 << (bit % 8)
+		_, err := codec.Decode(id)
+		require.Error(t, err)
+	})
+	_, err := newCodec(t, 8).Decode(issue(t, codec, flowid.Place{Agent: netip.MustParseAddrPort("10.0.0.1:1")}))
+	require.ErrorIs(t, err, errors.NotFound)
+	_, err = codec.NewGenerator(flowid.Place{Agent: netip.MustParseAddrPort("[::1]:1")}).GenerateConnectionID()
+	require.ErrorIs(t, err, errors.NotValid)
+}
+
+// Two flows of an agent must never share an ID.
+func TestGeneratorRepeatsNoID(t *testing.T) {
+	generator := newCodec(t, 1).NewGenerator(flowid.Place{Agent: netip.MustParseAddrPort("10.0.0.1:1")})
+	seen := make(map[[flowid.Length]byte]bool)
+	for range 200_000 {
+		id, err := generator.GenerateConnectionID()
+		require.NoError(t, err)
+		seen[[flowid.Length]byte(id.Bytes())] = true
+	}
+	require.Len(t, seen, 200_000)
+	require.Equal(t, flowid.Length, generator.ConnectionIDLen())
+}
+
+// Entries decode each packet, so an allocation would cost each packet.
+func TestDecodeDoesNotAllocate(t *testing.T) {
+	codec := newCodec(t, 1)
+	id := issue(t, codec, flowid.Place{Agent: netip.MustParseAddrPort("10.0.0.1:1")})
+	foreign := bytes.Repeat([]byte{1}, flowid.Length)
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		_, _ = codec.Decode(id)
+		_, _ = codec.Decode(foreign)
+	}))
+}
+
+// No input may panic the decoder or yield a place that would not be issued so.
+func FuzzDecode(f *testing.F) {
+	codec := newCodec(f, 1, 2)
+	f.Add([]byte{})
+	f.Add(bytes.Repeat([]byte{1}, flowid.Length))
+	f.Add(issue(f, codec, flowid.Place{Agent: netip.MustParseAddrPort("10.0.0.1:1")}))
+	f.Fuzz(func(t *testing.T, id []byte) {
+		place, err := codec.Decode(id)
+		require.Equal(t, err == nil, place.Agent.IsValid())
+	})
+}
+
+func BenchmarkDecode(b *testing.B) {
+	codec := newCodec(b, 1)
+	id := issue(b, codec, flowid.Place{Agent: netip.MustParseAddrPort("10.0.0.1:1")})
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = codec.Decode(id)
+	}
+}
