--- /dev/null
+++ b/tunnel/alloc_test.go
@@ -0,0 +1,24 @@
+//go:build !race
+
+// The race detector makes sync.Pool drop items at random, so allocations are
+// counted without it.
+
+package tunnel_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An allocation in the codec would cost each packet of the fleet.
+func TestCodecDoesNotAllocate(t *testing.T) {
+	codec := newCodec(t, 1)
+	packet := make([]byte, 1200)
+	buf := make([]byte, 0, 1500)
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		buf = codec.Append(buf[:0], sample, packet)
+		_, _, _ = codec.Parse(buf)
+		_, _, _ = codec.Parse(buf)
+	}))
+}
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -207,9 +207,7 @@
 	now := c.cfg.Now()
 	var addr *net.UDPAddr
 	c.paths.with(recentKey{caller: caller}, true, func(p *path) {
-		if p.addr == nil {
-			p.addr = net.UDPAddrFromAddrPort(caller)
-		}
+		p.init(caller)
 		p.hear(entry, now)
 		addr = p.addr
 	})
@@ -267,9 +265,7 @@
 	live := c.cfg.Entries()
 	var entry netip.AddrPort
 	c.paths.with(recentKey{caller: caller}, true, func(p *path) {
-		if p.addr == nil {
-			p.addr = net.UDPAddrFromAddrPort(caller)
-		}
+		p.init(caller)
 		entry = p.choose(live, now)
 	})
 	return entry
--- /dev/null
+++ b/tunnel/conn_test.go
@@ -0,0 +1,169 @@
+package tunnel_test
+
+import (
+	"bytes"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/tunnel"
+)
+
+const (
+	service     = config.ServiceTag(5)
+	incarnation = uint16(7)
+	// patience bounds waits for packets on loopback.
+	patience = 5 * time.Second
+)
+
+var caller = netip.MustParseAddrPort("192.0.2.1:5000")
+
+func listen(t testing.TB) *net.UDPConn {
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { socket.Close() })
+	require.NoError(t, socket.SetReadDeadline(time.Now().Add(patience)))
+	return socket
+}
+
+func addrOf(c interface{ LocalAddr() net.Addr }) netip.AddrPort {
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func newConn(t testing.TB, change func(*tunnel.ConnConfig)) *tunnel.Conn {
+	cfg := tunnel.ConnConfig{
+		Socket:      listen(t),
+		Codec:       newCodec(t, 1),
+		Service:     service,
+		Incarnation: incarnation,
+		Entries:     func() []netip.AddrPort { return nil },
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	conn, err := tunnel.NewConn(cfg)
+	require.NoError(t, err)
+	return conn
+}
+
+// firstFlight is a long header with an 8-byte ID, padded to n bytes.
+func firstFlight(id byte, n int) []byte {
+	packet := append([]byte{0xc0, 0, 0, 0, 1, 8}, bytes.Repeat([]byte{id}, 8)...)
+	return append(packet, make([]byte, n-len(packet))...)
+}
+
+func deliver(t *testing.T, from *net.UDPConn, to *tunnel.Conn, h tunnel.Header, packet []byte) {
+	t.Helper()
+	_, err := from.WriteToUDPAddrPort(newCodec(t, 1).Append(nil, h, packet), addrOf(to))
+	require.NoError(t, err)
+}
+
+func requireRead(t *testing.T, c *tunnel.Conn, want []byte) {
+	t.Helper()
+	buf := make([]byte, 1500)
+	n, addr, err := c.ReadFrom(buf)
+	require.NoError(t, err)
+	require.Equal(t, want, buf[:n])
+	require.Equal(t, caller.String(), addr.String())
+}
+
+// requireAnswer reads what an agent sent back through an entry.
+func requireAnswer(t *testing.T, entry *net.UDPConn) []byte {
+	t.Helper()
+	buf := make([]byte, 1500)
+	n, err := entry.Read(buf)
+	require.NoError(t, err)
+	h, packet, err := newCodec(t, 1).Parse(buf[:n])
+	require.NoError(t, err)
+	require.Equal(t, tunnel.KindReturn, h.Kind)
+	require.Equal(t, service, h.Service)
+	require.Equal(t, caller, h.Caller)
+	return packet
+}
+
+// A first flight that a draining agent keeps is a flow that its end cuts; one
+// that two agents pass to and fro reaches nobody.
+func TestFirstFlightIsHandedOnOnce(t *testing.T) {
+	accepts := true
+	draining := newConn(t, func(c *tunnel.ConnConfig) { c.AcceptsFlows = func() bool { return accepts } })
+	second := newConn(t, func(c *tunnel.ConnConfig) {
+		c.Incarnation++
+		c.AcceptsFlows = func() bool { return false }
+	})
+	entry := listen(t)
+	h := tunnel.Header{Kind: tunnel.KindFirstFlight, Service: service, Incarnation: incarnation, Caller: caller, Second: addrOf(second)}
+	opened, later, last := firstFlight(1, 1200), firstFlight(2, 1200), firstFlight(3, 1200)
+	rest := firstFlight(4, 100)
+
+	deliver(t, entry, draining, h, opened)
+	requireRead(t, draining, opened)
+	// A short packet opens nothing; the second candidate may have its flow.
+	deliver(t, entry, draining, h, rest)
+	accepts = false
+	deliver(t, entry, draining, h, later)
+	deliver(t, entry, draining, h, opened)
+	requireRead(t, draining, opened)
+	requireRead(t, second, rest)
+	requireRead(t, second, later)
+
+	h.Second = netip.AddrPort{}
+	deliver(t, entry, draining, h, last)
+	requireRead(t, draining, last)
+
+	// The answer of the second agent goes through the entry, not the first agent.
+	_, err := second.WriteTo([]byte("answer"), net.UDPAddrFromAddrPort(caller))
+	require.NoError(t, err)
+	require.Equal(t, []byte("answer"), requireAnswer(t, entry))
+}
+
+// A packet for another service or incarnation must not reach the agent that
+// now has the address; one of a former incarnation is answered with the reset
+// that ends its flow at the caller.
+func TestOnlyOwnPacketsAreRead(t *testing.T) {
+	tokens := flowid.NewResetTokens(newRing(t, 1))
+	conn := newConn(t, func(c *tunnel.ConnConfig) { c.ResetToken = tokens.Token })
+	entry := listen(t)
+	id := bytes.Repeat([]byte{1}, flowid.Length)
+	packet := append(append([]byte{0x40}, id...), make([]byte, 30)...)
+	own := tunnel.Header{Kind: tunnel.KindFlow, Service: service, Incarnation: incarnation, Caller: caller}
+
+	other := own
+	other.Service++
+	deliver(t, entry, conn, other, packet)
+	returned := own
+	returned.Kind = tunnel.KindReturn
+	deliver(t, entry, conn, returned, packet)
+	_, err := entry.WriteToUDPAddrPort(make([]byte, 100), addrOf(conn))
+	require.NoError(t, err)
+	deliver(t, entry, conn, own, make([]byte, tunnel.MaxInnerPacket+1))
+	former := own
+	former.Incarnation--
+	deliver(t, entry, conn, former, packet)
+	deliver(t, entry, conn, own, packet[:25])
+	requireRead(t, conn, packet[:25])
+
+	token, err := tokens.Token(id, service)
+	require.NoError(t, err)
+	reset := requireAnswer(t, entry)
+	require.Less(t, len(reset), len(packet))
+	require.Equal(t, byte(0x40), reset[0]&0xc0)
+	require.Equal(t, token[:], reset[len(reset)-flowid.ResetTokenBytes:])
+}
+
+// A packet that no entry can carry must be lost like any other, not end the
+// QUIC transport with an error.
+func TestWriteWithoutPath(t *testing.T) {
+	conn := newConn(t, nil)
+	for _, size := range []int{1200, tunnel.MaxInnerPacket + 1} {
+		n, err := conn.WriteTo(make([]byte, size), net.UDPAddrFromAddrPort(caller))
+		require.NoError(t, err)
+		require.Equal(t, size, n)
+	}
+	_, err := conn.WriteTo(nil, &net.UDPAddr{IP: net.IPv6loopback, Port: 1})
+	require.Error(t, err)
+}
--- a/tunnel/path.go
+++ b/tunnel/path.go
@@ -34,6 +34,13 @@
 	unanswered time.Time
 }
 
+// init sets the caller's address of a new path.
+func (p *path) init(caller netip.AddrPort) {
+	if p.addr == nil {
+		p.addr = net.UDPAddrFromAddrPort(caller)
+	}
+}
+
 // hear notes a packet of the caller that came in through an entry.
 func (p *path) hear(entry netip.AddrPort, now time.Time) {
 	p.entry = entry
