--- /dev/null
+++ b/entry/gone_test.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/member"
+)
+
+const (
+	serviceA = config.ServiceTag(0xa)
+	serviceB = config.ServiceTag(0xb)
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func record(n int, service config.ServiceTag, incarnation member.Incarnation, state member.State) member.Record {
+	tunnel := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 4000)
+	return member.Record{
+		ID:          member.IDOf(member.RoleAgent, tunnel),
+		Role:        member.RoleAgent,
+		Service:     service,
+		Tunnel:      tunnel,
+		Incarnation: incarnation,
+		State:       state,
+		Weight:      member.FullWeight,
+	}
+}
+
+func placeOf(r member.Record) flowid.Place { return Observation{Record: r}.place() }
+
+func builtin(config.ServiceTag) config.Policy { return config.BuiltinPolicy() }
+
+// A mistaken view must not end the flows of more than ResetShare of a
+// service's agents, of any agent that is alive, or on a fresh death.
+func TestGoneIsCapped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := config.BuiltinPolicy()
+		policy.ResetShare = rapid.Float64Range(0, 1).Draw(t, "share")
+		states := rapid.SliceOfN(rapid.SampledFrom([]member.State{
+			member.StateStarting, member.StateReady, member.StateDraining, member.StateLeft, member.StateDead,
+		}), 0, 20).Draw(t, "states")
+		var seen []Observation
+		for i, state := range states {
+			age := time.Duration(rapid.IntRange(0, 20).Draw(t, "age")) * time.Second
+			seen = append(seen, Observation{Record: record(i, serviceA, 1, state), Since: start.Add(-age)})
+		}
+		gone := Gone(seen, policy, start)
+		require.LessOrEqual(t, float64(len(gone)), policy.ResetShare*float64(len(seen)))
+		for _, o := range seen {
+			reason, ok := gone[o.place()]
+			require.False(t, ok && o.Record.Alive())
+			require.False(t, reason == GoneDead && start.Sub(o.Since) < policy.ResetAfter)
+		}
+	})
+}
+
+// An entry that cannot tell a successor from a predecessor resets live flows;
+// one that forgets a predecessor leaves its callers to their timeout.
+func TestObserver(t *testing.T) {
+	others := []member.Record{record(2, serviceA, 1, member.StateReady), record(3, serviceA, 1, member.StateReady)}
+	at := func(r member.Record) []member.Record { return append(slices.Clone(others), r) }
+	ready, left := record(1, serviceA, 5, member.StateReady), record(1, serviceA, 5, member.StateLeft)
+	dead, successor := record(1, serviceA, 5, member.StateDead), record(1, serviceA, 6, member.StateReady)
+	tenant := record(1, serviceB, 6, member.StateReady)
+	for name, c := range map[string]struct {
+		steps []member.Record
+		age   time.Duration
+		want  map[flowid.Place]GoneReason
+	}{
+		"ready":                  {[]member.Record{ready}, time.Hour, nil},
+		"left":                   {[]member.Record{ready, left}, 0, map[flowid.Place]GoneReason{placeOf(left): GoneLeft}},
+		"fresh death":            {[]member.Record{ready, dead}, 9 * time.Second, nil},
+		"old death":              {[]member.Record{ready, dead}, 10 * time.Second, map[flowid.Place]GoneReason{placeOf(dead): GoneDead}},
+		"refuted death":          {[]member.Record{dead, ready}, time.Hour, nil},
+		"replaced":               {[]member.Record{ready, successor}, 0, map[flowid.Place]GoneReason{placeOf(ready): GoneReplaced}},
+		"late old record":        {[]member.Record{successor, ready}, 0, map[flowid.Place]GoneReason{placeOf(ready): GoneReplaced}},
+		"successor not yet seen": {[]member.Record{dead}, time.Hour, map[flowid.Place]GoneReason{placeOf(dead): GoneDead}},
+		"other service":          {[]member.Record{ready, tenant}, 0, map[flowid.Place]GoneReason{placeOf(ready): GoneReplaced}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newObserver()
+			var before []member.Record
+			for _, r := range c.steps {
+				o.update(before, at(r), start)
+				before = at(r)
+			}
+			gone, _ := o.gone(builtin, start.Add(c.age))
+			if len(c.want) == 0 {
+				require.Empty(t, gone)
+				return
+			}
+			require.Equal(t, c.want, gone)
+			require.NotContains(t, gone, placeOf(successor))
+		})
+	}
+}
+
+// The cost of what an entry remembers must follow the members it knows.
+func TestObserverForgets(t *testing.T) {
+	o := newObserver()
+	var before []member.Record
+	for n := range member.Incarnation(100) {
+		records := []member.Record{record(1, serviceA, n*1000, member.StateReady)}
+		o.update(before, records, start)
+		before = records
+	}
+	require.Len(t, o.seats[before[0].Tunnel].replaced, maxReplaced)
+	o.update(before, nil, start)
+	require.Empty(t, o.seats)
+}
