member, control: views, failure detection and control loops

The other packages build on these types. View merges records by incarnation, version and state and keeps marks of removed members; Detector turns heartbeats into decisions with reasons; control sends heartbeats, gossip, digest comparisons and configuration over UDP.

--- /dev/null
+++ b/control/entry.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/time/rate"
+
+	"endiveflow.example/endiveflow/audit"
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/member"
+)
+
+// Defaults of the byte caps.
+const (
+	// DefaultGossipBytes is half of the target of 2 KB/s; heartbeats have the other half.
+	DefaultGossipBytes = 1000
+	// DefaultConfigBytes lets an entry push a 500-byte change to the 22 agents
+	// that it watches at the target size within 6 s, well under the 20 s allowed.
+	DefaultConfigBytes = 2000
+	// burstSeconds is the time for which an idle cap saves up.
+	burstSeconds = 4
+)
+
+// EntryConfig configures the control traffic of an entry.
+type EntryConfig struct {
+	// Socket is bound to Self().Control. The entry reads it until the context
+	// ends; the owner closes it.
+	Socket net.PacketConn
+	Ring   *fleetkey.Ring
+	// Self returns the entry's own current record, with its ID set.
+	Self func() member.Record
+	// Changed is signalled when Self returns another record; the record is pushed at once.
+	Changed <-chan struct{}
+	// Refute is called when others hold a brief of this member that is newer
+	// than Self: the owner raises its version above it and signals Changed. A
+	// brief of a higher incarnation means that the clock went back since an
+	// earlier run; the owner must then start a new incarnation above it.
+	Refute func(member.Brief)
+	// Members is the entry's view, its own record included.
+	Members *member.View
+	// Seeds are control addresses of entries, used while no other entry is known.
+	Seeds func() []netip.AddrPort
+	// ConfigDigest identifies the applied configuration. Two entries with the
+	// same objects have the same digest and the same encoded objects.
+	ConfigDigest func() uint64
+	// ConfigObjects returns all applied objects, encoded.
+	ConfigObjects func() [][]byte
+	// ApplyConfig applies an encoded object if it is newer than the applied one.
+	ApplyConfig func([]byte) error
+	// ConfigChanged delivers each encoded object that was applied from the
+	// store, so that it is gossiped at once; it may be nil.
+	ConfigChanged <-chan []byte
+	// ObjectsFor returns the objects that agents of a service need, encoded,
+	// and the digest that an agent reports when it has applied them.
+	ObjectsFor func(config.ServiceTag) (digest uint64, encoded [][]byte)
+	// Client reaches other processes' StateHandler for objects larger than a
+	// datagram; nil leaves such objects to the store's watchers.
+	Client *http.Client
+	// MaxSuspect is member.DetectorConfig.MaxSuspect.
+	MaxSuspect func(config.ServiceTag) float64
+	// Retention is how long ended records are kept; 0 means member.DefaultRetention.
+	Retention time.Duration
+	// GossipBytes and ConfigBytes cap what is sent per second, with IP and UDP
+	// headers: gossip and exchanges between entries, and configuration to agents.
+	// 0 means the default.
+	GossipBytes, ConfigBytes int
+	Trail                    *audit.Trail
+	// Now returns the time with a monotonic reading; nil means time.Now.
+	Now func() time.Time
+	// Rand is used by the loop alone; nil means a randomly seeded source.
+	Rand *rand.Rand
+}
+
+func (c *EntryConfig) complete() error {
+	if c.Socket == nil || c.Ring == nil || c.Self == nil || c.Members == nil || c.Trail == nil {
+		return errors.NotValidf("entry control without socket, key ring, own record, view or audit trail")
+	}
+	if c.ConfigDigest == nil || c.ConfigObjects == nil || c.ApplyConfig == nil || c.ObjectsFor == nil {
+		return errors.NotValidf("entry control without configuration functions")
+	}
+	c.Retention = orDefault(c.Retention, member.DefaultRetention)
+	c.GossipBytes = orDefault(c.GossipBytes, DefaultGossipBytes)
+	c.ConfigBytes = orDefault(c.ConfigBytes, DefaultConfigBytes)
+	if c.Refute == nil {
+		c.Refute = func(member.Brief) {}
+	}
+	if c.Seeds == nil {
+		c.Seeds = func() []netip.AddrPort { return nil }
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Rand == nil {
+		c.Rand = newRand()
+	}
+	return nil
+}
+
+func orDefault[T int | time.Duration](value, otherwise T) T {
+	if value <= 0 {
+		return otherwise
+	}
+	return value
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// byteCap returns a limiter of bytes per second that saves up burstSeconds.
+func byteCap(perSecond int) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(perSecond*burstSeconds, 2*maxDatagram))
+}
+
+// Entry is the control traffic of one entry.
+type Entry struct {
+	cfg  EntryConfig
+	link *link
+	bulk *bulkStore
+}
+
+// NewEntry returns the control traffic of an entry, or an error of kind errors.NotValid.
+func NewEntry(cfg EntryConfig) (*Entry, error) {
+	if err := cfg.complete(); err != nil {
+		return nil, err
+	}
+	link, err := newLink(cfg.Socket, cfg.Ring, cfg.Self)
+	if err != nil {
+		return nil, fmt.Errorf("making control link of entry: %w", err)
+	}
+	return &Entry{cfg: cfg, link: link, bulk: newBulkStore()}, nil
+}
+
+// Run sends and receives until ctx ends. The channel delivers one error, nil
+// after an ordinary end, and is closed.
+func (e *Entry) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		defer close(done)
+		done <- newEntryLoop(e).run(ctx)
+	}()
+	return done
+}
--- /dev/null
+++ b/control/gossip.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"endiveflow.example/endiveflow/member"
+)
+
+const (
+	// gossipFanout is the number of entries that a round of gossip is sent to.
+	gossipFanout = 3
+	// gossipRounds is added to the natural logarithm of the number of entries
+	// for the times that one entry sends a rumor. With n entries a rumor then
+	// misses about exp(-gossipRounds) of an entry; the digests find that one.
+	gossipRounds = 3
+	// maxRumors bounds the queue; what does not fit is left to the digests.
+	maxRumors = 8192
+	// Upper bounds in bytes of the encoded parts of a message.
+	recordSize   = 52
+	briefSize    = 26
+	hashSize     = 9
+	envelopeSize = 8
+	// minRound is the smallest number of free bytes for which a round starts
+	// under the cap, so that a long queue is sent in full datagrams.
+	minRound = maxDatagram + headerBytes
+)
+
+// gossip holds the news that this entry still passes on.
+type gossip struct {
+	rand   *rand.Rand
+	rumors map[rumorKey]*rumor
+}
+
+type rumorKey struct {
+	offer bool
+	// id is a member ID or the hash of an offered object.
+	id uint64
+}
+
+// rumor is news of one member or one object.
+type rumor struct {
+	// record is sent for live members, brief for ended ones; both are unset for offers.
+	record *wireRecord
+	brief  member.Brief
+	large  bool
+	sent   int
+}
+
+func newGossip(r *rand.Rand) *gossip {
+	return &gossip{rand: r, rumors: make(map[rumorKey]*rumor)}
+}
+
+func (g *gossip) add(key rumorKey, r *rumor) {
+	if _, ok := g.rumors[key]; !ok && len(g.rumors) >= maxRumors {
+		dropped("rumor")
+		return
+	}
+	g.rumors[key] = r
+}
+
+// returned counts news that another entry sent back as sent once more: it has
+// spread without this entry.
+func (g *gossip) returned(records []member.Record, ended []member.Brief) {
+	for i := range records {
+		g.returnedBrief(records[i].Brief())
+	}
+	for _, b := range ended {
+		g.returnedBrief(b)
+	}
+}
+
+func (g *gossip) returnedBrief(b member.Brief) {
+	if r := g.rumors[rumorKey{id: uint64(b.ID)}]; r != nil && r.brief == b {
+		r.sent++
+	}
+}
+
+// limit is the number of times that an entry sends a rumor among others entries.
+func limit(others int) int { return gossipRounds + int(math.Ceil(math.Log(float64(others+1)))) }
+
+// next takes the least sent rumors that fit in one datagram each of records
+// and offers, and drops those that were sent often enough.
+func (g *gossip) next(others int) (Records, Offer) {
+	keys := make([]rumorKey, 0, len(g.rumors))
+	for key, r := range g.rumors {
+		if r.sent >= limit(others) {
+			delete(g.rumors, key)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b rumorKey) int { return g.rumors[a].sent - g.rumors[b].sent })
+	var records Records
+	var offer Offer
+	recordsRoom, offerRoom := maxBody-envelopeSize, maxBody-envelopeSize
+	for _, key := range keys {
+		r := g.rumors[key]
+		switch {
+		case key.offer:
+			offerRoom -= hashSize
+			if offerRoom >= 0 {
+				r.sent++
+				offer.add(key.id, r.large)
+			}
+		case r.record != nil:
+			if size := sizeOf(*r.record); recordsRoom >= size {
+				recordsRoom -= size
+				r.sent++
+				records.Records = append(records.Records, *r.record)
+			}
+		case recordsRoom >= briefSize:
+			recordsRoom -= briefSize
+			r.sent++
+			records.Ended = append(records.Ended, toWireBrief(r.brief))
+		}
+	}
+	return records, offer
+}
+
+func (o *Offer) add(hash uint64, large bool) {
+	if large {
+		o.Large = append(o.Large, hash)
+		return
+	}
+	o.Hashes = append(o.Hashes, hash)
+}
+
+func sizeOf(w wireRecord) int { return recordSize + len(w.Zone) }
+
+// spread passes on changed records.
+func (l *entryLoop) spread(changed []member.Record) {
+	for i := range changed {
+		r := &rumor{brief: changed[i].Brief()}
+		if changed[i].Alive() {
+			wire := toWire(changed[i])
+			r.record = &wire
+		}
+		l.gossip.add(rumorKey{id: uint64(changed[i].ID)}, r)
+	}
+}
+
+// spreadEnded passes on the ends of members and tells the agents of their services.
+func (l *entryLoop) spreadEnded(changed []member.Brief) {
+	for _, b := range changed {
+		l.gossip.add(rumorKey{id: uint64(b.ID)}, &rumor{brief: b})
+		if r, ok := l.cfg.Members.Get(b.ID); ok {
+			l.pushToAgents([]member.Record{r})
+		}
+	}
+}
+
+// flushGossip sends a round of gossip to random entries as far as the cap allows.
+func (l *entryLoop) flushGossip(now time.Time) {
+	if len(l.gossip.rumors) == 0 {
+		return
+	}
+	others := l.otherEntries()
+	if len(others) == 0 {
+		clear(l.gossip.rumors)
+		return
+	}
+	l.cfg.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, e := range others[:min(gossipFanout, len(others))] {
+		if l.gossipCap.TokensAt(now) < minRound {
+			return
+		}
+		records, offer := l.gossip.next(len(others))
+		if len(records.Records)+len(records.Ended) > 0 {
+			l.gossipCap.AllowN(now, l.link.send(KindRecords, records, e.Control))
+		}
+		if len(offer.Hashes)+len(offer.Large) > 0 {
+			l.gossipCap.AllowN(now, l.link.send(KindOffer, offer, e.Control))
+		}
+	}
+}
+
+func (l *entryLoop) otherEntries() []member.Record {
+	self := l.cfg.Self().ID
+	live := l.liveEntries()
+	out := make([]member.Record, 0, len(live))
+	for _, e := range live {
+		if e.ID != self {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// pushToAgents sends changed records to the watched agents of the same
+// service. What the cap or the network drops is found by their next heartbeat.
+func (l *entryLoop) pushToAgents(changed []member.Record) {
+	now := l.cfg.Now()
+	for _, r := range changed {
+		if r.Role != member.RoleAgent {
+			continue
+		}
+		message := Records{Records: []wireRecord{toWire(r)}}
+		for _, peer := range l.cfg.Members.OfService(r.Service) {
+			if peer.ID != r.ID && peer.Alive() && l.detector.Watching(peer.ID) && l.gossipCap.TokensAt(now) >= minRound {
+				l.gossipCap.AllowN(now, l.link.send(KindRecords, message, peer.Control))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/member"
+)
+
+const (
+	// StatePath is the path of the bulk state under StateHandler.
+	StatePath = "/control/state"
+	// objectPath is followed by the hash of an object in hexadecimal.
+	objectPath = "/control/object/"
+	// stateChunk is the number of records, briefs or objects in a chunk.
+	stateChunk = 500
+	// maxObject is the largest object; the store takes values up to 1 MB.
+	maxObject = 1 << 20
+	// maxState bounds what FetchState reads: 16,400 records and 131,072 marks
+	// take 4 MB, configuration has the rest.
+	maxState = 64 << 20
+)
+
+// stateItem is one chunk of the bulk state, a sequence of CBOR arrays.
+type stateItem struct {
+	_       struct{} `cbor:",toarray"`
+	Records []wireRecord
+	Ended   []wireBrief
+	Objects [][]byte
+}
+
+// StateHandler serves the bulk state at StatePath and objects larger than a
+// datagram below it. The owner serves it to authenticated processes only.
+func (e *Entry) StateHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+StatePath, e.serveState)
+	mux.HandleFunc("GET "+objectPath+"{hash}", e.serveObject)
+	return mux
+}
+
+func (e *Entry) serveObject(w http.ResponseWriter, r *http.Request) {
+	hash, err := strconv.ParseUint(r.PathValue("hash"), 16, 64)
+	object, ok := e.bulk.get(hash)
+	if err != nil || !ok {
+		http.Error(w, "object is not announced by this entry", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	_, _ = w.Write(object)
+}
+
+func (e *Entry) serveState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/cbor-seq")
+	enc := encMode.NewEncoder(w)
+	for _, item := range e.stateItems() {
+		if err := enc.Encode(item); err != nil {
+			return // The caller has gone.
+		}
+	}
+}
+
+func (e *Entry) stateItems() []stateItem {
+	var items []stateItem
+	var records []wireRecord
+	var ended []wireBrief
+	for _, r := range e.cfg.Members.Records() {
+		records = append(records, toWire(r))
+	}
+	for _, b := range e.cfg.Members.Marks() {
+		ended = append(ended, toWireBrief(b))
+	}
+	items = appendChunks(items, e.cfg.ConfigObjects(), func(part [][]byte) stateItem { return stateItem{Objects: part} })
+	items = appendChunks(items, records, func(part []wireRecord) stateItem { return stateItem{Records: part} })
+	return appendChunks(items, ended, func(part []wireBrief) stateItem { return stateItem{Ended: part} })
+}
+
+func appendChunks[T any](items []stateItem, all []T, item func([]T) stateItem) []stateItem {
+	for len(all) > 0 {
+		n := min(len(all), stateChunk)
+		items = append(items, item(all[:n]))
+		all = all[n:]
+	}
+	return items
+}
+
+// FetchState takes over the state that another entry serves at url. What it
+// has read before an error stays applied: every part is versioned by itself.
+func (e *Entry) FetchState(ctx context.Context, client *http.Client, url string) error {
+	body, err := get(ctx, client, url)
+	if err != nil {
+		return fmt.Errorf("fetching state: %w", err)
+	}
+	defer body.Close()
+	limited := &io.LimitedReader{R: body, N: maxState}
+	dec := decMode.NewDecoder(limited)
+	for {
+		var item stateItem
+		err := dec.Decode(&item)
+		if errors.Is(err, io.EOF) && limited.N > 0 {
+			return nil
+		}
+		if err != nil {
+			return errors.NewNotValid(err, "state from "+url)
+		}
+		e.applyState(item)
+	}
+}
+
+// applyState takes over what is valid: a part that this version does not know
+// must not keep an entry from joining.
+func (e *Entry) applyState(item stateItem) {
+	self := e.cfg.Self().ID
+	for i := range item.Records {
+		r, err := item.Records[i].record()
+		if err != nil {
+			dropped("record")
+			continue
+		}
+		if r.ID != self {
+			e.cfg.Members.Merge([]member.Record{r})
+		}
+	}
+	e.cfg.Members.MergeEnded(fromWireBriefs(item.Ended))
+	for _, object := range item.Objects {
+		if err := e.cfg.ApplyConfig(object); err != nil {
+			dropped("object")
+		}
+	}
+}
+
+func get(ctx context.Context, client *http.Client, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("making request: %w", err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("requesting %s: %w", url, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, errors.NotFoundf("%s (status %d)", url, resp.StatusCode)
+	}
+	return resp.Body, nil
+}
+
+// fetchObject reads an announced object from the process at peer.
+func fetchObject(ctx context.Context, client *http.Client, peer netip.AddrPort, hash uint64) ([]byte, error) {
+	body, err := get(ctx, client, "https://"+peer.String()+objectPath+strconv.FormatUint(hash, 16))
+	if err != nil {
+		return nil, fmt.Errorf("fetching object: %w", err)
+	}
+	defer body.Close()
+	object, err := io.ReadAll(io.LimitReader(body, maxObject+1))
+	if err != nil {
+		return nil, fmt.Errorf("reading object: %w", err)
+	}
+	if len(object) > maxObject || hashOf(object) != hash {
+		return nil, errors.NotValidf("object %016x of %d bytes from %s", hash, len(object), peer)
+	}
+	return object, nil
+}
