--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"endiveflow.example/endiveflow/admit"
+	"endiveflow.example/endiveflow/retry"
+)
+
+// job is a request that has been read completely. It is not modified once it runs.
+type job struct {
+	id         uint64
+	method     string
+	host       string
+	url        *url.URL
+	header     http.Header
+	body       []byte
+	key        string
+	deadline   time.Time
+	class      admit.Class
+	repeatable bool
+}
+
+// read takes in a whole request. Nothing has run when it returns a result instead.
+func (h *Handler) read(r *http.Request) (*job, *result) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, h.cfg.MaxBody))
+	if err != nil {
+		status, reason := http.StatusBadRequest, "request body broke off"
+		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+			status, reason = http.StatusRequestEntityTooLarge, "request body too large"
+		}
+		return nil, &result{outcome: retry.NotRun, status: status, reason: reason}
+	}
+	service := h.cfg.Service()
+	j := &job{
+		id:         h.ids.Add(1),
+		method:     r.Method,
+		host:       r.Host,
+		url:        &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		header:     forwarded(r.Header),
+		body:       body,
+		key:        r.Header.Get(HeaderKey),
+		deadline:   h.deadline(r.Header.Get(HeaderDeadline)),
+		repeatable: retry.Repeatable(r.Method, r.URL.Path, service.Repeatable),
+	}
+	j.class = h.slots.classify(j, service)
+	return j, nil
+}
+
+// deadline returns the earlier of the caller's deadline, in milliseconds from now, and the policy's.
+func (h *Handler) deadline(text string) time.Time {
+	limit := h.cfg.Policy().Deadline
+	if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms < limit.Milliseconds() {
+		limit = time.Duration(max(ms, 0)) * time.Millisecond
+	}
+	return h.cfg.Now().Add(limit)
+}
+
+// hopHeaders concern one connection and are not forwarded.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+const ownPrefix = "Endiveflow-"
+
+// forwarded returns the headers without those of the connection and our own.
+func forwarded(from http.Header) http.Header {
+	out := from.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, value := range from.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for name := range out {
+		if strings.HasPrefix(name, ownPrefix) {
+			delete(out, name)
+		}
+	}
+	return out
+}
+
+// request returns a request for one attempt.
+//
+// http.Transport repeats a request by itself when the body is nil or http.NoBody or when
+// GetBody is set, and the method or an Idempotency-Key header says that it may. A
+// request that must not run twice therefore has a body, even an empty one, and no GetBody.
+func (j *job) request(ctx context.Context, now time.Time) *http.Request {
+	r := &http.Request{
+		Method:        j.method,
+		URL:           &url.URL{Scheme: "http", Host: j.host, Path: j.url.Path, RawPath: j.url.RawPath, RawQuery: j.url.RawQuery},
+		Host:          j.host,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        j.header.Clone(),
+		Body:          http.NoBody,
+		ContentLength: int64(len(j.body)),
+	}
+	if len(j.body) > 0 || !j.repeatable {
+		r.Body = io.NopCloser(bytes.NewReader(j.body))
+	}
+	r.Header.Set(HeaderDeadline, strconv.FormatInt(j.remaining(now), 10))
+	return r.WithContext(ctx)
+}
+
+// returnTime is kept back from the deadline at each hop, so that an answer at the last moment still
+// reaches the caller in time.
+const returnTime = 5 * time.Millisecond
+
+// remaining returns the deadline for the next hop in milliseconds.
+func (j *job) remaining(now time.Time) int64 {
+	return max((j.deadline.Sub(now) - returnTime).Milliseconds(), 0)
+}
--- /dev/null
+++ b/dispatch/write.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"endiveflow.example/endiveflow/audit"
+	"endiveflow.example/endiveflow/outlier"
+	"endiveflow.example/endiveflow/retry"
+)
+
+var (
+	placedLocal    = metrics.GetOrCreateCounter(`endiveflow_dispatch_placed_total{where="local"}`)
+	placedPeer     = metrics.GetOrCreateCounter(`endiveflow_dispatch_placed_total{where="peer"}`)
+	placedQueue    = metrics.GetOrCreateCounter(`endiveflow_dispatch_placed_total{where="queue"}`)
+	brokenAnswers  = metrics.GetOrCreateCounter(`endiveflow_dispatch_broken_answers_total`)
+	malformedLoads = metrics.GetOrCreateCounter(`endiveflow_dispatch_malformed_loads_total`)
+)
+
+func countRetry(d retry.Decision) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`endiveflow_dispatch_retries_total{allowed="%t",reason=%q}`, d.Retry, d.Reason)).Inc()
+}
+
+// write sends a result to a caller.
+func (h *Handler) write(w http.ResponseWriter, res result) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`endiveflow_dispatch_requests_total{outcome=%q}`, res.outcome)).Inc()
+	if res.outcome != retry.Answered {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`endiveflow_dispatch_refused_total{outcome=%q,reason=%q}`, res.outcome, res.reason)).Inc()
+		if res.status == http.StatusServiceUnavailable {
+			h.refusals.add(res.reason, h.cfg.Now())
+		}
+	}
+	h.send(w, res)
+}
+
+// writeToPeer sends a result to another agent, with the load.
+func (h *Handler) writeToPeer(w http.ResponseWriter, res result) {
+	if text, err := h.Load().MarshalText(); err == nil {
+		w.Header().Set(HeaderLoad, string(text))
+	}
+	if res.outcome == retry.NotRun && res.tried {
+		w.Header().Set(HeaderShed, "1")
+	}
+	h.send(w, res)
+}
+
+func (h *Handler) send(w http.ResponseWriter, res result) {
+	w.Header().Set(HeaderOutcome, res.outcome.String())
+	if res.outcome == retry.Answered {
+		h.sendAnswer(w, res.answer)
+		return
+	}
+	w.Header().Set(HeaderReason, res.reason)
+	if res.key != "" {
+		w.Header().Set(HeaderKey, res.key)
+	}
+	if res.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(h.wholeSeconds(res.retryAfter)))
+	}
+	http.Error(w, res.reason, res.status)
+}
+
+// wholeSeconds rounds up or down at random, in proportion to the fraction, so that
+// callers refused together do not all return at the same second. It is at least 1.
+func (h *Handler) wholeSeconds(d time.Duration) int {
+	whole, fraction := math.Modf(d.Seconds())
+	if h.cfg.Rand() < fraction {
+		whole++
+	}
+	return max(int(whole), 1)
+}
+
+// sendAnswer passes an answer on. When it breaks off, the caller's stream is aborted, so that the
+// caller never takes a part for the whole.
+func (h *Handler) sendAnswer(w http.ResponseWriter, a *answer) {
+	defer a.close()
+	for name, values := range a.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.head); err != nil || a.rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, a.rest); err != nil {
+		brokenAnswers.Inc()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (h *Handler) auditEjection(v outlier.Verdict) {
+	h.cfg.Trail.Record(audit.Event{Action: "eject", Target: "upstream " + v.Target.String(), Reason: v.Reason})
+}
+
+// refusalsEvery is the time between two audit events of one reason of refusals: in an
+// overload each would push all other events out of the trail.
+const refusalsEvery = 10 * time.Second
+
+// refusals sums refusals for the audit trail.
+type refusals struct {
+	trail *audit.Trail
+	mu    sync.Mutex
+	// byReason is guarded by mu; its keys are the fixed reasons.
+	byReason map[string]*refusalSum
+}
+
+type refusalSum struct {
+	count int
+	last  time.Time
+}
+
+func newRefusals(trail *audit.Trail) *refusals {
+	return &refusals{trail: trail, byReason: make(map[string]*refusalSum)}
+}
+
+func (r *refusals) add(reason string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.byReason[reason]
+	if !ok {
+		s = &refusalSum{}
+		r.byReason[reason] = s
+	}
+	s.count++
+	if ok && now.Sub(s.last) < refusalsEvery {
+		return
+	}
+	r.trail.Record(audit.Event{Action: "refuse", Target: "requests", Reason: fmt.Sprintf("%s (%d refused since the last event)", reason, s.count)})
+	s.count, s.last = 0, now
+}
