--- /dev/null
+++ b/config/codec.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// MaxObjectBytes bounds an encoded object. It is the size limit of the store's values.
+const MaxObjectBytes = 1 << 20
+
+// Limits of decoding, which bound the memory that a malformed object can take.
+const (
+	maxArrayElements = 65536
+	maxMapPairs      = 1024
+	maxNesting       = 16
+)
+
+// wireObject is the CBOR form of an Object: the version and its JSON field
+// names, so that the store's form and the form between processes agree.
+type wireObject struct {
+	Object
+	Version uint64 `json:"version"`
+}
+
+var encMode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{
+		Sort:          cbor.SortCoreDeterministic,
+		Time:          cbor.TimeRFC3339Nano,
+		TextMarshaler: cbor.TextMarshalerTextString,
+	}.EncMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return m
+}()
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+		TextUnmarshaler:  cbor.TextUnmarshalerTextString,
+	}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return m
+}()
+
+// EncodeObject returns the CBOR form of an object with its version. It fails
+// with errors.NotValid when the form is longer than MaxObjectBytes.
+func EncodeObject(o Object) ([]byte, error) {
+	b, err := encMode.Marshal(wireObject{Object: o, Version: o.Version})
+	if err != nil {
+		return nil, fmt.Errorf("encoding %s: %w", o.Key, err)
+	}
+	if len(b) > MaxObjectBytes {
+		return nil, errors.NotValidf("%s of %d bytes, more than %d", o.Key, len(b), MaxObjectBytes)
+	}
+	return b, nil
+}
+
+// DecodeObject reads what EncodeObject wrote. Errors are of kind errors.NotValid.
+func DecodeObject(b []byte) (Object, error) {
+	if len(b) > MaxObjectBytes {
+		return Object{}, errors.NotValidf("object of %d bytes, more than %d", len(b), MaxObjectBytes)
+	}
+	var w wireObject
+	if err := decMode.Unmarshal(b, &w); err != nil {
+		return Object{}, errors.NewNotValid(err, "decoding an object")
+	}
+	w.Object.Version = w.Version
+	return w.Object, w.check()
+}
+
+// EncodeValue returns the JSON form in which the store keeps an object. The
+// version is not part of it: the store returns it beside the value.
+func EncodeValue(o Object) ([]byte, error) {
+	b, err := json.Marshal(o)
+	if err != nil {
+		return nil, fmt.Errorf("encoding %s: %w", o.Key, err)
+	}
+	if len(b) > MaxObjectBytes {
+		return nil, errors.NotValidf("%s of %d bytes, more than %d", o.Key, len(b), MaxObjectBytes)
+	}
+	return b, nil
+}
+
+// DecodeValue reads what EncodeValue wrote. Unknown fields are passed over, so
+// that an older node reads objects of a newer one. Errors are of kind errors.NotValid.
+func DecodeValue(b []byte, version uint64) (Object, error) {
+	var o Object
+	if err := json.Unmarshal(b, &o); err != nil {
+		return Object{}, errors.NewNotValid(err, "decoding a stored object")
+	}
+	o.Version = version
+	return o, o.check()
+}
+
+// check verifies that the specification of the object's kind, and only that, is set.
+func (o Object) check() error {
+	if o.Name == "" {
+		return errors.NotValidf("object without a name")
+	}
+	want := reflect.ValueOf(o).FieldByName(string(o.Kind))
+	specs := 0
+	for _, set := range []bool{o.Service != nil, o.Upstream != nil, o.Defaults != nil, o.Exception != nil} {
+		if set {
+			specs++
+		}
+	}
+	switch {
+	case !o.Kind.valid():
+		return errors.NotValidf("kind %q", o.Kind)
+	case specs == 0 && o.Deleted:
+		return nil
+	case specs != 1 || want.IsNil():
+		return errors.NotValidf("%s without exactly the specification of its kind", o.Key)
+	case len(o.Changes) > MaxChanges:
+		return errors.NotValidf("%s with %d changes", o.Key, len(o.Changes))
+	}
+	return nil
+}
+
+func (k Kind) valid() bool {
+	switch k {
+	case KindService, KindUpstream, KindDefaults, KindException:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/config/effective.go
@@ -0,0 +1,78 @@
+package config
+
+import "net/netip"
+
+// SourceBuiltin is the source of settings that nobody has set.
+const SourceBuiltin = "built-in"
+
+// Explanation says where the effective value of one setting comes from.
+type Explanation struct {
+	Setting Setting `json:"setting"`
+	// Value is the effective value in the form in which operators write it.
+	Value string `json:"value"`
+	// Source is SourceBuiltin or the key of the object that sets the value.
+	Source string `json:"source"`
+	// Version is the version of the source object, 0 for SourceBuiltin.
+	Version uint64 `json:"version,omitempty"`
+	// Reason is the operator's reason when the source is an Exception.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Policy returns the effective settings for one service and host: the built-in
+// values, then Defaults, then the exceptions of the service, then those of the
+// host. A zero host means the service as a whole. Values that this version of
+// the program does not accept are passed over.
+func (v *View) Policy(service string, host netip.Addr) Policy {
+	p := BuiltinPolicy()
+	v.eachSetting(service, host, func(_ Object, s Setting, value string) {
+		if next, err := p.With(s, value); err == nil {
+			p = next
+		}
+	})
+	return p
+}
+
+// Explain returns the effective value of each setting with its source.
+func (v *View) Explain(service string, host netip.Addr) []Explanation {
+	p := BuiltinPolicy()
+	from := make(map[Setting]Object)
+	v.eachSetting(service, host, func(o Object, s Setting, value string) {
+		if next, err := p.With(s, value); err == nil {
+			p = next
+			from[s] = o
+		}
+	})
+	out := make([]Explanation, 0, len(rules))
+	for _, s := range Settings() {
+		e := Explanation{Setting: s, Value: p.Value(s), Source: SourceBuiltin}
+		if o, ok := from[s]; ok {
+			e.Source = o.String()
+			e.Version = o.Version
+			if o.Exception != nil {
+				e.Reason = o.Exception.Reason
+			}
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// eachSetting calls use for each value that applies, in rising precedence.
+func (v *View) eachSetting(service string, host netip.Addr, use func(o Object, s Setting, value string)) {
+	if o, ok := v.Get(Key{Kind: KindDefaults, Name: DefaultsName}); ok && !o.Deleted && o.Defaults != nil {
+		for s, value := range o.Defaults.Settings {
+			use(o, s, value)
+		}
+	}
+	ix, _ := v.index.Get(TagOf(service))
+	for _, o := range ix.exceptions {
+		use(o, o.Exception.Setting, o.Exception.Value)
+	}
+	if !host.IsValid() {
+		return
+	}
+	onHost, _ := v.hosts.Get(host)
+	for _, o := range onHost {
+		use(o, o.Exception.Setting, o.Exception.Value)
+	}
+}
--- /dev/null
+++ b/config/view_test.go
@@ -0,0 +1,137 @@
+package config_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/config"
+)
+
+func service(name string, version uint64) config.Object {
+	return config.Object{
+		Key:     config.Key{Kind: config.KindService, Name: name},
+		Version: version,
+		Service: &config.Service{Address: netip.MustParseAddrPort("192.0.2.1:443")},
+	}
+}
+
+func exception(name, target string, s config.Setting, value string, version uint64) config.Object {
+	return config.Object{
+		Key:       config.Key{Kind: config.KindException, Name: name},
+		Version:   version,
+		Exception: &config.Exception{Target: target, Setting: s, Value: value, Reason: "trial of a longer drain"},
+	}
+}
+
+func upstream(name, of, network string, version uint64) config.Object {
+	return config.Object{
+		Key:      config.Key{Kind: config.KindUpstream, Name: name},
+		Version:  version,
+		Upstream: &config.Upstream{Service: of, Networks: []netip.Prefix{netip.MustParsePrefix(network)}, Slots: 4},
+	}
+}
+
+func deleted(o config.Object, version uint64) config.Object {
+	o.Deleted = true
+	o.Version = version
+	return o
+}
+
+// Guards against a view that reverts: updates arrive in any order, more than
+// once and stale, and each must leave the highest version and its lookups.
+func TestViewConvergesToTheHighestVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []config.Object
+		for v := uint64(1); v <= 12; v++ {
+			o := upstream(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), "rota", "10.0.0.0/24", v)
+			if rapid.Bool().Draw(t, "deleted") {
+				o.Deleted = true
+			}
+			history = append(history, o)
+		}
+		arrivals := rapid.Permutation(append(history, history[:4]...)).Draw(t, "arrivals")
+		got, want := config.NewView(), config.NewView()
+		for _, o := range history {
+			want.Apply(o)
+		}
+		for _, o := range arrivals {
+			known, ok := got.Get(o.Key)
+			require.Equal(t, !ok || o.Version > known.Version, got.Apply(o))
+		}
+		tag := config.TagOf("rota")
+		host := netip.MustParseAddr("10.0.0.7")
+		require.Equal(t, want.Objects(), got.Objects())
+		require.Equal(t, want.Digest(), got.Digest())
+		require.Equal(t, config.DigestOf(got.Objects()), got.Digest())
+		require.Equal(t, want.Version(), got.Version())
+		require.Equal(t, want.AllowsHost(tag, host), got.AllowsHost(tag, host))
+	})
+}
+
+// Guards against lookups that keep answering from a deleted object.
+func TestViewLookups(t *testing.T) {
+	v := config.NewView()
+	tag := config.TagOf("rota")
+	v.Apply(service("rota", 1))
+	v.Apply(upstream("rota-hosts", "rota", "10.0.0.0/24", 2))
+	name, _, ok := v.Service(tag)
+	require.True(t, ok)
+	require.Equal(t, "rota", name)
+	require.True(t, v.AllowsHost(tag, netip.MustParseAddr("10.0.0.7")))
+	require.False(t, v.AllowsHost(tag, netip.MustParseAddr("10.0.1.7")))
+	require.False(t, v.AllowsHost(config.TagOf("draws"), netip.MustParseAddr("10.0.0.7")))
+
+	v.Apply(deleted(service("rota", 1), 3))
+	v.Apply(deleted(upstream("rota-hosts", "rota", "10.0.0.0/24", 2), 4))
+	_, _, ok = v.Service(tag)
+	require.False(t, ok)
+	require.Empty(t, v.Services())
+	require.False(t, v.AllowsHost(tag, netip.MustParseAddr("10.0.0.7")))
+	require.Len(t, v.ObjectsFor(tag), 2, "an agent must learn of deletions")
+}
+
+// Guards against an operator's exception that a broader value overrides.
+func TestPolicyPrecedence(t *testing.T) {
+	v := config.NewView()
+	host := netip.MustParseAddr("10.0.0.7")
+	v.Apply(exception("host", "host/10.0.0.7", config.SettingDrainFor, "4s", 1))
+	v.Apply(exception("service", "service/rota", config.SettingDrainFor, "3s", 2))
+	v.Apply(config.Object{
+		Key:      config.Key{Kind: config.KindDefaults, Name: config.DefaultsName},
+		Version:  3,
+		Defaults: &config.Defaults{Settings: map[config.Setting]string{config.SettingDrainFor: "2s", config.SettingSlowStart: "1s"}},
+	})
+	require.Equal(t, "4s", v.Policy("rota", host).Value(config.SettingDrainFor))
+	require.Equal(t, "3s", v.Policy("rota", netip.Addr{}).Value(config.SettingDrainFor))
+	require.Equal(t, "2s", v.Policy("draws", netip.Addr{}).Value(config.SettingDrainFor))
+	for _, e := range v.Explain("rota", host) {
+		switch e.Setting {
+		case config.SettingDrainFor:
+			require.Equal(t, "Exception/host", e.Source)
+			require.NotEmpty(t, e.Reason)
+		case config.SettingSlowStart:
+			require.Equal(t, "Defaults/fleet", e.Source)
+		default:
+			require.Equal(t, config.SourceBuiltin, e.Source)
+		}
+	}
+}
+
+// Guards against an agent that gets a change of another service or misses one of its own.
+func TestObjectsFor(t *testing.T) {
+	v := config.NewView()
+	v.Apply(service("rota", 1))
+	v.Apply(service("draws", 2))
+	v.Apply(upstream("rota-hosts", "rota", "10.0.0.0/24", 3))
+	v.Apply(exception("mine", "host/10.0.0.7", config.SettingDrain, "true", 4))
+	v.Apply(exception("other", "host/10.9.0.7", config.SettingDrain, "true", 5))
+	v.Apply(exception("service", "service/rota", config.SettingSlowStart, "1s", 6))
+	var names []string
+	for _, o := range v.ObjectsFor(config.TagOf("rota")) {
+		names = append(names, o.String())
+	}
+	require.Equal(t, []string{"Exception/mine", "Exception/service", "Service/rota", "Upstream/rota-hosts"}, names)
+}
--- /dev/null
+++ b/settings/node.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"endiveflow.example/endiveflow/fleetkey"
+)
+
+// FleetKey is one key of the fleet in a settings file. Exactly one of Secret
+// and SecretFile is given; Load replaces SecretFile by the secret it holds.
+type FleetKey struct {
+	// ID is 0 to 255; the first key of the list is the active one.
+	ID uint8 `yaml:"id"`
+	// Secret is the base64 form of at least 32 bytes.
+	Secret string `yaml:"secret,omitempty"`
+	// SecretFile names a file that holds the base64 form, relative to the settings file.
+	SecretFile string `yaml:"secretFile,omitempty"`
+
+	raw []byte
+}
+
+// Node holds the settings that entries and agents share.
+type Node struct {
+	// Zone is the availability zone of the process.
+	Zone string `yaml:"zone"`
+	// Region is the region of the zone.
+	Region string `yaml:"region"`
+	// TunnelAddress receives encapsulated packets.
+	TunnelAddress netip.AddrPort `yaml:"tunnelAddress"`
+	// ControlAddress receives control messages.
+	ControlAddress netip.AddrPort `yaml:"controlAddress"`
+	// PeerAddress serves HTTP/3 between processes.
+	PeerAddress netip.AddrPort `yaml:"peerAddress"`
+	// AdminAddress serves HTTP for operators, and on agents for the upstream.
+	AdminAddress netip.AddrPort `yaml:"adminAddress"`
+	// FleetKeys are the accepted keys, the active one first.
+	FleetKeys []FleetKey `yaml:"fleetKeys"`
+	// PlatformURL is the base URL of the object API; empty on agents that have none.
+	PlatformURL string `yaml:"platformURL,omitempty"`
+	// Seeds are control addresses of entries, used while the store is unavailable.
+	Seeds []netip.AddrPort `yaml:"seeds,omitempty"`
+	// LogLevel is the lowest level that is logged; default info.
+	LogLevel slog.Level `yaml:"logLevel,omitempty"`
+	// ShutdownGrace bounds a planned stop; default DefaultShutdownGrace.
+	ShutdownGrace time.Duration `yaml:"shutdownGrace,omitempty"`
+}
+
+// DefaultShutdownGrace is the longest a planned stop takes unless the settings say otherwise.
+const DefaultShutdownGrace = 30 * time.Second
+
+// Ring returns the key ring of the settings.
+func (n Node) Ring() (*fleetkey.Ring, error) {
+	cfg := fleetkey.Config{}
+	for _, k := range n.FleetKeys {
+		cfg.Keys = append(cfg.Keys, fleetkey.Key{ID: k.ID, Secret: k.raw})
+	}
+	ring, err := fleetkey.New(cfg)
+	if err != nil {
+		return nil, fmt.Errorf("building the key ring: %w", err)
+	}
+	return ring, nil
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Node
+	// BindIP is the local address for the sockets of services; unset means the address of the service.
+	BindIP netip.Addr `yaml:"bindIP,omitempty"`
+	// AgentNetworks hold the agents that packets may be sent to while there is no configuration.
+	AgentNetworks []netip.Prefix `yaml:"agentNetworks"`
+}
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Node
+	// Service is the name of the service that the agent's upstream serves.
+	Service string `yaml:"service"`
+	// TLS is the certificate shown to callers.
+	TLS TLS `yaml:"tls"`
+}
+
+// TLS names the files of a certificate, relative to the settings file.
+type TLS struct {
+	CertFile string `yaml:"certFile"`
+	KeyFile  string `yaml:"keyFile"`
+}
+
+// Platform holds the settings of the stand-in platform.
+type Platform struct {
+	ListenAddress netip.AddrPort `yaml:"listenAddress"`
+	LogLevel      slog.Level     `yaml:"logLevel,omitempty"`
+}
+
+// Fabric holds the settings of the stand-in fabric.
+type Fabric struct {
+	Services []FabricService `yaml:"services"`
+	LogLevel slog.Level      `yaml:"logLevel,omitempty"`
+}
+
+// FabricService is one service whose packets the stand-in fabric sprays over entries.
+type FabricService struct {
+	// ListenAddress is the UDP address that callers send to.
+	ListenAddress netip.AddrPort `yaml:"listenAddress"`
+	Entries       []FabricEntry  `yaml:"entries"`
+}
+
+// FabricEntry is one entry behind the stand-in fabric.
+type FabricEntry struct {
+	// Address is the UDP address of the service at the entry.
+	Address netip.AddrPort `yaml:"address"`
+	// HealthURL answers 200 while the entry takes packets.
+	HealthURL string `yaml:"healthURL"`
+}
+
+// Upstream holds the settings of the stand-in upstream.
+type Upstream struct {
+	ListenAddress netip.AddrPort `yaml:"listenAddress"`
+	// AgentURL is the base URL of the agent's admin endpoint.
+	AgentURL string `yaml:"agentURL"`
+	// Service is the name of the service announced to the agent.
+	Service string `yaml:"service"`
+	// Slots is the number of requests run at a time, 1 or more.
+	Slots int `yaml:"slots"`
+	// ShortWork and LongWork are the run times of short and long requests.
+	ShortWork time.Duration `yaml:"shortWork,omitempty"`
+	LongWork  time.Duration `yaml:"longWork,omitempty"`
+	LogLevel  slog.Level    `yaml:"logLevel,omitempty"`
+}
