strictyaml, config, settings: strict files with all errors at once

Cause: operators and settings files need one strict reader that names every error with file, line, column, key and the accepted form.

Ruled out: the library's own strict decoding, which stops at the first error. The parser also drops the documents that follow an empty one ("---\n---\na: 1"), so documents are split before parsing.

--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,282 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// maxSlots bounds the slots of one upstream.
+const maxSlots = 10_000
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+var methodForm = regexp.MustCompile(`^[A-Z]+$`)
+
+// checker looks for problems in loaded objects, alone and together with those in force.
+type checker struct {
+	objects []loaded
+	// all holds the known objects and the loaded ones that replace them, by key; deleted ones are left out.
+	all map[Key]Object
+	// groups holds all by what they may collide in, so that a check of
+	// thousands of services does not compare each with each.
+	groups map[any][]Object
+}
+
+// Keys of checker.groups.
+type (
+	addressGroup   struct{ address netip.AddrPort }
+	portGroup      struct{ port uint16 }
+	networksGroup  struct{ service string }
+	exceptionGroup struct {
+		target  string
+		setting Setting
+	}
+)
+
+func newChecker(known []Object, objects []loaded) *checker {
+	c := &checker{objects: objects, all: make(map[Key]Object), groups: make(map[any][]Object)}
+	for _, o := range known {
+		if !o.Deleted {
+			c.all[o.Key] = o
+		}
+	}
+	for _, o := range objects {
+		c.all[o.Key] = o.Object
+	}
+	for _, o := range c.all {
+		for _, group := range groupsOf(o) {
+			c.groups[group] = append(c.groups[group], o)
+		}
+	}
+	for _, list := range c.groups {
+		sortObjects(list)
+	}
+	return c
+}
+
+func groupsOf(o Object) []any {
+	switch {
+	case o.Service != nil:
+		a := o.Service.Address
+		return []any{TagOf(o.Name), addressGroup{a}, portGroup{a.Port()}}
+	case o.Upstream != nil:
+		return []any{networksGroup{o.Upstream.Service}}
+	case o.Exception != nil:
+		return []any{exceptionGroup{o.Exception.Target, o.Exception.Setting}}
+	}
+	return nil
+}
+
+func (c *checker) check() {
+	seen := make(map[Key]bool)
+	for _, o := range c.objects {
+		c.checkName(o)
+		if seen[o.Key] {
+			o.doc.Reportf("name", "one document for each object", "second document for %s", o.Key)
+		}
+		seen[o.Key] = true
+		switch {
+		case o.Service != nil:
+			c.checkService(o)
+		case o.Upstream != nil:
+			c.checkUpstream(o)
+		case o.Defaults != nil:
+			c.checkDefaults(o)
+		case o.Exception != nil:
+			c.checkException(o)
+		}
+	}
+}
+
+// others returns the other objects of a group, ordered by key.
+func (c *checker) others(k Key, group any) []Object {
+	return slices.DeleteFunc(slices.Clone(c.groups[group]), func(o Object) bool { return o.Key == k })
+}
+
+func (c *checker) checkName(o loaded) {
+	if !o.doc.Has("name") || o.doc.Failed("name") {
+		return
+	}
+	if !nameForm.MatchString(o.Name) {
+		o.doc.Reportf("name", "lower-case letters, digits and inner hyphens, at most 63", "name %q", o.Name)
+	}
+	if o.Kind == KindDefaults && o.Name != DefaultsName {
+		o.doc.Reportf("name", DefaultsName, "name %q of Defaults", o.Name)
+	}
+}
+
+func (c *checker) checkService(o loaded) {
+	s := o.Service
+	if o.doc.Has("spec.address") && !o.doc.Failed("spec.address") {
+		c.checkAddress(o)
+	}
+	for i, p := range s.Short {
+		checkPrefix(o, fmt.Sprintf("spec.short[%d]", i), p)
+	}
+	for i, p := range s.Long {
+		key := fmt.Sprintf("spec.long[%d]", i)
+		checkPrefix(o, key, p)
+		if slices.Contains(s.Short, p) {
+			o.doc.Reportf(key, "each prefix in one class", "prefix %q is both short and long", p)
+		}
+	}
+	for i, r := range s.Repeatable {
+		key := fmt.Sprintf("spec.repeatable[%d]", i)
+		checkPrefix(o, key+".prefix", r.Prefix)
+		if !o.doc.Failed(key+".method") && !methodForm.MatchString(r.Method) {
+			o.doc.Reportf(key+".method", "an HTTP method such as POST", "method %q", r.Method)
+		}
+	}
+	for _, other := range c.others(o.Key, TagOf(o.Name)) {
+		o.doc.Reportf("name", "a name of another tag", "tag %08x is that of service %q", uint32(TagOf(o.Name)), other.Name)
+	}
+}
+
+func checkPrefix(o loaded, key, prefix string) {
+	if !o.doc.Failed(key) && !strings.HasPrefix(prefix, "/") {
+		o.doc.Reportf(key, "a path prefix that starts with /", "prefix %q", prefix)
+	}
+}
+
+func (c *checker) checkAddress(o loaded) {
+	a := o.Service.Address
+	if !a.Addr().Is4() || a.Port() == 0 {
+		o.doc.Reportf("spec.address", "an IPv4 address with a port above 0", "address %s", a)
+		return
+	}
+	for _, other := range c.colliding(o, a) {
+		o.doc.Reportf("spec.address", "an address of its own", "address %s overlaps with %s of service %q", a, other.Service.Address, other.Name)
+	}
+}
+
+// colliding returns the services whose sockets could not be bound beside one at
+// an address: those of the same address, and through an unspecified address those of the port.
+func (c *checker) colliding(o loaded, a netip.AddrPort) []Object {
+	if a.Addr().IsUnspecified() {
+		return c.others(o.Key, portGroup{a.Port()})
+	}
+	wildcard := netip.AddrPortFrom(netip.IPv4Unspecified(), a.Port())
+	return append(c.others(o.Key, addressGroup{a}), c.others(o.Key, addressGroup{wildcard})...)
+}
+
+func (c *checker) checkUpstream(o loaded) {
+	u := o.Upstream
+	if o.doc.Has("spec.slots") && !o.doc.Failed("spec.slots") && (u.Slots < 1 || u.Slots > maxSlots) {
+		o.doc.Reportf("spec.slots", fmt.Sprintf("an integer from 1 to %d", maxSlots), "%d slots", u.Slots)
+	}
+	if o.doc.Has("spec.networks") && !o.doc.Failed("spec.networks") && len(u.Networks) == 0 {
+		o.doc.Reportf("spec.networks", "at least one network", "no networks")
+	}
+	c.checkReference(o, "spec.service", u.Service)
+	for i, n := range u.Networks {
+		key := fmt.Sprintf("spec.networks[%d]", i)
+		if o.doc.Failed(key) {
+			continue
+		}
+		if !n.Addr().Is4() || n != n.Masked() {
+			o.doc.Reportf(key, fmt.Sprintf("an IPv4 network without host bits such as %s", n.Masked()), "network %s", n)
+			continue
+		}
+		c.checkOverlap(o, key, n, i)
+	}
+}
+
+// checkOverlap rejects networks that overlap within one service, where it would
+// be open how many slots a host has. Services may share networks.
+func (c *checker) checkOverlap(o loaded, key string, n netip.Prefix, i int) {
+	for _, earlier := range o.Upstream.Networks[:i] {
+		if earlier.Overlaps(n) {
+			o.doc.Reportf(key, "networks that don't overlap", "network %s overlaps with %s", n, earlier)
+		}
+	}
+	for _, other := range c.others(o.Key, networksGroup{o.Upstream.Service}) {
+		for _, m := range other.Upstream.Networks {
+			if m.Overlaps(n) {
+				o.doc.Reportf(key, "networks that don't overlap", "network %s overlaps with %s of upstream %q", n, m, other.Name)
+			}
+		}
+	}
+}
+
+func (c *checker) checkReference(o loaded, key, service string) {
+	if !o.doc.Has(key) || o.doc.Failed(key) {
+		return
+	}
+	if _, ok := c.all[Key{Kind: KindService, Name: service}]; !ok {
+		o.doc.Reportf(key, "the name of a service in the files or in force", "no service %q", service)
+	}
+}
+
+func (c *checker) checkDefaults(o loaded) {
+	for _, s := range slices.Sorted(maps.Keys(o.Defaults.Settings)) {
+		key := "spec.settings." + string(s)
+		if o.doc.Failed(key) {
+			continue
+		}
+		if ruleOf[s].exceptionOnly {
+			o.doc.Reportf(key, "an Exception that holds it", "%s is not allowed in Defaults", s)
+			continue
+		}
+		checkSetting(o, key, key, s, o.Defaults.Settings[s])
+	}
+}
+
+// checkSetting reports an unknown setting at nameKey and a bad value at valueKey.
+func checkSetting(o loaded, nameKey, valueKey string, s Setting, value string) {
+	if _, ok := ruleOf[s]; !ok {
+		o.doc.Reportf(nameKey, "one of "+settingNames(), "unknown setting %q", s)
+		return
+	}
+	if _, err := BuiltinPolicy().With(s, value); err != nil {
+		o.doc.Reportf(valueKey, ExpectedForm(s), "value %q", value)
+	}
+}
+
+func settingNames() string {
+	var out []string
+	for _, s := range Settings() {
+		out = append(out, string(s))
+	}
+	return strings.Join(out, ", ")
+}
+
+func (c *checker) checkException(o loaded) {
+	e := o.Exception
+	if o.doc.Has("spec.reason") && !o.doc.Failed("spec.reason") && strings.TrimSpace(e.Reason) == "" {
+		o.doc.Reportf("spec.reason", "a written reason", "empty reason")
+	}
+	if o.doc.Has("spec.setting") && o.doc.Has("spec.value") && !o.doc.Failed("spec.setting") && !o.doc.Failed("spec.value") {
+		checkSetting(o, "spec.setting", "spec.value", e.Setting, e.Value)
+	}
+	if o.doc.Has("spec.target") && !o.doc.Failed("spec.target") {
+		c.checkTarget(o)
+	}
+	for _, other := range c.others(o.Key, exceptionGroup{e.Target, e.Setting}) {
+		o.doc.Reportf("spec.setting", "one exception for each target and setting", "exception %q also sets %s of %s", other.Name, e.Setting, e.Target)
+	}
+}
+
+func (c *checker) checkTarget(o loaded) {
+	target, err := ParseTarget(o.Exception.Target)
+	if err != nil {
+		o.doc.Reportf("spec.target", "service/NAME or host/IP", "target %q", o.Exception.Target)
+		return
+	}
+	if target.Service != "" {
+		c.checkReference(o, "spec.target", target.Service)
+		if ruleOf[o.Exception.Setting].hostOnly {
+			o.doc.Reportf("spec.target", "host/IP", "%s applies to hosts only", o.Exception.Setting)
+		}
+		return
+	}
+	for _, u := range c.all {
+		if u.Upstream != nil && u.Upstream.contains(target.Host) {
+			return
+		}
+	}
+	o.doc.Reportf("spec.target", "a host in a network of an Upstream", "no Upstream holds host %s", target.Host)
+}
--- a/config/effective.go
+++ b/config/effective.go
@@ -65,14 +65,12 @@
 		}
 	}
 	ix, _ := v.index.Get(TagOf(service))
-	for _, o := range ix.exceptions {
-		use(o, o.Exception.Setting, o.Exception.Value)
-	}
-	if !host.IsValid() {
-		return
-	}
 	onHost, _ := v.hosts.Get(host)
-	for _, o := range onHost {
-		use(o, o.Exception.Setting, o.Exception.Value)
+	for _, list := range [][]Object{ix.exceptions, onHost} {
+		for _, o := range list {
+			if !o.Deleted {
+				use(o, o.Exception.Setting, o.Exception.Value)
+			}
+		}
 	}
 }
--- a/config/index.go
+++ b/config/index.go
@@ -49,7 +49,7 @@
 	})
 }
 
-// reindex puts an object, which is not deleted, into the indexes; v.mu is held.
+// reindex puts an object into the indexes; v.mu is held.
 func (v *View) reindex(o Object) {
 	v.changeIndex(o, func(list []Object) []Object {
 		out := append(slices.Clone(list), o)
@@ -72,16 +72,7 @@
 func (v *View) changeIndex(o Object, change func([]Object) []Object) {
 	switch {
 	case o.Service != nil:
-		v.updateService(TagOf(o.Name), func(ix *serviceIndex) {
-			var list []Object
-			if ix.service != nil {
-				list = []Object{*ix.service}
-			}
-			ix.service = nil
-			if list = change(list); len(list) > 0 {
-				ix.service = &list[len(list)-1]
-			}
-		})
+		v.updateService(TagOf(o.Name), func(ix *serviceIndex) { ix.service = change(ix.service) })
 	case o.Upstream != nil:
 		v.updateService(TagOf(o.Upstream.Service), func(ix *serviceIndex) { ix.upstreams = change(ix.upstreams) })
 	case o.Exception != nil:
--- /dev/null
+++ b/config/load.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"endiveflow.example/endiveflow/strictyaml"
+)
+
+// Set is an immutable set of valid objects that operators want in force.
+// Objects of other keys are left alone.
+type Set struct{ objects []Object }
+
+// NewSet returns a set of objects that the caller knows to be valid.
+func NewSet(objects ...Object) Set {
+	out := slices.Clone(objects)
+	sortObjects(out)
+	return Set{objects: out}
+}
+
+// Objects returns the objects ordered by key. They have no version and no changes.
+func (s Set) Objects() []Object { return slices.Clone(s.objects) }
+
+// envelope is one YAML document.
+type envelope struct {
+	Kind string         `yaml:"kind"`
+	Name string         `yaml:"name"`
+	Spec strictyaml.Raw `yaml:"spec"`
+}
+
+// defaultsSpec is a Defaults as operators write it: values may be numbers.
+type defaultsSpec struct {
+	Settings map[string]strictyaml.Scalar `yaml:"settings"`
+}
+
+// exceptionSpec is an Exception as operators write it.
+type exceptionSpec struct {
+	Target  string            `yaml:"target"`
+	Setting string            `yaml:"setting"`
+	Value   strictyaml.Scalar `yaml:"value"`
+	Reason  string            `yaml:"reason"`
+}
+
+// loaded is an object and the document that holds it.
+type loaded struct {
+	Object
+	doc *strictyaml.Document
+}
+
+// Load reads files that hold everything their objects refer to. The error
+// lists all problems, see strictyaml.FileErrors; without one the set is valid.
+func Load(files ...string) (Set, error) { return LoadWith(nil, files...) }
+
+// LoadWith reads files whose objects may refer to known ones, which are those
+// in force. Objects in the files replace known ones of the same key.
+func LoadWith(known []Object, files ...string) (Set, error) {
+	var problems strictyaml.FileErrors
+	var objects []loaded
+	var docs []*strictyaml.Document
+	for _, name := range files {
+		found, bad := strictyaml.ReadFile(name)
+		problems = append(problems, bad...)
+		docs = append(docs, found...)
+	}
+	for _, doc := range docs {
+		objects = append(objects, loadObject(doc))
+	}
+	newChecker(known, objects).check()
+	for _, doc := range docs {
+		problems = append(problems, doc.Problems...)
+	}
+	if len(docs) == 0 && len(problems) == 0 {
+		problems = strictyaml.FileErrors{{File: strings.Join(files, ", "), Text: "no documents", Expected: "documents with kind, name and spec"}}
+	}
+	if err := problems.Err(); err != nil {
+		return Set{}, err
+	}
+	out := make([]Object, len(objects))
+	for i, o := range objects {
+		out[i] = o.Object
+	}
+	return NewSet(out...), nil
+}
+
+// loadObject reads a document. Where problems were reported, parts are missing.
+func loadObject(doc *strictyaml.Document) loaded {
+	var e envelope
+	doc.DecodeDocument(&e)
+	o := loaded{Object: Object{Key: Key{Kind: Kind(e.Kind), Name: e.Name}}, doc: doc}
+	switch o.Kind {
+	case KindService:
+		o.Service = &Service{}
+		doc.Decode(e.Spec, o.Service)
+	case KindUpstream:
+		o.Upstream = &Upstream{}
+		doc.Decode(e.Spec, o.Upstream)
+	case KindDefaults:
+		var spec defaultsSpec
+		doc.Decode(e.Spec, &spec)
+		o.Defaults = &Defaults{Settings: make(map[Setting]string, len(spec.Settings))}
+		for _, s := range slices.Sorted(maps.Keys(spec.Settings)) {
+			o.Defaults.Settings[Setting(s)] = string(spec.Settings[s])
+		}
+	case KindException:
+		var spec exceptionSpec
+		doc.Decode(e.Spec, &spec)
+		o.Exception = &Exception{Target: spec.Target, Setting: Setting(spec.Setting), Value: string(spec.Value), Reason: spec.Reason}
+	default:
+		if doc.Has("kind") && !doc.Failed("kind") {
+			doc.Reportf("kind", "Service, Upstream, Defaults or Exception", "unknown kind %q", e.Kind)
+		}
+	}
+	return o
+}
--- a/config/view.go
+++ b/config/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -22,21 +23,30 @@
 	objects *board.Section[Key, Object]
 	// index holds what is looked up per service; its values are immutable.
 	index *board.Section[ServiceTag, serviceIndex]
-	// hosts holds the live exceptions of each host; its values are immutable.
+	// hosts holds the exceptions of each host; its values are immutable.
 	hosts *board.Section[netip.Addr, []Object]
 	// digest is the sum of the objects' digests, see DigestOf.
 	digest  atomic.Uint64
 	version atomic.Uint64
 }
 
-// serviceIndex is what a View looks up by service. Deleted objects are not in it.
+// serviceIndex is what a View looks up by service. Deleted objects are in it,
+// because agents must learn of them; lookups pass over them.
 type serviceIndex struct {
-	// service is nil while only upstreams or exceptions name the service.
-	service    *Object
+	// service is empty while only upstreams or exceptions name the service.
+	service    []Object
 	upstreams  []Object
 	exceptions []Object
 }
 
+// live returns the service object unless it is unknown or deleted.
+func (ix serviceIndex) live() (Object, bool) {
+	if len(ix.service) == 0 || ix.service[len(ix.service)-1].Deleted {
+		return Object{}, false
+	}
+	return ix.service[len(ix.service)-1], true
+}
+
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
@@ -63,9 +73,7 @@
 	if known {
 		v.unindex(old)
 	}
-	if !o.Deleted {
-		v.reindex(o)
-	}
+	v.reindex(o)
 	delta := digestOf(o)
 	if known {
 		delta -= digestOf(old)
@@ -97,8 +105,8 @@
 func (v *View) Services() map[string]Service {
 	out := make(map[string]Service)
 	for _, ix := range v.index.Snapshot() {
-		if ix.service != nil {
-			out[ix.service.Name] = *ix.service.Service
+		if o, ok := ix.live(); ok {
+			out[o.Name] = *o.Service
 		}
 	}
 	return out
@@ -107,17 +115,18 @@
 // Service returns the service of a tag and its name.
 func (v *View) Service(tag ServiceTag) (string, Service, bool) {
 	ix, _ := v.index.Get(tag)
-	if ix.service == nil {
+	o, ok := ix.live()
+	if !ok {
 		return "", Service{}, false
 	}
-	return ix.service.Name, *ix.service.Service, true
+	return o.Name, *o.Service, true
 }
 
 // AllowsHost says whether an Upstream of the service has a network that holds the host.
 func (v *View) AllowsHost(tag ServiceTag, host netip.Addr) bool {
 	ix, _ := v.index.Get(tag)
 	for _, o := range ix.upstreams {
-		if o.Upstream.contains(host) {
+		if !o.Deleted && o.Upstream.contains(host) {
 			return true
 		}
 	}
@@ -138,42 +147,22 @@
 // in its networks. Deleted objects are included, so that the agent learns of
 // the deletion. Given the same objects, two views return the same list.
 func (v *View) ObjectsFor(tag ServiceTag) []Object {
-	all := v.Objects()
-	var networks []netip.Prefix
-	for _, o := range all {
-		if o.Upstream != nil && TagOf(o.Upstream.Service) == tag {
-			networks = append(networks, o.Upstream.Networks...)
-		}
+	ix, _ := v.index.Get(tag)
+	out := slices.Concat(ix.service, ix.upstreams, ix.exceptions)
+	if o, ok := v.Get(Key{Kind: KindDefaults, Name: DefaultsName}); ok {
+		out = append(out, o)
 	}
-	out := all[:0]
-	for _, o := range all {
-		if concerns(o, tag, &Upstream{Networks: networks}) {
-			out = append(out, o)
+	for host, exceptions := range v.hosts.Snapshot() {
+		if slices.ContainsFunc(ix.upstreams, func(o Object) bool { return o.Upstream.contains(host) }) {
+			out = append(out, exceptions...)
 		}
 	}
+	sortObjects(out)
 	return out
 }
 
-func concerns(o Object, tag ServiceTag, hosts *Upstream) bool {
-	switch {
-	case o.Kind == KindDefaults:
-		return true
-	case o.Kind == KindService:
-		return TagOf(o.Name) == tag
-	case o.Upstream != nil:
-		return TagOf(o.Upstream.Service) == tag
-	case o.Exception != nil:
-		target, err := ParseTarget(o.Exception.Target)
-		if err != nil {
-			return false
-		}
-		if target.Service != "" {
-			return TagOf(target.Service) == tag
-		}
-		return hosts.contains(target.Host)
-	}
-	return false
-}
+// DigestFor identifies the keys and versions of ObjectsFor.
+func (v *View) DigestFor(tag ServiceTag) uint64 { return DigestOf(v.ObjectsFor(tag)) }
 
 // Digest identifies the keys and versions of all known objects.
 func (v *View) Digest() uint64 { return v.digest.Load() }
--- a/settings/node.go
+++ b/settings/node.go
@@ -10,7 +10,7 @@
 )
 
 // FleetKey is one key of the fleet in a settings file. Exactly one of Secret
-// and SecretFile is given; Load replaces SecretFile by the secret it holds.
+// and SecretFile is given.
 type FleetKey struct {
 	// ID is 0 to 255; the first key of the list is the active one.
 	ID uint8 `yaml:"id"`
@@ -19,6 +19,7 @@
 	// SecretFile names a file that holds the base64 form, relative to the settings file.
 	SecretFile string `yaml:"secretFile,omitempty"`
 
+	// raw is the decoded secret; empty in a FleetKey that was not loaded.
 	raw []byte
 }
 
@@ -48,8 +49,15 @@
 	ShutdownGrace time.Duration `yaml:"shutdownGrace,omitempty"`
 }
 
-// DefaultShutdownGrace is the longest a planned stop takes unless the settings say otherwise.
-const DefaultShutdownGrace = 30 * time.Second
+// Defaults of settings that may be left out.
+const (
+	// DefaultShutdownGrace bounds a planned stop.
+	DefaultShutdownGrace = 30 * time.Second
+	// DefaultSlots, DefaultShortWork and DefaultLongWork shape the stand-in upstream.
+	DefaultSlots     = 4
+	DefaultShortWork = 5 * time.Millisecond
+	DefaultLongWork  = 2 * time.Second
+)
 
 // Ring returns the key ring of the settings.
 func (n Node) Ring() (*fleetkey.Ring, error) {
@@ -122,9 +130,10 @@
 	AgentURL string `yaml:"agentURL"`
 	// Service is the name of the service announced to the agent.
 	Service string `yaml:"service"`
-	// Slots is the number of requests run at a time, 1 or more.
-	Slots int `yaml:"slots"`
-	// ShortWork and LongWork are the run times of short and long requests.
+	// Slots is the number of requests run at a time, 1 or more; default DefaultSlots.
+	Slots int `yaml:"slots,omitempty"`
+	// ShortWork and LongWork are the run times of short and long requests;
+	// defaults DefaultShortWork and DefaultLongWork.
 	ShortWork time.Duration `yaml:"shortWork,omitempty"`
 	LongWork  time.Duration `yaml:"longWork,omitempty"`
 	LogLevel  slog.Level    `yaml:"logLevel,omitempty"`
--- /dev/null
+++ b/strictyaml/document.go
@@ -0,0 +1,193 @@
+package strictyaml
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+	"github.com/juju/errors"
+)
+
+// MaxFileBytes bounds a file.
+const MaxFileBytes = 16 << 20
+
+// position is a place in a file.
+type position struct{ line, column int }
+
+// Document is one document of a file and the problems found in it.
+type Document struct {
+	file string
+	node ast.Node
+	// at holds the position of each key that was read.
+	at map[string]position
+	// Problems are the errors found so far.
+	Problems FileErrors
+}
+
+// Raw is a part of a document that Document.Decode reads later.
+type Raw struct {
+	node ast.Node
+	path string
+}
+
+// Scalar is the text of a string, number or boolean, as written.
+type Scalar string
+
+// ReadFile returns the documents of a file. Empty documents are left out.
+func ReadFile(name string) ([]*Document, FileErrors) {
+	info, err := os.Stat(name)
+	if err == nil && info.Size() > MaxFileBytes {
+		err = errors.NotValidf("file of %d bytes, more than %d", info.Size(), MaxFileBytes)
+	}
+	var data []byte
+	if err == nil {
+		data, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, FileErrors{{File: name, Text: err.Error(), Expected: "a readable file"}}
+	}
+	return Read(name, data)
+}
+
+// Read returns the documents of data; name stands for the file in problems.
+//
+// Documents are split before parsing: the parser drops the documents that
+// follow an empty one.
+func Read(name string, data []byte) ([]*Document, FileErrors) {
+	var docs []*Document
+	var problems FileErrors
+	chunk := []byte{}
+	flush := func() {
+		d, found := parse(name, chunk)
+		problems = append(problems, found...)
+		if d != nil {
+			docs = append(docs, d)
+		}
+	}
+	for i, line := range bytes.SplitAfter(data, []byte("\n")) {
+		text := strings.TrimRight(string(line), " \t\r\n")
+		switch {
+		case text == "---":
+			flush()
+			// Blank lines keep the line numbers of the next document.
+			chunk = bytes.Repeat([]byte("\n"), i+1)
+		case text == "..." || strings.HasPrefix(text, "--- ") || strings.HasPrefix(text, "%"):
+			problems = append(problems, Problem{File: name, Line: i + 1, Column: 1, Text: "unsupported document marker or directive", Expected: `"---" alone on its line between documents`})
+			chunk = append(chunk, '\n')
+		default:
+			chunk = append(chunk, line...)
+		}
+	}
+	flush()
+	return docs, problems
+}
+
+func parse(name string, chunk []byte) (*Document, FileErrors) {
+	file, err := parser.ParseBytes(chunk, 0)
+	if err != nil {
+		return nil, FileErrors{syntaxProblem(name, err)}
+	}
+	d := &Document{file: name, at: make(map[string]position)}
+	for _, doc := range file.Docs {
+		switch {
+		case doc.Body == nil:
+		case d.node == nil:
+			d.node = doc.Body
+		default:
+			d.report(positionOf(doc.Body), "", "second document without a separator", `"---" alone on its line between documents`)
+		}
+	}
+	if d.node == nil {
+		return nil, nil
+	}
+	d.at[""] = positionOf(d.node)
+	return d, nil
+}
+
+func syntaxProblem(name string, err error) Problem {
+	p := Problem{File: name, Text: err.Error(), Expected: "well-formed YAML"}
+	var syntax *yaml.SyntaxError
+	if errors.As(err, &syntax) {
+		p.Text = syntax.GetMessage()
+		if tk := syntax.GetToken(); tk != nil && tk.Position != nil {
+			p.Line, p.Column = tk.Position.Line, tk.Position.Column
+		}
+	}
+	return p
+}
+
+// DecodeDocument reads the whole document into a struct.
+func (d *Document) DecodeDocument(into any) {
+	d.decode(d.node, "", reflect.ValueOf(into).Elem())
+}
+
+// Decode reads a part of the document into a value.
+func (d *Document) Decode(raw Raw, into any) {
+	if raw.node != nil {
+		d.decode(raw.node, raw.path, reflect.ValueOf(into).Elem())
+	}
+}
+
+// Reportf adds a problem at a key. A key that is not in the document is
+// reported at its nearest parent.
+func (d *Document) Reportf(key, expected, format string, args ...any) {
+	d.report(d.positionAt(key), key, fmt.Sprintf(format, args...), expected)
+}
+
+func (d *Document) positionAt(key string) position {
+	for {
+		if at, ok := d.at[key]; ok {
+			return at
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		if cut < 0 {
+			return d.at[""]
+		}
+		key = key[:cut]
+	}
+}
+
+// Failed says whether a problem was reported at a key or below it.
+func (d *Document) Failed(key string) bool {
+	for _, p := range d.Problems {
+		if p.Key == key || strings.HasPrefix(p.Key, key+".") || strings.HasPrefix(p.Key, key+"[") {
+			return true
+		}
+	}
+	return false
+}
+
+// Has says whether a key was given.
+func (d *Document) Has(key string) bool {
+	_, ok := d.at[key]
+	return ok
+}
+
+func (d *Document) report(at position, key, text, expected string) {
+	d.Problems = append(d.Problems, Problem{File: d.file, Line: at.line, Column: at.column, Key: key, Text: text, Expected: expected})
+}
+
+func positionOf(node ast.Node) position {
+	var tk *token.Token
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		tk = n.Start
+		if len(n.Values) > 0 && !n.IsFlowStyle {
+			tk = n.Values[0].Key.GetToken()
+		}
+	case *ast.MappingValueNode:
+		tk = n.Key.GetToken()
+	default:
+		tk = node.GetToken()
+	}
+	if tk == nil || tk.Position == nil {
+		return position{}
+	}
+	return position{line: tk.Position.Line, column: tk.Position.Column}
+}
--- /dev/null
+++ b/strictyaml/document_test.go
@@ -0,0 +1,58 @@
+package strictyaml_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/strictyaml"
+)
+
+type sample struct {
+	Name   string                       `yaml:"name"`
+	Wait   time.Duration                `yaml:"wait,omitempty"`
+	Counts []int                        `yaml:"counts,omitempty"`
+	Set    map[string]strictyaml.Scalar `yaml:"set,omitempty"`
+	Inner  struct {
+		On bool `json:"on"`
+	} `yaml:"inner,omitempty"`
+	Rest strictyaml.Raw `yaml:"rest,omitempty"`
+}
+
+// Guards against a document that is dropped without an error: the parser alone
+// loses the documents that follow an empty one.
+func TestDocumentsAfterAnEmptyOne(t *testing.T) {
+	docs, problems := strictyaml.Read("f", []byte("# none\n---\n---\nname: a\n---\n\n---\nname: 1\n"))
+	require.Empty(t, problems)
+	require.Len(t, docs, 2)
+	var s sample
+	docs[0].DecodeDocument(&s)
+	require.Empty(t, docs[0].Problems)
+	require.Equal(t, "a", s.Name)
+	docs[1].DecodeDocument(&s)
+	require.Equal(t, "f:8:7: name: wrong type: 1; expected a string", docs[1].Problems.Error())
+}
+
+// Guards against a panic or an error without a place from malformed files.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("name: a\nwait: 10s\ncounts: [1, 2]\nset: {a: 0.5}\ninner: {on: true}\nrest: {x: [y]}\n"))
+	f.Add([]byte("name: &a b\n---\nname: *a\n? [x]\n: y\n"))
+	f.Add([]byte("<<: {name: a}\nname: |\n  text\ncounts:\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		docs, problems := strictyaml.Read("f", data)
+		for _, d := range docs {
+			var s, rest sample
+			d.DecodeDocument(&s)
+			d.Decode(s.Rest, &rest)
+			d.Reportf("set.a.b[3]", "", "test")
+			for _, p := range d.Problems {
+				require.Positive(t, p.Line, "%s", p)
+			}
+			problems = append(problems, d.Problems...)
+		}
+		if len(problems) > 0 {
+			require.Error(t, problems.Err())
+		}
+	})
+}
