--- /dev/null
+++ b/flowserver/flows.go
@@ -0,0 +1,100 @@
+package flowserver
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// flow counts the requests in flight of one connection.
+type flow struct {
+	// entered tells that the HTTP/3 server knows the connection. Calls after the first do nothing.
+	entered func()
+	// active is guarded by flowSet.mu.
+	active int
+}
+
+// flowSet holds the open flows.
+type flowSet struct {
+	mu sync.Mutex
+	// open is guarded by mu.
+	open map[*quic.Conn]*flow
+	// requests is the number of requests in flight. Guarded by mu.
+	requests int
+}
+
+type flowKey struct{}
+
+func (f *flowSet) add(conn *quic.Conn, entered func()) *flow {
+	fl := &flow{entered: sync.OnceFunc(entered)}
+	openedTotal.Inc()
+	flowsOpen.Inc()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open == nil {
+		f.open = make(map[*quic.Conn]*flow)
+	}
+	f.open[conn] = fl
+	return fl
+}
+
+func (f *flowSet) remove(conn *quic.Conn) {
+	closedTotal.Inc()
+	flowsOpen.Dec()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, conn)
+}
+
+func (f *flowSet) connContext(ctx context.Context, conn *quic.Conn) context.Context {
+	f.mu.Lock()
+	fl := f.open[conn]
+	f.mu.Unlock()
+	fl.entered()
+	return context.WithValue(ctx, flowKey{}, fl)
+}
+
+func (f *flowSet) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fl, _ := r.Context().Value(flowKey{}).(*flow)
+		requestsTotal.Inc()
+		f.change(fl, 1)
+		defer f.change(fl, -1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (f *flowSet) change(fl *flow, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.requests += n
+	if fl != nil {
+		fl.active += n
+	}
+}
+
+func (f *flowSet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.open)
+}
+
+func (f *flowSet) inFlight() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests
+}
+
+// busy returns the number of flows with requests in flight, and of these requests.
+func (f *flowSet) busy() (flows, requests int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fl := range f.open {
+		if fl.active > 0 {
+			flows++
+		}
+	}
+	return flows, f.requests
+}
--- /dev/null
+++ b/h3conn/conn.go
@@ -0,0 +1,203 @@
+package h3conn
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// Kinds of errors.
+const (
+	// ErrNotSent is the kind of errors of requests that the peer can't have run.
+	ErrNotSent = errors.ConstError("request not sent")
+	// ErrSilent is the kind of errors of requests on a connection closed because
+	// nothing arrived on it any more.
+	ErrSilent = errors.ConstError("connection is silent")
+)
+
+// Defaults of a Config.
+const (
+	DefaultSilenceAfter = 3 * time.Second
+	DefaultIdleTimeout  = 30 * time.Second
+	DefaultKeepAlive    = 10 * time.Second
+)
+
+// Config configures a connection.
+type Config struct {
+	// TLS must verify the peer. A missing NextProtos means HTTP/3.
+	TLS *tls.Config
+	// LocalIP is the address of the socket; the port is always a new one.
+	LocalIP netip.Addr
+	// SilenceAfter is how long a connection that carries work may receive
+	// nothing; 0 means DefaultSilenceAfter.
+	SilenceAfter time.Duration
+	// IdleTimeout closes a connection that receives nothing; 0 means DefaultIdleTimeout.
+	IdleTimeout time.Duration
+	// KeepAlive is the time between packets on an idle connection; 0 means
+	// DefaultKeepAlive, and a negative value sends none.
+	KeepAlive time.Duration
+	// PacketSize fixes the size of QUIC packets in bytes; 0 lets path MTU discovery choose.
+	PacketSize uint16
+	// Tokens keeps address validation tokens; nil keeps none.
+	Tokens quic.TokenStore
+}
+
+// Conn is one connection. It is safe for concurrent use.
+type Conn struct {
+	cfg       Config
+	socket    *net.UDPConn
+	transport *quic.Transport
+	quic      *quic.Conn
+	client    *http3.ClientConn
+	// wake tells the watcher that the connection carries work.
+	wake chan struct{}
+	// silent is closed when the connection was found silent.
+	silent chan struct{}
+	// ended is closed when the connection and its socket are closed.
+	ended chan struct{}
+
+	mu sync.Mutex
+	// active is the number of requests whose answer isn't complete. Guarded by mu.
+	active int
+	// retired connections take no new request and close when active is 0. Guarded by mu.
+	retired bool
+	// lastUse is the end of the newest request. Guarded by mu.
+	lastUse time.Time
+}
+
+// Dial opens a connection from a new local port and waits for the handshake.
+func Dial(ctx context.Context, addr netip.AddrPort, cfg Config) (*Conn, error) {
+	cfg = cfg.withDefaults(addr)
+	local := net.UDPAddr{}
+	if cfg.LocalIP.IsValid() {
+		local.IP = cfg.LocalIP.AsSlice()
+	}
+	socket, err := net.ListenUDP("udp", &local)
+	if err != nil {
+		return nil, errors.WithType(fmt.Errorf("opening socket: %w", err), ErrNotSent)
+	}
+	transport := &quic.Transport{Conn: socket}
+	conn, err := transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), cfg.TLS, cfg.quicConfig())
+	if err != nil {
+		_ = transport.Close()
+		_ = socket.Close()
+		return nil, errors.WithType(fmt.Errorf("connecting to %s: %w", addr, err), ErrNotSent)
+	}
+	h3 := &http3.Transport{DisableCompression: true}
+	c := &Conn{
+		cfg:       cfg,
+		socket:    socket,
+		transport: transport,
+		quic:      conn,
+		client:    h3.NewClientConn(conn),
+		wake:      make(chan struct{}, 1),
+		silent:    make(chan struct{}),
+		ended:     make(chan struct{}),
+		lastUse:   time.Now(),
+	}
+	go c.watch()
+	return c, nil
+}
+
+func (cfg Config) withDefaults(addr netip.AddrPort) Config {
+	if cfg.SilenceAfter == 0 {
+		cfg.SilenceAfter = DefaultSilenceAfter
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = DefaultIdleTimeout
+	}
+	if cfg.KeepAlive == 0 {
+		cfg.KeepAlive = DefaultKeepAlive
+	}
+	cfg.TLS = cfg.TLS.Clone()
+	if cfg.TLS.ServerName == "" {
+		cfg.TLS.ServerName = addr.Addr().String()
+	}
+	if len(cfg.TLS.NextProtos) == 0 {
+		cfg.TLS.NextProtos = []string{http3.NextProtoH3}
+	}
+	return cfg
+}
+
+func (cfg Config) quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:          cfg.IdleTimeout,
+		KeepAlivePeriod:         max(cfg.KeepAlive, 0),
+		InitialPacketSize:       cfg.PacketSize,
+		DisablePathMTUDiscovery: cfg.PacketSize != 0,
+		TokenStore:              cfg.Tokens,
+	}
+}
+
+// LocalAddr returns the address of the connection's socket.
+func (c *Conn) LocalAddr() net.Addr { return c.socket.LocalAddr() }
+
+// State returns what is known of the QUIC connection, such as whether its TLS session was resumed.
+func (c *Conn) State() quic.ConnectionState { return c.quic.ConnectionState() }
+
+// Silent is closed when the connection was found silent.
+func (c *Conn) Silent() <-chan struct{} { return c.silent }
+
+// Ended is closed when the connection is closed. Err then returns the reason.
+func (c *Conn) Ended() <-chan struct{} { return c.ended }
+
+// Err returns why the connection ended, or nil while it is open.
+func (c *Conn) Err() error { return context.Cause(c.quic.Context()) }
+
+// Usable says whether the connection takes new requests, as far as is known.
+func (c *Conn) Usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.retired && c.quic.Context().Err() == nil
+}
+
+// Active returns the number of requests in flight.
+func (c *Conn) Active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active
+}
+
+// Retire stops new requests. The connection closes when the last request in flight ends.
+func (c *Conn) Retire() {
+	c.mu.Lock()
+	c.retired = true
+	idle := c.active == 0
+	c.mu.Unlock()
+	if idle {
+		c.closeQUIC("")
+	}
+}
+
+// RetireIdle retires the connection if it has had no request for the given time.
+func (c *Conn) RetireIdle(after time.Duration) bool {
+	c.mu.Lock()
+	idle := c.active == 0 && time.Since(c.lastUse) >= after
+	c.retired = c.retired || idle
+	c.mu.Unlock()
+	if idle {
+		c.closeQUIC("")
+	}
+	return idle
+}
+
+// Close ends the connection at once and waits for its socket to be closed.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	c.retired = true
+	c.mu.Unlock()
+	c.closeQUIC("")
+	<-c.ended
+}
+
+func (c *Conn) closeQUIC(text string) {
+	_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), text)
+}
--- /dev/null
+++ b/header/doc.go
@@ -0,0 +1,22 @@
+// Package header names the HTTP header fields that endiveflow processes,
+// callers and upstreams exchange.
+package header
+
+// Header fields in canonical form, so that direct map access works.
+const (
+	// Deadline is the time left for the request in whole milliseconds, at least 1.
+	Deadline = "Endiveflow-Deadline-Ms"
+	// Outcome is one of the Outcome values; a balancer sets it on every answer.
+	Outcome = "Endiveflow-Outcome"
+	// Key identifies a non-repeatable request, so that it runs at most once.
+	Key = "Endiveflow-Key"
+	// Shed is "1" on a 503 of an upstream that did not run the request.
+	Shed = "Endiveflow-Shed"
+)
+
+// Values of Outcome.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "not-run"
+	OutcomeUnknown  = "unknown"
+)
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,189 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go/http3"
+
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/h3conn"
+)
+
+// Kinds of errors of Client.Do.
+const (
+	// ErrNotSent is the kind of errors of requests that the peer can't have run.
+	ErrNotSent = h3conn.ErrNotSent
+	// ErrSilent is the kind of errors of requests on a silent connection.
+	ErrSilent = h3conn.ErrSilent
+)
+
+// Defaults of a ClientConfig.
+const (
+	// DefaultConnectTimeout leaves time for two retransmissions of a first packet.
+	DefaultConnectTimeout = 2 * time.Second
+	// DefaultIdleFor bounds the keepalives of connections that are no longer used.
+	DefaultIdleFor = 30 * time.Second
+)
+
+var (
+	dialedTotal     = metrics.GetOrCreateCounter(`endiveflow_peer_connections_opened_total`)
+	dialFailedTotal = metrics.GetOrCreateCounter(`endiveflow_peer_connect_failures_total`)
+	notSentTotal    = metrics.GetOrCreateCounter(`endiveflow_peer_request_errors_total{reason="notSent"}`)
+	unknownTotal    = metrics.GetOrCreateCounter(`endiveflow_peer_request_errors_total{reason="unknown"}`)
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Ring issues the certificate and verifies peers.
+	Ring *fleetkey.Ring
+	// LocalIP is the process's own address; sockets are bound to it.
+	LocalIP netip.Addr
+	// SilenceAfter is how long a connection that carries work may receive
+	// nothing; 0 means h3conn.DefaultSilenceAfter.
+	SilenceAfter time.Duration
+	// ConnectTimeout bounds a handshake; 0 means DefaultConnectTimeout.
+	ConnectTimeout time.Duration
+	// IdleFor closes a connection without requests; 0 means DefaultIdleFor.
+	IdleFor time.Duration
+	// KeepAlive is the time between packets on an idle connection; 0 means h3conn.DefaultKeepAlive.
+	KeepAlive time.Duration
+}
+
+// Client sends requests to peers. It is safe for concurrent use.
+type Client struct {
+	cfg ClientConfig
+	tls *tls.Config
+
+	mu sync.Mutex
+	// links is guarded by mu.
+	links map[netip.AddrPort]*link
+	// closed is guarded by mu.
+	closed bool
+}
+
+// link is the connection to one address.
+type link struct {
+	h3conn.Link
+	// waiting is the number of requests that use the link; a link in use isn't
+	// removed. Guarded by Client.mu.
+	waiting int
+}
+
+// NewClient returns a client without connections.
+func NewClient(cfg ClientConfig) (*Client, error) {
+	if cfg.Ring == nil {
+		return nil, errors.NotValidf("peer client without key ring")
+	}
+	if !cfg.LocalIP.IsValid() {
+		return nil, errors.NotValidf("peer client without local address")
+	}
+	if cfg.ConnectTimeout == 0 {
+		cfg.ConnectTimeout = DefaultConnectTimeout
+	}
+	if cfg.IdleFor == 0 {
+		cfg.IdleFor = DefaultIdleFor
+	}
+	tlsConfig, err := cfg.Ring.PeerTLS(cfg.LocalIP, http3.NextProtoH3)
+	if err != nil {
+		return nil, fmt.Errorf("making peer TLS: %w", err)
+	}
+	return &Client{cfg: cfg, tls: tlsConfig, links: make(map[netip.AddrPort]*link)}, nil
+}
+
+// Do sends a request to the peer at addr and returns when the header of the
+// answer arrived. The caller must close the body of the answer. The scheme and
+// host of the request's URL are replaced.
+//
+// An error of kind ErrNotSent means that the peer can't have run the request. All
+// other errors leave that open. A request body is unread and open after an
+// error of kind ErrNotSent, unless the peer rejected the stream while it shut down.
+func (c *Client) Do(ctx context.Context, addr netip.AddrPort, req *http.Request) (*http.Response, error) {
+	conn, err := c.connect(ctx, addr)
+	if err != nil {
+		notSentTotal.Inc()
+		return nil, err
+	}
+	out := req.Clone(ctx)
+	out.URL.Scheme = "https"
+	out.URL.Host = addr.String()
+	out.RequestURI = ""
+	resp, err := conn.Do(out)
+	if err == nil {
+		return resp, nil
+	}
+	if errors.Is(err, ErrNotSent) {
+		notSentTotal.Inc()
+	} else {
+		unknownTotal.Inc()
+	}
+	return nil, fmt.Errorf("requesting peer %s: %w", addr, err)
+}
+
+// connect returns a usable connection to addr, opening one if needed.
+func (c *Client) connect(ctx context.Context, addr netip.AddrPort) (*h3conn.Conn, error) {
+	l, err := c.acquire(addr)
+	if err != nil {
+		return nil, err
+	}
+	defer c.releaseLink(l)
+	conn, err := l.Get(ctx, func(ctx context.Context) (*h3conn.Conn, error) { return c.dial(ctx, addr) })
+	if err != nil {
+		return nil, fmt.Errorf("connecting to peer %s: %w", addr, err)
+	}
+	if c.isClosed() {
+		conn.Close()
+	}
+	return conn, nil
+}
+
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*h3conn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ConnectTimeout)
+	defer cancel()
+	conn, err := h3conn.Dial(ctx, addr, h3conn.Config{
+		TLS:          c.tls,
+		LocalIP:      c.cfg.LocalIP,
+		SilenceAfter: c.cfg.SilenceAfter,
+		KeepAlive:    c.cfg.KeepAlive,
+	})
+	if err != nil {
+		dialFailedTotal.Inc()
+		return nil, err
+	}
+	dialedTotal.Inc()
+	return conn, nil
+}
+
+func (c *Client) acquire(addr netip.AddrPort) (*link, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errors.WithType(errors.New("peer client is closed"), ErrNotSent)
+	}
+	l := c.links[addr]
+	if l == nil {
+		l = &link{}
+		c.links[addr] = l
+	}
+	l.waiting++
+	return l, nil
+}
+
+func (c *Client) releaseLink(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.waiting--
+}
+
+func (c *Client) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,168 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"endiveflow.example/endiveflow/fleetkey"
+)
+
+// serverIdleTimeout closes connections whose client is gone. It is longer than
+// the client's keepalive.
+const serverIdleTimeout = 45 * time.Second
+
+// answerLinger lets the last answers be acknowledged before connections
+// close. Most clients close their connection themselves before that.
+const answerLinger = 500 * time.Millisecond
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	// Ring issues the certificate and verifies peers.
+	Ring *fleetkey.Ring
+	// IP is the process's own address, written into its certificate.
+	IP netip.Addr
+	// Socket receives the packets. The server doesn't close it.
+	Socket net.PacketConn
+	// Handler answers requests.
+	Handler http.Handler
+}
+
+// Server answers requests of peers.
+type Server struct {
+	cfg       ServerConfig
+	tls       *tls.Config
+	transport *quic.Transport
+	http      *http3.Server
+
+	mu sync.Mutex
+	// listener is nil before Run. Guarded by mu.
+	listener *quic.Listener
+	work     inflight
+}
+
+// NewServer returns a server that does nothing before Run.
+func NewServer(cfg ServerConfig) (*Server, error) {
+	if cfg.Ring == nil || cfg.Socket == nil || cfg.Handler == nil {
+		return nil, errors.NotValidf("peer server without key ring, socket or handler")
+	}
+	tlsConfig, err := cfg.Ring.PeerTLS(cfg.IP, http3.NextProtoH3)
+	if err != nil {
+		return nil, fmt.Errorf("making peer TLS: %w", err)
+	}
+	reset, err := resetKey(cfg.Ring, cfg.IP)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		cfg:       cfg,
+		tls:       tlsConfig,
+		transport: &quic.Transport{Conn: cfg.Socket, StatelessResetKey: reset, ConnectionIDLength: 8},
+	}
+	s.http = &http3.Server{Handler: s.work.wrap(cfg.Handler)}
+	return s, nil
+}
+
+// resetKey is the same for all incarnations at an address, so that a
+// restarted process resets the connections of the former one at once.
+func resetKey(ring *fleetkey.Ring, ip netip.Addr) (*quic.StatelessResetKey, error) {
+	var key quic.StatelessResetKey
+	secret, err := ring.Derive(ring.Active(), fleetkey.PurposeStatelessReset, "peer "+ip.String(), len(key))
+	if err != nil {
+		return nil, fmt.Errorf("deriving reset key: %w", err)
+	}
+	copy(key[:], secret)
+	return &key, nil
+}
+
+// Run serves until ctx ends, which cuts what is in flight, or until Shutdown.
+// The channel receives nil or the reason of the failure.
+func (s *Server) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	listener, err := s.listen()
+	if err != nil {
+		done <- err
+		return done
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	go func() {
+		err := s.http.ServeListener(listener)
+		if ctx.Err() != nil {
+			_ = s.transport.Close()
+		}
+		stop()
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+	return done
+}
+
+func (s *Server) listen() (*quic.Listener, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listener, err := s.transport.Listen(s.tls, &quic.Config{MaxIdleTimeout: serverIdleTimeout})
+	if err != nil {
+		return nil, fmt.Errorf("listening for peers: %w", err)
+	}
+	s.listener = listener
+	return listener, nil
+}
+
+// Shutdown takes no new requests, waits for those in flight and closes the
+// connections. When ctx ends first, it cuts what is left and returns an error
+// with the number of requests cut.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closeListener()
+	graceful := make(chan struct{})
+	go func() {
+		defer close(graceful)
+		_ = s.http.Shutdown(ctx)
+	}()
+	cut := s.waitIdle(ctx, graceful)
+	_ = s.http.Close()
+	<-graceful
+	_ = s.transport.Close()
+	if cut > 0 {
+		return fmt.Errorf("shutting down peer server: %d requests cut: %w", cut, ctx.Err())
+	}
+	return nil
+}
+
+func (s *Server) closeListener() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+}
+
+// waitIdle returns the number of requests left. A request may still arrive
+// before the peer reads GOAWAY, so it looks again after each linger.
+func (s *Server) waitIdle(ctx context.Context, graceful <-chan struct{}) int {
+	for {
+		if cut := s.work.wait(ctx); cut > 0 {
+			return cut
+		}
+		select {
+		case <-graceful:
+			return s.work.count()
+		case <-ctx.Done():
+			return s.work.count()
+		case <-time.After(answerLinger):
+		}
+		if s.work.count() == 0 {
+			return 0
+		}
+	}
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,172 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/header"
+)
+
+// Kinds of errors of Client.Do.
+const (
+	// ErrNotSent is the kind of errors of requests of which the upstream got no
+	// byte. It equals the kind of the same name in package peer.
+	ErrNotSent = errors.ConstError("request not sent")
+	// ErrSilent is the kind of errors of repeatable requests given up because the
+	// upstream showed no progress on their connection.
+	ErrSilent = errors.ConstError("connection is silent")
+)
+
+// Defaults of a Config.
+const (
+	DefaultSilenceAfter   = 3 * time.Second
+	DefaultConnectTimeout = time.Second
+	// DefaultIdleMax is below the keep-alive time of common HTTP servers (5 s and
+	// more), so that a request seldom meets the close of its connection.
+	DefaultIdleMax = time.Second
+)
+
+// maxIdleConns is above the slots of any upstream: the pool is bounded by age.
+const maxIdleConns = 1024
+
+var (
+	openedTotal  = metrics.GetOrCreateCounter(`endiveflow_upstream_connections_opened_total`)
+	silentTotal  = metrics.GetOrCreateCounter(`endiveflow_upstream_silent_total`)
+	staleTotal   = metrics.GetOrCreateCounter(`endiveflow_upstream_stale_connections_total`)
+	notSentTotal = metrics.GetOrCreateCounter(`endiveflow_upstream_request_errors_total{reason="notSent"}`)
+	unknownTotal = metrics.GetOrCreateCounter(`endiveflow_upstream_request_errors_total{reason="unknown"}`)
+	shedTotal    = metrics.GetOrCreateCounter(`endiveflow_upstream_shed_total`)
+)
+
+// Config configures a Client.
+type Config struct {
+	// Address returns where the upstream takes requests now; an invalid
+	// address means that there is none.
+	Address func() netip.AddrPort
+	// SilenceAfter is how long the upstream may show no progress; 0 means DefaultSilenceAfter.
+	SilenceAfter time.Duration
+	// ConnectTimeout bounds opening a connection; 0 means DefaultConnectTimeout.
+	ConnectTimeout time.Duration
+	// IdleMax is the age past which an idle connection isn't used again; 0 means DefaultIdleMax.
+	IdleMax time.Duration
+	// OnSilent is called when a connection was found silent; nil means no call.
+	OnSilent func(local net.Addr)
+}
+
+// Options say how one request may be treated. The zero value is the most careful.
+type Options struct {
+	// Repeatable requests are given up with an error of kind ErrSilent when their
+	// connection is silent. Others wait for their deadline, since giving up
+	// could only lose an answer.
+	Repeatable bool
+	// Long work may be silent until the first byte of its answer.
+	Long bool
+}
+
+type optionsKey struct{}
+
+// WithOptions returns a context for requests with the options.
+func WithOptions(ctx context.Context, o Options) context.Context {
+	return context.WithValue(ctx, optionsKey{}, o)
+}
+
+func optionsOf(ctx context.Context) Options {
+	o, _ := ctx.Value(optionsKey{}).(Options)
+	return o
+}
+
+// Client sends requests to the local upstream. It is safe for concurrent use.
+type Client struct {
+	cfg       Config
+	transport *http.Transport
+}
+
+// New returns a client without connections.
+func New(cfg Config) (*Client, error) {
+	if cfg.Address == nil {
+		return nil, errors.NotValidf("upstream client without address")
+	}
+	if cfg.SilenceAfter == 0 {
+		cfg.SilenceAfter = DefaultSilenceAfter
+	}
+	if cfg.ConnectTimeout == 0 {
+		cfg.ConnectTimeout = DefaultConnectTimeout
+	}
+	if cfg.IdleMax == 0 {
+		cfg.IdleMax = DefaultIdleMax
+	}
+	c := &Client{cfg: cfg}
+	c.transport = &http.Transport{
+		DialContext:         c.dial,
+		DisableCompression:  true,
+		MaxIdleConns:        maxIdleConns,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     cfg.IdleMax,
+	}
+	return c, nil
+}
+
+// dial always gets a new local port, because the old connection still holds its own.
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: c.cfg.ConnectTimeout}
+	raw, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("connecting to upstream: %w", err)
+	}
+	openedTotal.Inc()
+	return &conn{Conn: raw}, nil
+}
+
+// Close closes idle connections. Requests in flight go on.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// IsShed says whether an answer reports that the upstream did not run the request.
+func IsShed(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.Shed) == "1"
+}
+
+// Do sends a request to the upstream and returns when the header of the answer
+// arrived. The caller must close the body of the answer. The scheme and host
+// of the request's URL are replaced; the Host field is kept. The deadline of
+// the context is passed on in header.Deadline, and its cancellation closes the
+// connection.
+//
+// An error of kind ErrNotSent means that no byte was written; the body of the
+// request may have been read all the same. All other errors leave open whether
+// the request ran.
+func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	addr := c.cfg.Address()
+	if !addr.IsValid() {
+		notSentTotal.Inc()
+		return nil, errors.WithType(errors.New("no upstream is announced"), ErrNotSent)
+	}
+	body := newOnceBody(req.Body)
+	for {
+		x := c.newExchange(req, addr, body)
+		resp, err := x.run()
+		if err == nil {
+			if IsShed(resp) {
+				shedTotal.Inc()
+			}
+			return resp, nil
+		}
+		if !errors.Is(err, ErrNotSent) {
+			unknownTotal.Inc()
+			return nil, err
+		}
+		// An idle connection closed by the upstream says nothing about new ones.
+		if x.reused && body.unread() && req.Context().Err() == nil {
+			staleTotal.Inc()
+			continue
+		}
+		notSentTotal.Inc()
+		return nil, err
+	}
+}
