node, entry, agent: wire the two roles

Cause: the packages of the data path, membership and requests need processes that run them. Ruled out: one process that is both roles, because agents must die with their upstream's VM and entries must not see load. Change: the shared board, own record, sockets and lifecycle hooks; the entry with readiness and join; the agent with state, flows, requests and hand-over.

--- /dev/null
+++ b/agent/flows.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/flowserver"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/tunnel"
+)
+
+const (
+	// drainSpread is the share of the drain over which GOAWAY is sent.
+	drainSpread = 4
+	// drainPoll is how often a leaving agent looks whether its flows have ended.
+	drainPoll = 50 * time.Millisecond
+	// symmetricKeyBytes is the length of token and ticket keys.
+	symmetricKeyBytes = 32
+)
+
+func provideFlows(cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, b *node.Board, h *dispatch.Handler) (*flowserver.Server, error) {
+	conn, err := tunnelConn(ring, sockets, b)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := tls.LoadX509KeyPair(cfg.Settings.TLS.CertFile, cfg.Settings.TLS.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("loading certificate: %w", err)
+	}
+	keys, err := deriveKeys(ring, cfg.Settings.Service)
+	if err != nil {
+		return nil, err
+	}
+	ids, err := flowid.New(flowid.Config{Ring: ring})
+	if err != nil {
+		return nil, fmt.Errorf("making connection ID codec: %w", err)
+	}
+	self := b.Self.Record()
+	server, err := flowserver.New(flowserver.Config{
+		Packets:           conn,
+		TLS:               &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13},
+		IDs:               ids.NewGenerator(flowid.Place{Agent: self.Tunnel, Service: self.Service, Incarnation: self.Incarnation.Tag()}),
+		StatelessResetKey: &keys.reset,
+		TokenKey:          &keys.token,
+		TicketKeys:        keys.tickets,
+		Handler:           h,
+		DrainSpread:       min(b.Policy(cfg.Settings.Service).DrainFor, cfg.Settings.ShutdownGrace) / drainSpread,
+		Log:               cfg.Log,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making flow server: %w", err)
+	}
+	return server, nil
+}
+
+func tunnelConn(ring *fleetkey.Ring, sockets node.Sockets, b *node.Board) (*tunnel.Conn, error) {
+	codec, err := tunnel.NewCodec(ring)
+	if err != nil {
+		return nil, fmt.Errorf("making tunnel codec: %w", err)
+	}
+	self := b.Self.Record()
+	conn, err := tunnel.NewConn(tunnel.ConnConfig{
+		Socket:       sockets.Tunnel,
+		Codec:        codec,
+		Service:      self.Service,
+		Incarnation:  self.Incarnation.Tag(),
+		Entries:      b.LiveEntryTunnels,
+		AcceptsFlows: func() bool { return b.Self.Record().State == member.StateReady },
+		ResetToken:   flowid.NewResetTokens(ring).Token,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making tunnel connection: %w", err)
+	}
+	return conn, nil
+}
+
+// flowKeys are the keys that all agents of a service share.
+type flowKeys struct {
+	reset   quic.StatelessResetKey
+	token   quic.TokenGeneratorKey
+	tickets [][symmetricKeyBytes]byte
+}
+
+func deriveKeys(ring *fleetkey.Ring, service string) (flowKeys, error) {
+	var keys flowKeys
+	var err error
+	if keys.reset, err = flowid.StatelessResetKey(ring, ring.Active(), config.TagOf(service)); err != nil {
+		return flowKeys{}, fmt.Errorf("deriving reset key: %w", err)
+	}
+	token, err := ring.Derive(ring.Active(), fleetkey.PurposeToken, service, symmetricKeyBytes)
+	if err != nil {
+		return flowKeys{}, fmt.Errorf("deriving token key: %w", err)
+	}
+	copy(keys.token[:], token)
+	for _, id := range ring.IDs() {
+		ticket, err := ring.Derive(id, fleetkey.PurposeTicket, service, symmetricKeyBytes)
+		if err != nil {
+			return flowKeys{}, fmt.Errorf("deriving ticket key: %w", err)
+		}
+		keys.tickets = append(keys.tickets, [symmetricKeyBytes]byte(ticket))
+	}
+	return keys, nil
+}
+
+// stopFlows is the planned stop: no new flows and no new local work, GOAWAY
+// early, open flows kept and served through peers up to drainFor, the ledger
+// handed over last.
+func (p parts) stopFlows(ctx context.Context) error {
+	p.Board.Stopping.Store(true)
+	p.State.update()
+	policy := p.Board.Policy(p.Config.Settings.Service)
+	drainCtx, cancel := context.WithTimeout(ctx, min(policy.DrainFor, p.Config.Settings.ShutdownGrace))
+	defer cancel()
+	p.Flows.Drain()
+	for p.Flows.Flows() > 0 {
+		if node.Sleep(drainCtx, drainPoll) != nil {
+			break
+		}
+	}
+	report := p.Flows.Shutdown(ctx)
+	p.Config.Log.Info("flows stopped", "flowsCut", report.Flows, "requestsCut", report.Requests)
+	if err := p.Handler.Shutdown(ctx); err != nil {
+		return fmt.Errorf("waiting for requests with keys: %w", err)
+	}
+	if err := p.Handover.send(ctx); err != nil {
+		return fmt.Errorf("handing over the ledger: %w", err)
+	}
+	return nil
+}
+
+// leave says the last word of the agent.
+func (p parts) leave(ctx context.Context) error {
+	p.Board.Self.SetState(member.StateLeft)
+	return node.Sleep(ctx, leaveGrace)
+}
+
+// leaveGrace is the time for the last state to reach the observers.
+const leaveGrace = 200 * time.Millisecond
--- /dev/null
+++ b/agent/handover.go
@@ -0,0 +1,199 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/audit"
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/ledger"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/peer"
+)
+
+const (
+	ledgerPath    = "/agent/ledger"
+	successorPath = "/agent/successor"
+	// maxLedgerBytes bounds a received ledger; its default bound is 16 MB.
+	maxLedgerBytes = 64 << 20
+	// maxSuccessors bounds the remembered successors; the oldest is forgotten
+	// first, and its keys then get the outcome unknown.
+	maxSuccessors = 1024
+)
+
+// ledgerTransfer carries the ledger of a leaving agent to its successor.
+type ledgerTransfer struct {
+	Home        netip.AddrPort `cbor:"1,keyasint"`
+	Incarnation uint64         `cbor:"2,keyasint"`
+	Ledger      ledger.Export  `cbor:"3,keyasint"`
+}
+
+// successorNotice tells the peers of a leaving agent who answers for its keys.
+type successorNotice struct {
+	Home        netip.AddrPort `cbor:"1,keyasint"`
+	Incarnation uint64         `cbor:"2,keyasint"`
+	Successor   netip.AddrPort `cbor:"3,keyasint"`
+}
+
+// successors remembers who answers for the keys of agents that left.
+type successors struct {
+	mu sync.Mutex
+	// of and order are guarded by mu; order is oldest first.
+	of    map[dispatch.Self]netip.AddrPort
+	order []dispatch.Self
+}
+
+func newSuccessors() *successors {
+	return &successors{of: make(map[dispatch.Self]netip.AddrPort)}
+}
+
+func (s *successors) get(k dispatch.Key) (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addr, ok := s.of[dispatch.Self{Peer: k.Home, Incarnation: k.Incarnation}]
+	return addr, ok
+}
+
+func (s *successors) put(home dispatch.Self, successor netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.of[home]; !ok {
+		s.order = append(s.order, home)
+	}
+	s.of[home] = successor
+	if len(s.order) > maxSuccessors {
+		delete(s.of, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// handover passes the ledger of a leaving agent to one successor. It needs no
+// lease: the agent has stopped running requests with its keys before it hands
+// on, and the successor never runs them.
+type handover struct {
+	board      *node.Board
+	service    config.ServiceTag
+	handler    *dispatch.Handler
+	client     *http.Client
+	successors *successors
+}
+
+func newHandover(cfg RoleConfig, b *node.Board, h *dispatch.Handler, peers *peer.Client, s *successors) *handover {
+	return &handover{
+		board:      b,
+		service:    config.TagOf(cfg.Settings.Service),
+		handler:    h,
+		client:     node.HTTPClient(peers, peerTimeout),
+		successors: s,
+	}
+}
+
+// send seals the ledger, transfers it to the first ready peer that takes it,
+// and tells the other peers. If the transfer's outcome is unclear, repeats of
+// these keys are answered with unknown, and nothing runs twice.
+func (h *handover) send(ctx context.Context) error {
+	self, export := h.handler.ExportLedger()
+	if len(export.Records) == 0 {
+		return nil
+	}
+	body, err := cbor.Marshal(ledgerTransfer{Home: self.Peer, Incarnation: self.Incarnation, Ledger: export})
+	if err != nil {
+		return fmt.Errorf("encoding ledger: %w", err)
+	}
+	peers := peersOf(h.board, h.service)
+	for _, p := range peers {
+		if p.Draining {
+			continue
+		}
+		if err := h.post(ctx, p.Addr, ledgerPath, body); err != nil {
+			h.board.Log.Warn("peer did not take the ledger", "peer", p.Addr, "error", err)
+			continue
+		}
+		h.board.Trail.Record(audit.Event{
+			Action: "hand-over", Target: "ledger " + self.Peer.String(),
+			Reason: "planned stop; successor is " + p.Addr.String(),
+		})
+		return h.notify(ctx, peers, successorNotice{Home: self.Peer, Incarnation: self.Incarnation, Successor: p.Addr})
+	}
+	return errors.NotFoundf("peer that takes the ledger of %d records", len(export.Records))
+}
+
+func (h *handover) notify(ctx context.Context, peers []dispatch.PeerInfo, n successorNotice) error {
+	body, err := cbor.Marshal(n)
+	if err != nil {
+		return fmt.Errorf("encoding successor notice: %w", err)
+	}
+	var wg sync.WaitGroup
+	for _, p := range peers {
+		if p.Addr == n.Successor {
+			continue
+		}
+		wg.Go(func() {
+			if err := h.post(ctx, p.Addr, successorPath, body); err != nil {
+				h.board.Log.Warn("peer was not told of the successor", "peer", p.Addr, "error", err)
+			}
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+func (h *handover) post(ctx context.Context, addr netip.AddrPort, path string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+addr.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("making request: %w", err)
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("posting %s: %w", path, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.NotValidf("answer %d to %s", resp.StatusCode, path)
+	}
+	return nil
+}
+
+func (h *handover) receiveLedger(w http.ResponseWriter, r *http.Request) {
+	var t ledgerTransfer
+	if !decodeBody(w, r, &t) {
+		return
+	}
+	home := dispatch.Self{Peer: t.Home, Incarnation: t.Incarnation}
+	if err := h.handler.ImportLedger(home, t.Ledger); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *handover) receiveSuccessor(w http.ResponseWriter, r *http.Request) {
+	var n successorNotice
+	if !decodeBody(w, r, &n) {
+		return
+	}
+	h.successors.put(dispatch.Self{Peer: n.Home, Incarnation: n.Incarnation}, n.Successor)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decodeBody(w http.ResponseWriter, r *http.Request, into any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxLedgerBytes))
+	if err != nil {
+		http.Error(w, "reading body: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	if err := cbor.Unmarshal(body, into); err != nil {
+		http.Error(w, "decoding body: "+err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/agent/requests.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/peer"
+	"endiveflow.example/endiveflow/upstream"
+)
+
+// peerTimeout bounds a bulk transfer between processes.
+const peerTimeout = 10 * time.Second
+
+func providePeerClient(cfg RoleConfig, ring *fleetkey.Ring) (*peer.Client, error) {
+	client, err := peer.NewClient(peer.ClientConfig{Ring: ring, LocalIP: cfg.Settings.PeerAddress.Addr()})
+	if err != nil {
+		return nil, fmt.Errorf("making peer client: %w", err)
+	}
+	return client, nil
+}
+
+func providePeerServer(cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, h *dispatch.Handler, ho *handover) (*peer.Server, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+ledgerPath, ho.receiveLedger)
+	mux.HandleFunc("POST "+successorPath, ho.receiveSuccessor)
+	server, err := peer.NewServer(peer.ServerConfig{
+		Ring:   ring,
+		IP:     cfg.Settings.PeerAddress.Addr(),
+		Socket: sockets.Peer,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			// Requests of callers keep their path, so only the header tells them from transfers.
+			if r.Header.Get(dispatch.HeaderHandover) != "" {
+				h.PeerHandler().ServeHTTP(w, r)
+				return
+			}
+			mux.ServeHTTP(w, r)
+		}),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making peer server: %w", err)
+	}
+	return server, nil
+}
+
+func provideAnnouncements(cfg RoleConfig) *upstream.Announcements {
+	return upstream.NewAnnouncements(upstream.AnnouncementsConfig{Service: cfg.Settings.Service})
+}
+
+func provideUpstream(cfg RoleConfig, b *node.Board, announced *upstream.Announcements) (*upstream.Client, error) {
+	client, err := upstream.New(upstream.Config{
+		Address:      func() netip.AddrPort { return announced.Current().Address },
+		SilenceAfter: b.Policy(cfg.Settings.Service).SilenceAfter,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making upstream client: %w", err)
+	}
+	return client, nil
+}
+
+func provideHandler(cfg RoleConfig, ring *fleetkey.Ring, b *node.Board, client *upstream.Client,
+	announced *upstream.Announcements, peers *peer.Client, successors *successors,
+) (*dispatch.Handler, error) {
+	keys, err := flowid.NewKeyCodec(flowid.Config{Ring: ring})
+	if err != nil {
+		return nil, fmt.Errorf("making key codec: %w", err)
+	}
+	tag := config.TagOf(cfg.Settings.Service)
+	self := b.Self.Record()
+	return dispatch.New(dispatch.Config{
+		Self:      dispatch.Self{Peer: self.Peer, Incarnation: uint64(self.Incarnation)},
+		Upstream:  func(r *http.Request) (*http.Response, error) { return askUpstream(client, r) },
+		Peer:      askPeer(peers),
+		Peers:     func() []dispatch.PeerInfo { return peersOf(b, tag) },
+		Successor: successors.get,
+		Policy:    func() config.Policy { return b.Policy(cfg.Settings.Service) },
+		Service: func() config.Service {
+			_, service, _ := b.Config.Service(tag)
+			return service
+		},
+		IssueKey:    func(k dispatch.Key) string { return keys.Issue(requestKey(tag, k)) },
+		ParseKey:    func(text string) (dispatch.Key, error) { return parseKey(keys, tag, text) },
+		AcceptsWork: func() bool { return acceptsWork(b, cfg.Settings.Service, announced.Current().State) },
+		Trail:       b.Trail,
+	}), nil
+}
+
+// acceptsWork says whether the local upstream gets new work.
+func acceptsWork(b *node.Board, service string, state upstream.State) bool {
+	return state == upstream.StateReady && !b.Stopping.Load() && !b.Policy(service).Drain
+}
+
+func askUpstream(client *upstream.Client, r *http.Request) (*http.Response, error) {
+	a := dispatch.AttemptOf(r.Context())
+	ctx := upstream.WithOptions(r.Context(), upstream.Options{Repeatable: a.Repeatable, Long: a.Long})
+	resp, err := client.Do(r.WithContext(ctx))
+	if err != nil {
+		return nil, attemptError("asking upstream", err, upstream.ErrNotSent)
+	}
+	return resp, nil
+}
+
+func askPeer(peers *peer.Client) func(context.Context, netip.AddrPort, *http.Request) (*http.Response, error) {
+	return func(ctx context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
+		resp, err := peers.Do(ctx, addr, r)
+		if err != nil {
+			return nil, attemptError("asking peer", err, peer.ErrNotSent)
+		}
+		return resp, nil
+	}
+}
+
+// attemptError keeps the statement that no byte was sent.
+func attemptError(what string, err, notSent error) error {
+	wrapped := fmt.Errorf("%s: %w", what, err)
+	if errors.Is(err, notSent) {
+		return &dispatch.NotSentError{Err: wrapped}
+	}
+	return wrapped
+}
+
+func peersOf(b *node.Board, tag config.ServiceTag) []dispatch.PeerInfo {
+	self := b.Self.Record().ID
+	var out []dispatch.PeerInfo
+	for _, r := range b.Members.OfService(tag) {
+		if r.ID == self || !r.Alive() {
+			continue
+		}
+		out = append(out, dispatch.PeerInfo{Addr: r.Peer, Slots: int(r.Slots), Draining: r.State != member.StateReady})
+	}
+	return out
+}
+
+func requestKey(tag config.ServiceTag, k dispatch.Key) flowid.RequestKey {
+	return flowid.RequestKey{
+		Home:        k.Home,
+		Service:     tag,
+		Incarnation: member.Incarnation(k.Incarnation),
+		Sequence:    k.Sequence,
+		Issued:      k.Issued,
+	}
+}
+
+// errOtherService says that a key was issued for another service.
+var errOtherService = errors.New("key of another service")
+
+func parseKey(keys *flowid.KeyCodec, tag config.ServiceTag, text string) (dispatch.Key, error) {
+	k, err := keys.Parse(text)
+	if err != nil {
+		return dispatch.Key{}, fmt.Errorf("parsing request key: %w", err)
+	}
+	if k.Service != tag {
+		return dispatch.Key{}, errOtherService
+	}
+	return dispatch.Key{Home: k.Home, Incarnation: uint64(k.Incarnation), Sequence: k.Sequence, Issued: k.Issued}, nil
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -115,7 +115,7 @@
 		r.Body = io.NopCloser(bytes.NewReader(j.body))
 	}
 	r.Header.Set(HeaderDeadline, strconv.FormatInt(j.remaining(now), 10))
-	return r.WithContext(ctx)
+	return r.WithContext(withAttempt(ctx, Attempt{Repeatable: j.repeatable, Long: j.class == admit.Long}))
 }
 
 // returnTime is kept back from the deadline at each hop, so that an answer at the last moment still
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/control"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/peer"
+)
+
+// joinEvery is the time between attempts to take over the state of another entry.
+const joinEvery = 500 * time.Millisecond
+
+func provideControl(lc fx.Lifecycle, cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, b *node.Board, peers *peer.Client) (*control.Entry, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StopHook(cancel))
+	e, err := control.NewEntry(control.EntryConfig{
+		Socket:        sockets.Control,
+		Ring:          ring,
+		Self:          b.Self.Record,
+		Changed:       b.Self.Changed(),
+		Refute:        b.Self.Refute,
+		Members:       b.Members,
+		Seeds:         func() []netip.AddrPort { return cfg.Settings.Seeds },
+		ConfigDigest:  b.Config.Digest,
+		ConfigObjects: func() [][]byte { return node.EncodeObjects(b.Log, b.Config.Objects()) },
+		ApplyConfig:   node.ApplyEncoded(b.Config),
+		ConfigChanged: node.EncodedChanges(ctx, b),
+		ObjectsFor: func(tag config.ServiceTag) (uint64, [][]byte) {
+			objects := b.Config.ObjectsFor(tag)
+			return config.DigestOf(objects), node.EncodeObjects(b.Log, objects)
+		},
+		Client: node.HTTPClient(peers, peerTimeout),
+		MaxSuspect: func(tag config.ServiceTag) float64 {
+			name, _, _ := b.Config.Service(tag)
+			return b.Config.Policy(name, netip.Addr{}).MaxSuspect
+		},
+		Trail: b.Trail,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making control: %w", err)
+	}
+	return e, nil
+}
+
+// join takes over the state of one other entry, so that a new entry need not
+// wait for the exchange of digests. It ends after the first success.
+func (c components) join(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		defer func() { done <- nil }()
+		for !c.fetchState(ctx) {
+			if node.Sleep(ctx, joinEvery) != nil {
+				return
+			}
+		}
+	}()
+	return done
+}
+
+func (c components) fetchState(ctx context.Context) bool {
+	self := c.Board.Self.Record().ID
+	for _, e := range c.Board.Members.LiveEntries() {
+		if e.ID == self || e.State != member.StateReady {
+			continue
+		}
+		url := "https://" + e.Peer.String() + control.StatePath
+		err := c.Control.FetchState(ctx, node.HTTPClient(c.PeerClient, peerTimeout), url)
+		if err == nil {
+			return true
+		}
+		c.Board.Log.Info("taking over state failed", "entry", e.Peer, "error", err)
+	}
+	return false
+}
--- /dev/null
+++ b/entry/role.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/fx"
+
+	"endiveflow.example/endiveflow/admin"
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/control"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/peer"
+	"endiveflow.example/endiveflow/settings"
+)
+
+const (
+	// fabricGrace is how long a leaving entry forwards after it failed its
+	// readiness, at most; the settings can shorten it.
+	fabricGrace = 5 * time.Second
+	// leaveGrace is the time for the last state to reach other processes.
+	leaveGrace = 200 * time.Millisecond
+	// peerTimeout bounds one bulk transfer between processes.
+	peerTimeout = 10 * time.Second
+)
+
+// RoleConfig configures a Role.
+type RoleConfig struct {
+	Settings settings.Entry
+	// Floor is the highest incarnation known of this member, 0 if none.
+	Floor member.Incarnation
+	// Log receives the log lines; nil means slog.Default.
+	Log *slog.Logger
+}
+
+// Role is the process behind the fabric: forwarder, control traffic,
+// configuration and admin server, wired together.
+type Role struct {
+	app   *fx.App
+	board *node.Board
+	admin *admin.Server
+	grace time.Duration
+}
+
+// New binds the sockets of an entry and wires its controllers.
+func New(cfg RoleConfig) (*Role, error) {
+	if cfg.Log == nil {
+		cfg.Log = slog.Default()
+	}
+	r := &Role{grace: cfg.Settings.ShutdownGrace}
+	r.app = fx.New(
+		fx.WithLogger(node.FxLogger(cfg.Log)),
+		fx.Supply(cfg, cfg.Log),
+		fx.Provide(provideRing, provideSockets, provideBoard, providePeerClient, provideControl, provideForwarder, provideAdmin, providePeerServer),
+		fx.Invoke(register),
+		fx.Populate(&r.board, &r.admin),
+		fx.StopTimeout(cfg.Settings.ShutdownGrace+fabricGrace),
+	)
+	if err := r.app.Err(); err != nil {
+		return nil, fmt.Errorf("wiring entry: %w", err)
+	}
+	return r, nil
+}
+
+// Board returns the blackboard of the process.
+func (r *Role) Board() *node.Board { return r.board }
+
+// AdminAddress returns the address of the admin server.
+func (r *Role) AdminAddress() netip.AddrPort { return r.admin.Address() }
+
+// Run runs the entry until ctx ends, which is a planned stop, and reports its end on the channel.
+func (r *Role) Run(ctx context.Context) <-chan error {
+	return node.RunApp(ctx, r.app, r.board)
+}
+
+func provideRing(cfg RoleConfig) (*fleetkey.Ring, error) {
+	ring, err := cfg.Settings.Ring()
+	if err != nil {
+		return nil, fmt.Errorf("reading fleet keys: %w", err)
+	}
+	return ring, nil
+}
+
+func provideSockets(cfg RoleConfig) (node.Sockets, error) {
+	s := cfg.Settings
+	return node.Listen(s.TunnelAddress, s.ControlAddress, s.PeerAddress)
+}
+
+func provideBoard(cfg RoleConfig, sockets node.Sockets) *node.Board {
+	return node.NewBoard(member.Record{
+		Role:        member.RoleEntry,
+		Zone:        cfg.Settings.Zone,
+		Tunnel:      node.AddrPort(sockets.Tunnel),
+		Control:     node.AddrPort(sockets.Control),
+		Peer:        node.AddrPort(sockets.Peer),
+		Incarnation: node.NewIncarnation(time.Now(), cfg.Floor),
+		State:       member.StateReady,
+		Weight:      member.FullWeight,
+	}, cfg.Log)
+}
+
+func providePeerClient(cfg RoleConfig, ring *fleetkey.Ring) (*peer.Client, error) {
+	client, err := peer.NewClient(peer.ClientConfig{Ring: ring, LocalIP: cfg.Settings.PeerAddress.Addr()})
+	if err != nil {
+		return nil, fmt.Errorf("making peer client: %w", err)
+	}
+	return client, nil
+}
+
+func providePeerServer(cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, c *control.Entry) (*peer.Server, error) {
+	mux := http.NewServeMux()
+	mux.Handle(control.StatePath, c.StateHandler())
+	mux.Handle(control.StatePath+"/", c.StateHandler())
+	server, err := peer.NewServer(peer.ServerConfig{
+		Ring:    ring,
+		IP:      cfg.Settings.PeerAddress.Addr(),
+		Socket:  sockets.Peer,
+		Handler: mux,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making peer server: %w", err)
+	}
+	return server, nil
+}
+
+func provideForwarder(lc fx.Lifecycle, cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, b *node.Board) (*Forwarder, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	lc.Append(fx.StopHook(cancel))
+	f, err := NewForwarder(ForwarderConfig{
+		Ring:       ring,
+		Tunnel:     sockets.Tunnel,
+		BindIP:     cfg.Settings.BindIP,
+		Services:   func() map[config.ServiceTag]netip.AddrPort { return serviceAddresses(b.Config) },
+		Members:    b.Members.OfService,
+		AllowsHost: allowsHost(b.Config, cfg.Settings.AgentNetworks),
+		Suspect:    b.Members.Suspect,
+		Policy: func(tag config.ServiceTag) config.Policy {
+			name, _, _ := b.Config.Service(tag)
+			return b.Config.Policy(name, netip.Addr{})
+		},
+		Changed: b.Changes(ctx),
+		Log:     cfg.Log,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making forwarder: %w", err)
+	}
+	return f, nil
+}
+
+func serviceAddresses(v *config.View) map[config.ServiceTag]netip.AddrPort {
+	services := v.Services()
+	out := make(map[config.ServiceTag]netip.AddrPort, len(services))
+	for name, s := range services {
+		out[config.TagOf(name)] = s.Address
+	}
+	return out
+}
+
+// allowsHost accepts the networks of the settings only while there is no configuration.
+func allowsHost(v *config.View, networks []netip.Prefix) func(config.ServiceTag, netip.Addr) bool {
+	return func(tag config.ServiceTag, host netip.Addr) bool {
+		if v.Version() > 0 {
+			return v.AllowsHost(tag, host)
+		}
+		for _, n := range networks {
+			if n.Contains(host) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func provideAdmin(cfg RoleConfig, b *node.Board) (*admin.Server, error) {
+	ready := &readiness{board: b, now: time.Now}
+	server, err := admin.New(admin.Config{
+		Address: cfg.Settings.AdminAddress,
+		Ready:   ready.reasons,
+		Audit:   b.Trail,
+		Log:     cfg.Log,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making admin server: %w", err)
+	}
+	return server, nil
+}
+
+// components are the controllers of an entry.
+type components struct {
+	fx.In
+	Config     RoleConfig
+	Board      *node.Board
+	Sockets    node.Sockets
+	Forwarder  *Forwarder
+	Control    *control.Entry
+	PeerClient *peer.Client
+	PeerServer *peer.Server
+	Admin      *admin.Server
+}
+
+// register starts the controllers in order; they stop in the opposite order.
+func register(lc fx.Lifecycle, shutdown fx.Shutdowner, c components) {
+	log := c.Config.Log
+	lc.Append(fx.StopHook(c.Sockets.Close))
+	for _, ctl := range []node.Controller{
+		{Name: "admin", Run: c.Admin.Run},
+		{Name: "peer client", Run: c.PeerClient.Run},
+		{Name: "peer server", Run: c.PeerServer.Run, Stop: c.PeerServer.Shutdown},
+		{Name: "control", Run: c.Control.Run, Stop: c.leave},
+		{Name: "forwarder", Run: c.Forwarder.Run, Stop: c.stopForwarding},
+		{Name: "join", Run: c.join},
+	} {
+		node.Append(lc, shutdown, log, ctl)
+	}
+}
+
+// stopForwarding fails readiness and forwards until the fabric has stopped sending.
+func (c components) stopForwarding(ctx context.Context) error {
+	c.Board.Stopping.Store(true)
+	c.Board.Self.SetState(member.StateDraining)
+	c.Forwarder.Stop(ctx, min(fabricGrace, c.Config.Settings.ShutdownGrace))
+	return nil
+}
+
+// leave says the last word of the entry.
+func (c components) leave(ctx context.Context) error {
+	c.Board.Self.SetState(member.StateLeft)
+	return node.Sleep(ctx, leaveGrace)
+}
--- /dev/null
+++ b/node/lifecycle.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"go.uber.org/fx"
+)
+
+// Controller is a part of a process that runs in the background.
+type Controller struct {
+	// Name appears in logs.
+	Name string
+	// Run starts the controller and returns the channel that receives its end.
+	Run func(context.Context) <-chan error
+	// Stop ends the controller gracefully before its context is cancelled; nil means that cancelling is enough.
+	Stop func(context.Context) error
+}
+
+// Append adds a controller to the lifecycle: it starts with the application,
+// and ends before the controllers that were appended before it. An end
+// without a stop, or a failed one, ends the application.
+func Append(lc fx.Lifecycle, shutdown fx.Shutdowner, log *slog.Logger, c Controller) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done <-chan error
+	ended := make(chan error, 1)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			done = c.Run(ctx)
+			go watch(ctx, done, ended, func(err error) {
+				log.Error("controller ended", "controller", c.Name, "error", err)
+				_ = shutdown.Shutdown(fx.ExitCode(1))
+			})
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			defer cancel()
+			if err := stopGracefully(stopCtx, c); err != nil {
+				log.Warn("graceful stop failed", "controller", c.Name, "error", err)
+			}
+			cancel()
+			return awaitEnd(stopCtx, c.Name, ended)
+		},
+	})
+}
+
+func watch(ctx context.Context, done <-chan error, ended chan<- error, failed func(error)) {
+	err := <-done
+	ended <- err
+	if ctx.Err() == nil && err != nil {
+		failed(err)
+	}
+}
+
+func stopGracefully(ctx context.Context, c Controller) error {
+	if c.Stop == nil {
+		return nil
+	}
+	if err := c.Stop(ctx); err != nil {
+		return fmt.Errorf("stopping %s: %w", c.Name, err)
+	}
+	return nil
+}
+
+func awaitEnd(ctx context.Context, name string, ended <-chan error) error {
+	select {
+	case err := <-ended:
+		if err != nil {
+			return fmt.Errorf("running %s: %w", name, err)
+		}
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("waiting for the end of %s: %w", name, ctx.Err())
+	}
+}
--- /dev/null
+++ b/node/sockets.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+)
+
+// socketBuffer is the size of a socket's kernel buffers in bytes; the kernel may grant less.
+const socketBuffer = 4 << 20
+
+// Sockets are the UDP sockets of a process.
+type Sockets struct {
+	Tunnel, Control, Peer *net.UDPConn
+}
+
+// Listen binds the three sockets. Port 0 takes a free port; the bound
+// addresses are those of the sockets.
+func Listen(tunnel, control, peer netip.AddrPort) (Sockets, error) {
+	var s Sockets
+	var err error
+	if s.Tunnel, err = listen("tunnel", tunnel); err != nil {
+		return Sockets{}, err
+	}
+	if s.Control, err = listen("control", control); err != nil {
+		s.Close()
+		return Sockets{}, err
+	}
+	if s.Peer, err = listen("peer", peer); err != nil {
+		s.Close()
+		return Sockets{}, err
+	}
+	return s, nil
+}
+
+func listen(name string, addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("binding %s address %s: %w", name, addr, err)
+	}
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
+// Close closes all sockets. It may be called more than once.
+func (s Sockets) Close() {
+	for _, c := range []*net.UDPConn{s.Tunnel, s.Control, s.Peer} {
+		if c != nil {
+			c.Close()
+		}
+	}
+}
+
+// AddrPort returns the bound address of a socket.
+func AddrPort(c *net.UDPConn) netip.AddrPort {
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
