--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/tunnel"
+)
+
+// benchPacketBytes is the size of a full packet of a caller.
+const benchPacketBytes = 1200
+
+// benchPath runs packets through a forwarder's functions, system calls of
+// sending included, without reading them from a socket.
+type benchPath struct {
+	f       *Forwarder
+	s       *serviceSocket
+	agent   *sink
+	caller  netip.AddrPort
+	buf     packetBuffer
+	inFlow  []byte
+	opening []byte
+	answers []byte
+}
+
+func newBenchPath(t testing.TB) *benchPath {
+	ring := newRing(t, 1)
+	agent := newSink(t, ring, serviceA)
+	r := record(1, serviceA, member.Incarnation(agent.place.Incarnation), member.StateReady)
+	r.Tunnel = agent.place.Agent
+	f := newForwarder(t, ring, newView(r))
+	bind(t, f)
+	p := &benchPath{f: f, s: (*f.sockets.Load())[serviceA], agent: agent, caller: addrOf(listen(t))}
+	p.inFlow = append(agent.packet(t, 1), make([]byte, benchPacketBytes)...)[:benchPacketBytes]
+	p.opening = append([]byte{0xc0, 0, 0, 0, 1, 8}, make([]byte, benchPacketBytes-6)...)
+	h := tunnel.Header{Kind: tunnel.KindReturn, Service: serviceA, Incarnation: 5, Caller: p.caller}
+	p.answers = agent.codec.Append(nil, h, p.inFlow)
+	return p
+}
+
+func (p *benchPath) forward(packet []byte) {
+	n := copy(p.buf[tunnel.HeaderBytes:], packet)
+	p.f.fromCaller(p.s, p.buf[:tunnel.HeaderBytes+n], p.caller)
+}
+
+func (p *benchPath) flow()        { p.forward(p.inFlow) }
+func (p *benchPath) firstFlight() { p.forward(p.opening) }
+
+func (p *benchPath) answer() {
+	n := copy(p.buf[:], p.answers)
+	p.f.fromAgent(p.buf[:n])
+}
+
+func BenchmarkPath(b *testing.B) {
+	p := newBenchPath(b)
+	for name, run := range map[string]func(){"flow": p.flow, "firstFlight": p.firstFlight, "return": p.answer} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				run()
+			}
+		})
+	}
+}
+
+// BenchmarkLoopback sends as fast as it can through the sockets of one
+// forwarder and reports what the agent received; loopback loses the rest.
+func BenchmarkLoopback(b *testing.B) {
+	const senders = 4
+	p := newBenchPath(b)
+	p.f.readers.Go(func() { p.f.readService(b.Context(), p.s) })
+	to := addrOf(p.s.conn)
+	require.NoError(b, p.agent.SetReadBuffer(socketBuffer))
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for range senders {
+		from := listen(b)
+		running.Go(func() { flood(from, to, p.inFlow, stop) })
+	}
+	buf := make([]byte, 1500)
+	require.NoError(b, p.agent.SetReadDeadline(time.Time{}))
+	begin := time.Now()
+	for b.Loop() {
+		if _, err := p.agent.Read(buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.N)/time.Since(begin).Seconds(), "packets/s")
+	close(stop)
+	running.Wait()
+}
+
+func flood(from *net.UDPConn, to netip.AddrPort, packet []byte, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+			_, _ = from.WriteToUDPAddrPort(packet, to)
+		}
+	}
+}
+
+// BenchmarkRefresh measures what a change costs an entry of a large region.
+func BenchmarkRefresh(b *testing.B) {
+	const agents = 15_000
+	var records []member.Record
+	for i := range agents {
+		r := record(0, config.ServiceTag(i%930), 5, member.StateReady)
+		r.Tunnel = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(i >> 8), byte(i)}), 4000)
+		r.ID = member.IDOf(member.RoleAgent, r.Tunnel)
+		records = append(records, r)
+	}
+	byService := make(map[config.ServiceTag][]member.Record)
+	for _, r := range records {
+		byService[r.Service] = append(byService[r.Service], r)
+	}
+	f := newForwarder(b, newRing(b, 1), newView())
+	f.cfg.Members = func(tag config.ServiceTag) []member.Record { return byService[tag] }
+	services := make(map[config.ServiceTag]netip.AddrPort)
+	for tag := range byService {
+		services[tag] = netip.AddrPortFrom(loopback, 0)
+	}
+	f.cfg.Services = func() map[config.ServiceTag]netip.AddrPort { return services }
+	bind(b, f)
+	for b.Loop() {
+		f.refresh(b.Context())
+	}
+}
--- /dev/null
+++ b/entry/flows_test.go
@@ -0,0 +1,299 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/tunnel"
+)
+
+const protocol = "test"
+
+// fabric sprays the packets of callers over entries and passes answers back,
+// one socket per caller.
+type fabric struct {
+	front *net.UDPConn
+	mu    sync.Mutex
+	// entries, next and backs are guarded by mu.
+	entries []netip.AddrPort
+	next    int
+	backs   map[netip.AddrPort]*net.UDPConn
+}
+
+func newFabric(t *testing.T) *fabric {
+	f := &fabric{front: listen(t), backs: make(map[netip.AddrPort]*net.UDPConn)}
+	var readers sync.WaitGroup
+	t.Cleanup(func() {
+		f.front.Close()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, back := range f.backs {
+			back.Close()
+		}
+		readers.Wait()
+	})
+	readers.Go(func() {
+		buf := make([]byte, 1500)
+		for {
+			n, caller, err := f.front.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			f.pass(&readers, caller, buf[:n])
+		}
+	})
+	return f
+}
+
+func (f *fabric) pass(readers *sync.WaitGroup, caller netip.AddrPort, packet []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	back := f.backs[caller]
+	if back == nil {
+		back, _ = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, 0)))
+		f.backs[caller] = back
+		readers.Go(func() {
+			buf := make([]byte, 1500)
+			for {
+				n, err := back.Read(buf)
+				if err != nil {
+					return
+				}
+				_, _ = f.front.WriteToUDPAddrPort(buf[:n], caller)
+			}
+		})
+	}
+	f.next++
+	_, _ = back.WriteToUDPAddrPort(packet, f.entries[f.next%len(f.entries)])
+}
+
+func (f *fabric) use(entries ...netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = entries
+}
+
+// echoAgent answers each stream with its number and what it received.
+type echoAgent struct {
+	socket    *net.UDPConn
+	transport *quic.Transport
+	record    member.Record
+}
+
+func startAgent(t *testing.T, ring *fleetkey.Ring, number byte, entries func() []netip.AddrPort) *echoAgent {
+	socket := listen(t)
+	r := record(int(number), serviceA, member.Incarnation(number)*1000, member.StateReady)
+	r.Tunnel = addrOf(socket)
+	place := Observation{Record: r}.place()
+	codec, err := tunnel.NewCodec(ring)
+	require.NoError(t, err)
+	conn, err := tunnel.NewConn(tunnel.ConnConfig{
+		Socket: socket, Codec: codec, Service: serviceA, Incarnation: place.Incarnation, Entries: entries,
+	})
+	require.NoError(t, err)
+	ids, err := flowid.New(flowid.Config{Ring: ring})
+	require.NoError(t, err)
+	key, err := flowid.StatelessResetKey(ring, ring.Active(), serviceA)
+	require.NoError(t, err)
+	a := &echoAgent{socket: socket, record: r, transport: &quic.Transport{
+		Conn: conn, ConnectionIDGenerator: ids.NewGenerator(place), StatelessResetKey: &key,
+	}}
+	listener, err := a.transport.Listen(serverTLS(t), &quic.Config{KeepAlivePeriod: time.Second})
+	require.NoError(t, err)
+	t.Cleanup(func() { a.transport.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept(context.Background())
+			if err != nil {
+				return
+			}
+			go echo(conn, number)
+		}
+	}()
+	return a
+}
+
+func echo(conn *quic.Conn, number byte) {
+	for {
+		stream, err := conn.AcceptStream(context.Background())
+		if err != nil {
+			return
+		}
+		_, _ = stream.Write([]byte{number})
+		_, _ = io.Copy(stream, stream)
+		_ = stream.Close()
+	}
+}
+
+func serverTLS(t *testing.T) *tls.Config {
+	config, err := newRing(t, 9).PeerTLS(loopback, protocol)
+	require.NoError(t, err)
+	return config
+}
+
+func dial(t *testing.T, f *fabric) *quic.Conn {
+	config := serverTLS(t)
+	config.ServerName = loopback.String()
+	transport := &quic.Transport{Conn: listen(t)}
+	t.Cleanup(func() { transport.Close() })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	conn, err := transport.Dial(ctx, f.front.LocalAddr(), config, &quic.Config{MaxIdleTimeout: 30 * time.Second})
+	require.NoError(t, err)
+	return conn
+}
+
+// requireEcho runs one request over a flow and returns the agent's number.
+func requireEcho(t *testing.T, conn *quic.Conn) byte {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	stream, err := conn.OpenStreamSync(ctx)
+	require.NoError(t, err)
+	require.NoError(t, stream.SetDeadline(time.Now().Add(10*time.Second)))
+	body := make([]byte, 20_000)
+	_, err = stream.Write(body)
+	require.NoError(t, err)
+	require.NoError(t, stream.Close())
+	answer, err := io.ReadAll(stream)
+	require.NoError(t, err)
+	require.Equal(t, body, answer[1:])
+	return answer[0]
+}
+
+// site is a set of agents behind entries behind a fabric.
+type site struct {
+	*fabric
+	agents []*echoAgent
+	mu     sync.Mutex
+	// live are the tunnel addresses of the entries, guarded by mu.
+	live []netip.AddrPort
+}
+
+func newSite(t *testing.T, agents int) *site {
+	s := &site{fabric: newFabric(t)}
+	for n := range agents {
+		s.agents = append(s.agents, startAgent(t, newRing(t, 1, 2), byte(n+1), s.entries))
+	}
+	return s
+}
+
+func (s *site) entries() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live
+}
+
+func (s *site) records() []member.Record {
+	var records []member.Record
+	for _, a := range s.agents {
+		records = append(records, a.record)
+	}
+	return records
+}
+
+// useEntries makes the forwarders the only ones that the fabric and the agents know.
+func (s *site) useEntries(forwarders ...*Forwarder) {
+	var fronts, tunnels []netip.AddrPort
+	for _, f := range forwarders {
+		fronts = append(fronts, f.Bound()[serviceA])
+		tunnels = append(tunnels, addrOf(f.cfg.Tunnel))
+	}
+	s.mu.Lock()
+	s.live = tunnels
+	s.mu.Unlock()
+	s.use(fronts...)
+}
+
+// Flows must survive the replacement of every entry while they are open: by
+// entries with an empty view, a stale one and one that is ahead, with another
+// active fleet key, after a graceful stop and after a crash.
+func TestFlowsSurviveReplacementOfAllEntries(t *testing.T) {
+	s := newSite(t, 3)
+	ahead := s.records()
+	ahead[0] = ahead[0].WithState(member.StateDraining)
+	stale := s.records()[:1]
+	stale[0].Incarnation--
+
+	var forwarders []*Forwarder
+	var cancels []context.CancelFunc
+	run := func(ring *fleetkey.Ring, records ...member.Record) {
+		f := newForwarder(t, ring, newView(records...))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := f.Run(ctx)
+		t.Cleanup(func() {
+			cancel()
+			require.NoError(t, <-ended)
+		})
+		forwarders, cancels = append(forwarders, f), append(cancels, cancel)
+	}
+	for range 3 {
+		run(newRing(t, 1, 2), s.records()...)
+	}
+	s.useEntries(forwarders...)
+	agentOf := make(map[*quic.Conn]byte)
+	for range 9 {
+		conn := dial(t, s.fabric)
+		agentOf[conn] = requireEcho(t, conn)
+	}
+	rotated := newRing(t, 2, 1)
+	for i, records := range [][]member.Record{nil, stale, ahead} {
+		run(rotated, records...)
+		s.useEntries(forwarders[i+1:]...)
+		if i == 1 {
+			cancels[i]()
+		} else {
+			go forwarders[i].Stop(t.Context(), 100*time.Millisecond)
+		}
+		for conn, agent := range agentOf {
+			require.Equal(t, agent, requireEcho(t, conn))
+		}
+	}
+	for conn := range agentOf {
+		require.NoError(t, conn.Context().Err())
+	}
+}
+
+// Without a reset, the callers of an agent that is gone wait for their idle
+// timeout, here 30 s.
+func TestResetEndsFlowsOfGoneAgent(t *testing.T) {
+	s := newSite(t, 3)
+	v := newView(s.records()...)
+	f := newForwarder(t, newRing(t, 1, 2), v)
+	bind(t, f)
+	f.readers.Go(func() { f.readTunnel(t.Context()) })
+	s.useEntries(f)
+	conn := dial(t, s.fabric)
+	number := requireEcho(t, conn)
+	s.agents[number-1].socket.Close()
+	records := s.records()
+	records[number-1] = records[number-1].WithState(member.StateLeft)
+	v.members.Store(&records)
+	f.refresh(t.Context())
+
+	stream, err := conn.OpenStreamSync(t.Context())
+	require.NoError(t, err)
+	begin := time.Now()
+	_, err = stream.Write([]byte("request"))
+	require.NoError(t, err)
+	select {
+	case <-conn.Context().Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("flow still open 5 s after its packet was answered with a reset")
+	}
+	var reset *quic.StatelessResetError
+	require.ErrorAs(t, context.Cause(conn.Context()), &reset)
+	t.Logf("flow ended after %v", time.Since(begin))
+}
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -24,9 +24,12 @@
 const (
 	// DefaultReaders is the number of goroutines that read each socket.
 	DefaultReaders = 2
-	// refreshGap is the least time between two refreshes, which bounds their
-	// cost in a large fleet while much changes.
+	// refreshGap is the least time between two refreshes.
 	refreshGap = 250 * time.Millisecond
+	// refreshShare is the number of times that the gap is longer than the
+	// refresh before it. It keeps refreshes below 1% of a core however many
+	// members there are and however often they change.
+	refreshShare = 100
 	// retryEvery is how often failed binds are repeated and deaths are aged.
 	retryEvery = time.Second
 	// socketBuffer is the size of each socket's kernel buffers in bytes,
@@ -143,7 +146,8 @@
 }
 
 // Run forwards until the context ends or the grace of Stop has passed. The
-// channel then receives nil once all sockets are closed.
+// services are bound when it returns. The channel receives nil once all sockets
+// are closed. Run is called once.
 func (f *Forwarder) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	ctx, cancel := context.WithCancel(ctx)
@@ -187,6 +191,7 @@
 func (f *Forwarder) loop(ctx context.Context) {
 	tick := time.NewTicker(retryEvery)
 	defer tick.Stop()
+	changed := f.cfg.Changed
 	for {
 		select {
 		case <-ctx.Done():
@@ -199,18 +204,23 @@
 				f.age()
 			}
 			continue
-		case <-f.cfg.Changed:
+		case _, open := <-changed:
+			if !open {
+				changed = nil
+				continue
+			}
 		}
+		begin := f.cfg.Now()
 		f.refresh(ctx)
-		if !f.pause(ctx) {
+		if !f.pause(ctx, max(refreshGap, refreshShare*f.cfg.Now().Sub(begin))) {
 			return
 		}
 	}
 }
 
-// pause waits for refreshGap. It is false when the forwarder ends meanwhile.
-func (f *Forwarder) pause(ctx context.Context) bool {
-	timer := time.NewTimer(refreshGap)
+// pause waits. It is false when the forwarder ends meanwhile.
+func (f *Forwarder) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -84,15 +84,12 @@
 // gone returns the places of all services that are known to be gone, and
 // whether a death is not yet old enough to count.
 func (o *observer) gone(policy func(config.ServiceTag) config.Policy, now time.Time) (map[flowid.Place]GoneReason, bool) {
-	services := make(map[config.ServiceTag][]Observation)
-	pending := false
+	services, pending := o.affected()
 	for _, s := range o.seats {
-		tag := s.current.Record.Service
-		services[tag] = append(services[tag], s.current)
+		services.add(s.current)
 		for _, r := range s.replaced {
-			services[r.Record.Service] = append(services[r.Record.Service], r)
+			services.add(r)
 		}
-		pending = pending || s.current.Record.State == member.StateDead
 	}
 	all := make(map[flowid.Place]GoneReason)
 	for tag, service := range services {
@@ -102,3 +99,30 @@
 	}
 	return all, pending
 }
+
+// affected returns the services of which an incarnation may be gone, without
+// their observations, and whether any agent is dead. Most services of a large
+// fleet are not affected and cost no more than this.
+func (o *observer) affected() (affected, bool) {
+	services := make(affected)
+	dead := false
+	for _, s := range o.seats {
+		dead = dead || s.current.Record.State == member.StateDead
+		if !s.current.Record.Alive() {
+			services[s.current.Record.Service] = nil
+		}
+		for _, r := range s.replaced {
+			services[r.Record.Service] = nil
+		}
+	}
+	return services, dead
+}
+
+// affected holds the observations of some services.
+type affected map[config.ServiceTag][]Observation
+
+func (a affected) add(o Observation) {
+	if service, ok := a[o.Record.Service]; ok {
+		a[o.Record.Service] = append(service, o)
+	}
+}
