entry, tunnel: tests of a draining agent and of allocations

New flows leave a draining agent although the entry's view still lists it as ready, and a flow that it has stays.

--- a/entry/flows_test.go
+++ b/entry/flows_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,6 +91,7 @@
 	socket    *net.UDPConn
 	transport *quic.Transport
 	record    member.Record
+	draining  atomic.Bool
 }
 
 func startAgent(t *testing.T, ring *fleetkey.Ring, number byte, entries func() []netip.AddrPort) *echoAgent {
@@ -99,17 +101,17 @@
 	place := Observation{Record: r}.place()
 	codec, err := tunnel.NewCodec(ring)
 	require.NoError(t, err)
+	a := &echoAgent{socket: socket, record: r}
 	conn, err := tunnel.NewConn(tunnel.ConnConfig{
 		Socket: socket, Codec: codec, Service: serviceA, Incarnation: place.Incarnation, Entries: entries,
+		AcceptsFlows: func() bool { return !a.draining.Load() },
 	})
 	require.NoError(t, err)
 	ids, err := flowid.New(flowid.Config{Ring: ring})
 	require.NoError(t, err)
 	key, err := flowid.StatelessResetKey(ring, ring.Active(), serviceA)
 	require.NoError(t, err)
-	a := &echoAgent{socket: socket, record: r, transport: &quic.Transport{
-		Conn: conn, ConnectionIDGenerator: ids.NewGenerator(place), StatelessResetKey: &key,
-	}}
+	a.transport = &quic.Transport{Conn: conn, ConnectionIDGenerator: ids.NewGenerator(place), StatelessResetKey: &key}
 	listener, err := a.transport.Listen(serverTLS(t), &quic.Config{KeepAlivePeriod: time.Second})
 	require.NoError(t, err)
 	t.Cleanup(func() { a.transport.Close() })
@@ -266,6 +268,26 @@
 	}
 }
 
+// Entries that do not know yet that an agent drains must not give it flows,
+// which its end would cut, and flows that it has must stay.
+func TestNewFlowsLeaveDrainingAgent(t *testing.T) {
+	s := newSite(t, 3)
+	f := newForwarder(t, newRing(t, 1, 2), newView(s.records()...))
+	bind(t, f)
+	s.useEntries(f)
+	var kept *quic.Conn
+	for kept == nil {
+		if conn := dial(t, s.fabric); requireEcho(t, conn) == 1 {
+			kept = conn
+		}
+	}
+	s.agents[0].draining.Store(true)
+	for range 20 {
+		require.NotEqual(t, byte(1), requireEcho(t, dial(t, s.fabric)))
+	}
+	require.Equal(t, byte(1), requireEcho(t, kept))
+}
+
 // Without a reset, the callers of an agent that is gone wait for their idle
 // timeout, here 30 s.
 func TestResetEndsFlowsOfGoneAgent(t *testing.T) {
@@ -273,7 +295,6 @@
 	v := newView(s.records()...)
 	f := newForwarder(t, newRing(t, 1, 2), v)
 	bind(t, f)
-	f.readers.Go(func() { f.readTunnel(t.Context()) })
 	s.useEntries(f)
 	conn := dial(t, s.fabric)
 	number := requireEcho(t, conn)
--- a/entry/forwarder_test.go
+++ b/entry/forwarder_test.go
@@ -82,10 +82,11 @@
 	return f
 }
 
-// bind opens a forwarder's sockets without its loop, so that a test decides
+// bind starts a forwarder without its loop, so that a test decides
 // when it refreshes.
 func bind(t testing.TB, f *Forwarder) {
 	f.refresh(t.Context())
+	f.readers.Go(func() { f.readTunnel(t.Context()) })
 	t.Cleanup(f.close)
 }
 
--- a/tunnel/alloc_test.go
+++ b/tunnel/alloc_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/tunnel"
 )
 
 // An allocation in the codec would cost each packet of the fleet.
@@ -22,3 +24,16 @@
 		_, _, _ = codec.Parse(buf)
 	}))
 }
+
+// The same holds for what the agent reads and writes.
+func TestConnDoesNotAllocate(t *testing.T) {
+	conn, entry, codec := newConn(t, nil), listen(t), newCodec(t, 1)
+	h := tunnel.Header{Kind: tunnel.KindFlow, Service: service, Incarnation: incarnation, Caller: caller}
+	packet, buf := make([]byte, 1200), make([]byte, 0, 1500)
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		buf = codec.Append(buf[:0], h, packet)
+		_, _ = entry.WriteToUDPAddrPort(buf, addrOf(conn))
+		_, addr, _ := conn.ReadFrom(packet)
+		_, _ = conn.WriteTo(packet, addr)
+	}))
+}
