--- a/admit/classifier.go
+++ b/admit/classifier.go
@@ -53,8 +53,9 @@
 
 type pattern struct {
 	name    string
-	mean    time.Duration
 	samples int
+	// slow is the share of recent run times above longFactor times the median, 0 to 1.
+	slow float64
 }
 
 // NewClassifier returns a classifier that has learned nothing.
@@ -83,7 +84,7 @@
 	if p.samples < minSamples || c.median == 0 {
 		return Short, ReasonUnknown
 	}
-	if p.mean > longFactor*c.median {
+	if p.slow > 0.5 {
 		return Long, ReasonLearned
 	}
 	return Short, ReasonLearned
@@ -94,8 +95,13 @@
 	c.learnMedian(d)
 	p := c.use(patternOf(method, path))
 	p.samples++
-	// The weight never falls below 1/8, so that a pattern that changes is found again.
-	p.mean += (d - p.mean) / time.Duration(min(p.samples, 8))
+	slow := 0.0
+	if d > longFactor*c.median {
+		slow = 1
+	}
+	// A share and not a mean: one very slow lookup would lift a mean above the limit. The
+	// weight never falls below 1/8, so that a pattern that changes is found again.
+	p.slow += (slow - p.slow) / float64(min(p.samples, 8))
 }
 
 func (c *Classifier) use(name string) *pattern {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"endiveflow.example/endiveflow/admit"
 	"endiveflow.example/endiveflow/outlier"
 	"endiveflow.example/endiveflow/retry"
 )
@@ -36,13 +38,14 @@
 }
 
 // readAnswer reads the head of an answer. ended is called exactly once, when the body
-// has been read, broke off or was closed.
-func readAnswer(resp *http.Response, ended func(error)) (*answer, error) {
+// has been read, broke off or was closed, or when ctx ended: a caller that does not read holds no slot
+// beyond its deadline.
+func readAnswer(ctx context.Context, resp *http.Response, ended func(error)) (*answer, error) {
 	head, err := io.ReadAll(io.LimitReader(resp.Body, headBytes))
 	if err != nil {
 		_ = resp.Body.Close()
 		ended(err)
-		return nil, err
+		return nil, fmt.Errorf("read answer: %w", err)
 	}
 	a := &answer{status: resp.StatusCode, header: forwarded(resp.Header), head: head}
 	if length := resp.Header.Get("Content-Length"); length != "" {
@@ -53,7 +56,9 @@
 		ended(nil)
 		return a, nil
 	}
-	a.rest = &restBody{body: resp.Body, ended: ended}
+	rest := &restBody{body: resp.Body, ended: ended}
+	context.AfterFunc(ctx, func() { rest.end(ctx.Err()) })
+	a.rest = rest
 	return a, nil
 }
 
@@ -68,15 +73,17 @@
 func (b *restBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	if err != nil {
-		b.once.Do(func() { b.ended(notEOF(err)) })
+		b.end(notEOF(err))
 	}
 	return n, err
 }
 
+func (b *restBody) end(err error) { b.once.Do(func() { b.ended(err) }) }
+
 // Close closes the body; a body that was not read to its end broke off.
 func (b *restBody) Close() error {
 	err := b.body.Close()
-	b.once.Do(func() { b.ended(context.Canceled) })
+	b.end(context.Canceled)
 	return err
 }
 
@@ -99,11 +106,12 @@
 	if shed(resp) {
 		_ = resp.Body.Close()
 		h.slots.cancel(j.id)
+		h.record(ctx, j, h.cfg.Self.Peer, 0, true)
 		res := refused(reasonShed, retryAfterOf(resp))
 		res.tried = true
 		return res
 	}
-	a, err := readAnswer(resp, func(err error) { end(err, resp.StatusCode >= http.StatusInternalServerError) })
+	a, err := readAnswer(ctx, resp, func(err error) { end(err, resp.StatusCode >= http.StatusInternalServerError) })
 	if err != nil {
 		return h.broken(ctx)
 	}
@@ -134,6 +142,9 @@
 			return
 		}
 	}
+	if j.class == admit.Long {
+		took = 0
+	}
 	h.judge.Record(outlier.Result{Target: target, Failed: failed, Latency: took}, h.cfg.Now())
 }
 
@@ -200,9 +211,12 @@
 		res := refused(resp.Header.Get(HeaderReason), retryAfterOf(resp))
 		res.status = resp.StatusCode
 		res.tried = resp.Header.Get(HeaderShed) == "1"
+		if res.tried {
+			end(errShed)
+		}
 		return res
 	case retry.Answered:
-		a, err := readAnswer(resp, end)
+		a, err := readAnswer(ctx, resp, end)
 		if err != nil {
 			return h.broken(ctx)
 		}
@@ -218,6 +232,8 @@
 	return res
 }
 
+var errShed = errors.New("peer's upstream shed the request")
+
 var errNoOutcome = errors.New("peer's answer has no outcome")
 
 // whole reads an answer completely, up to a limit in bytes.
@@ -229,7 +245,7 @@
 	body := bytes.NewBuffer(a.head)
 	n, err := io.Copy(body, io.LimitReader(a.rest, limit-int64(len(a.head))+1))
 	if err != nil {
-		return err
+		return fmt.Errorf("read answer: %w", err)
 	}
 	if n+int64(len(a.head)) > limit {
 		return errAnswerTooLarge
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -37,7 +37,12 @@
 		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 			status, reason = http.StatusRequestEntityTooLarge, "request body too large"
 		}
-		return nil, &result{outcome: retry.NotRun, status: status, reason: reason}
+		res := result{outcome: retry.NotRun, status: status, reason: reason}
+		if r.Header.Get(HeaderKey) != "" {
+			// An earlier attempt with the key may have run.
+			res.outcome = retry.Unknown
+		}
+		return nil, &res
 	}
 	service := h.cfg.Service()
 	j := &job{
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -17,10 +18,9 @@
 	reasonNoKey       = "request needs a key"
 	reasonBadKey      = "key is not valid"
 	reasonKeyUnknown  = "request may have run"
-	reasonKeyNeverRun = "key was handed over before it ran"
+	reasonKeyNeverRun = "key has been refused and will not run"
 	reasonHomeGone    = "home of the key does not answer"
 	reasonHandedOver  = "no new keys after the hand-over"
-	reasonAnswerLarge = "answer too large to save"
 )
 
 // serveKeyed serves a request that must not run twice.
@@ -36,10 +36,19 @@
 		return
 	}
 	if h.ledgerOf(key) != nil {
-		h.write(w, h.runAtHome(ctx, j))
+		h.write(w, h.withKey(h.runAtHome(ctx, j)))
 		return
 	}
-	h.write(w, h.askHome(ctx, j, key))
+	h.write(w, h.withKey(h.askHome(ctx, j, key)))
+}
+
+// withKey adds a new key to a refusal, since the old one will not run any more.
+func (h *Handler) withKey(res result) result {
+	if res.outcome != retry.NotRun || h.ledger.Sealed() {
+		return res
+	}
+	res.key = h.issueKey().key
+	return res
 }
 
 // issueKey returns the result for a request without a key.
@@ -78,7 +87,7 @@
 	case ledger.Run:
 		h.startKeyed(j, entry)
 	case ledger.NeverRun:
-		return refused(reasonKeyNeverRun, time.Second)
+		return result{outcome: retry.NotRun, status: http.StatusPreconditionRequired, reason: reasonKeyNeverRun}
 	case ledger.Unknown:
 		return unknown(reasonKeyUnknown)
 	}
@@ -90,7 +99,9 @@
 	select {
 	case <-entry.Done():
 	case <-ctx.Done():
-		return unknown(reasonDeadline)
+		if !ended(entry) {
+			return unknown(reasonDeadline)
+		}
 	}
 	if entry.Abandoned() {
 		return refused(entry.Reason(), entry.RetryAfter())
@@ -102,6 +113,15 @@
 	return result{outcome: retry.Answered, answer: &answer{status: saved.Status, header: saved.Header.Clone(), head: saved.Body}}
 }
 
+func ended(entry *ledger.Entry) bool {
+	select {
+	case <-entry.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // startKeyed runs a request that owns its ledger entry. The run does not end with its
 // caller; its end is reported by the entry and awaited by Shutdown.
 func (h *Handler) startKeyed(j *job, entry *ledger.Entry) {
@@ -182,7 +202,7 @@
 	policy := h.cfg.Policy()
 	l, err := ledger.Import(ledger.Config{Bytes: policy.LedgerBytes / maxInherited, Window: policy.KeyWindow}, from, h.cfg.Now())
 	if err != nil {
-		return err
+		return fmt.Errorf("take over ledger of %s: %w", of.Peer, err)
 	}
 	h.inherited.put(of, l)
 	h.cfg.Trail.Record(audit.Event{
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -183,7 +183,9 @@
 	h.ledger.SetBounds(policy.LedgerBytes, policy.KeyWindow)
 	addrs := []netip.AddrPort{h.cfg.Self.Peer}
 	for _, p := range h.cfg.Peers() {
-		addrs = append(addrs, p.Addr)
+		if p.Addr != h.cfg.Self.Peer {
+			addrs = append(addrs, p.Addr)
+		}
 	}
 	h.judge.Forget(addrs)
 	verdicts := h.judge.Assess(addrs, now)
--- a/dispatch/write.go
+++ b/dispatch/write.go
@@ -42,7 +42,11 @@
 
 // writeToPeer sends a result to another agent, with the load.
 func (h *Handler) writeToPeer(w http.ResponseWriter, res result) {
-	if text, err := h.Load().MarshalText(); err == nil {
+	l := h.Load()
+	if !h.cfg.AcceptsWork() || h.peers.avoidLocal() {
+		l.Slots = 0
+	}
+	if text, err := l.MarshalText(); err == nil {
 		w.Header().Set(HeaderLoad, string(text))
 	}
 	if res.outcome == retry.NotRun && res.tried {
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -3,13 +3,15 @@
 // Each non-repeatable request carries a key with a sequence number of the
 // ledger that issued it. The ledger keeps this invariant:
 //
-//	A sequence that was begun and not abandoned has a record, or it is
-//	below the eviction mark of its shard.
+//	A sequence that was begun has a record, or it is below the eviction
+//	mark of its shard.
 //
 // Begin lets a sequence run only when it has no record and is not below the
-// mark, and Abandon is only for requests proven not run. So no sequence runs
-// twice. Marks never decrease, and a record is removed only once its sequence
-// is below the mark or was abandoned.
+// mark. Marks never decrease, and a record is removed only once its sequence is
+// below the mark. So no sequence runs twice.
+//
+// An abandoned sequence keeps its record as well: its caller was told "not run", and a
+// copy of the request that was delayed on the way must not make that untrue.
 //
 // Dropping an answer to save memory keeps its record, so it raises no mark:
 // keys that were issued but not used stay runnable. The mark rises in two
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -6,11 +6,12 @@
 	"github.com/juju/errors"
 )
 
-// Saved is a record in a hand-over. Without an answer it says that the sequence may have run.
+// Saved is a record in a hand-over. With neither an answer nor NotRun it says that the sequence may have run.
 type Saved struct {
 	Sequence uint64    `cbor:"1,keyasint"`
 	Issued   time.Time `cbor:"2,keyasint"`
 	Answer   *Answer   `cbor:"3,keyasint,omitempty"`
+	NotRun   bool      `cbor:"4,keyasint,omitempty"`
 }
 
 // Export is what a successor needs to answer repeats for an incarnation.
@@ -49,7 +50,7 @@
 	s.sealed = true
 	out.Marks = append(out.Marks, s.mark)
 	for q, r := range s.records {
-		saved := Saved{Sequence: q, Issued: r.key.Issued}
+		saved := Saved{Sequence: q, Issued: r.key.Issued, NotRun: r.notRun}
 		if r.entry != nil && r.entry.ended {
 			saved.Answer = r.entry.answer
 		}
@@ -83,10 +84,10 @@
 	defer s.mu.Unlock()
 	s.advance(now)
 	key := Key{Sequence: r.Sequence, Issued: r.Issued}
-	rec := &record{key: key}
+	rec := &record{key: key, notRun: r.NotRun}
 	s.records[r.Sequence] = rec
 	s.used += recordBytes
-	if r.Answer != nil {
+	if r.Answer != nil && !r.NotRun {
 		done := make(chan struct{})
 		close(done)
 		rec.entry = &Entry{shard: s, key: key, done: done, answer: r.Answer, ended: true}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -30,7 +30,8 @@
 	Running
 	// Done: the entry holds the whole answer.
 	Done
-	// NeverRun: the request has not run and its key will never run, because the ledger is sealed.
+	// NeverRun: the request has not run and its key will never run, because it was
+	// abandoned or the ledger is sealed.
 	NeverRun
 	// Unknown: the request may have run; its key will never run again.
 	Unknown
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,195 @@
+package ledger_test
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/ledger"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// machine drives a ledger and the ledgers imported from it against a model of what has run.
+type machine struct {
+	t       *testing.T
+	l       *ledger.Ledger
+	now     time.Time
+	keys    []ledger.Key
+	open    map[uint64]*ledger.Entry
+	begun   map[uint64]bool
+	refused map[uint64]bool
+	answers map[uint64]string
+	others  []*ledger.Ledger
+}
+
+func newMachine(t *testing.T) *machine {
+	return &machine{
+		t: t, now: start, open: map[uint64]*ledger.Entry{}, begun: map[uint64]bool{},
+		refused: map[uint64]bool{}, answers: map[uint64]string{},
+		// Bounds that small evict answers and raise marks within a few steps.
+		l: ledger.New(ledger.Config{Bytes: 8000, Window: time.Minute, Shards: 2}),
+	}
+}
+
+func (m *machine) issue(*rapid.T) { m.keys = append(m.keys, m.l.Issue(m.now)) }
+
+func (m *machine) key(t *rapid.T) (ledger.Key, bool) {
+	if len(m.keys) == 0 {
+		return ledger.Key{}, false
+	}
+	newest := min(len(m.keys), 50)
+	return m.keys[len(m.keys)-newest+rapid.IntRange(0, newest-1).Draw(t, "key")], true
+}
+
+func (m *machine) begin(t *rapid.T) {
+	key, ok := m.key(t)
+	if !ok {
+		return
+	}
+	state, entry := m.l.Begin(key, m.now)
+	m.check(key, state, entry)
+	if state == ledger.Run {
+		require.False(m.t, m.begun[key.Sequence], "a key runs twice")
+		require.Empty(m.t, m.others, "a sealed ledger runs a key")
+		m.begun[key.Sequence], m.open[key.Sequence] = true, entry
+	}
+	for _, other := range m.others {
+		state, entry := other.Begin(key, m.now)
+		require.NotContains(m.t, []ledger.State{ledger.Run, ledger.Running}, state, "an importer runs a key")
+		m.check(key, state, entry)
+	}
+}
+
+func (m *machine) check(key ledger.Key, state ledger.State, entry *ledger.Entry) {
+	switch state {
+	case ledger.NeverRun:
+		require.True(m.t, m.refused[key.Sequence] || !m.begun[key.Sequence], "not run is claimed of a key that ran")
+		m.refused[key.Sequence] = true
+	case ledger.Done:
+		require.Equal(m.t, m.answers[key.Sequence], string(entry.Answer().Body))
+	case ledger.Run:
+		require.False(m.t, m.refused[key.Sequence], "a refused key runs")
+	}
+}
+
+func (m *machine) end(t *rapid.T) {
+	key, ok := m.key(t)
+	entry := m.open[key.Sequence]
+	if !ok || entry == nil {
+		return
+	}
+	delete(m.open, key.Sequence)
+	switch rapid.IntRange(0, 3).Draw(t, "end") {
+	case 0:
+		entry.Abandon("refused", time.Second, m.now)
+		m.refused[key.Sequence] = true
+	case 1:
+		entry.Lose(m.now)
+	default:
+		body := rapid.StringN(0, 300, 900).Draw(t, "body")
+		m.answers[key.Sequence] = body
+		entry.Finish(ledger.Answer{Status: 200, Body: []byte(body)}, m.now)
+	}
+}
+
+// pass moves the clock, at times backwards.
+func (m *machine) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(-20, 30).Draw(t, "seconds")) * time.Second)
+}
+
+func (m *machine) handOver(t *rapid.T) {
+	if rapid.IntRange(0, 30).Draw(t, "handOver") > 0 {
+		return
+	}
+	other, err := ledger.Import(ledger.Config{Bytes: 2000, Window: time.Minute}, m.l.Export(), m.now)
+	require.NoError(m.t, err)
+	m.others = append(m.others, other)
+}
+
+// Guards against a key that runs twice, a refused key that runs later, a claim of "not run" for a key
+// that ran, and a wrong answer to a repeat, over evictions, a clock that goes back and hand-overs.
+func TestKeysRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(t)
+		rt.Repeat(map[string]func(*rapid.T){
+			"issue": m.issue, "issue2": m.issue, "begin": m.begin, "begin2": m.begin, "begin3": m.begin,
+			"end": m.end, "end2": m.end, "pass": m.pass, "handOver": m.handOver,
+		})
+	})
+}
+
+// Guards against an eviction mark that passes keys that were issued and not used yet.
+func TestUnusedKeyRunsAfterEvictions(t *testing.T) {
+	l := ledger.New(ledger.Config{Bytes: 40_000, Shards: 1})
+	unused := l.Issue(start)
+	var first ledger.Key
+	for i := range 100 {
+		key := l.Issue(start)
+		_, entry := l.Begin(key, start)
+		entry.Finish(ledger.Answer{Body: make([]byte, 1000)}, start)
+		if i == 0 {
+			first = key
+		}
+	}
+	state, _ := l.Begin(first, start)
+	require.Equal(t, ledger.Unknown, state, "the oldest answer is evicted")
+	state, _ = l.Begin(unused, start)
+	require.Equal(t, ledger.Run, state)
+	state, _ = l.Begin(l.Issue(start.Add(-time.Hour)), start.Add(11*time.Minute))
+	require.Equal(t, ledger.Unknown, state, "a key beyond the window never runs")
+}
+
+// Guards against a refused key that runs when a delayed copy of its request arrives, and
+// against a refusal that repeats and a successor report as unknown.
+func TestRefusalIsFinal(t *testing.T) {
+	l := ledger.New(ledger.Config{})
+	key := l.Issue(start)
+	_, entry := l.Begin(key, start)
+	entry.Abandon("busy", time.Second, start)
+	successor, err := ledger.Import(ledger.Config{}, l.Export(), start)
+	require.NoError(t, err)
+	for _, l := range []*ledger.Ledger{l, successor} {
+		state, _ := l.Begin(key, start)
+		require.Equal(t, ledger.NeverRun, state)
+	}
+}
+
+// Guards against memory beyond the bound, and against a charge per record that is too low.
+func TestRecordsStayInBound(t *testing.T) {
+	const limit = 4 << 20
+	l := ledger.New(ledger.Config{Bytes: limit})
+	before := heapBytes()
+	for range 50_000 {
+		key := l.Issue(start)
+		_, entry := l.Begin(key, start)
+		entry.Finish(ledger.Answer{Body: make([]byte, 100)}, start)
+		require.LessOrEqual(t, l.Bytes(), limit)
+	}
+	require.Less(t, heapBytes()-before, uint64(limit))
+	runtime.KeepAlive(l)
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Guards against an export that lost records on the way: the missing keys would pass for never run.
+func TestIncompleteExportIsRejected(t *testing.T) {
+	l := ledger.New(ledger.Config{})
+	_, entry := l.Begin(l.Issue(start), start)
+	entry.Lose(start)
+	export := l.Export()
+	export.Records = nil
+	for _, e := range []ledger.Export{export, {}} {
+		_, err := ledger.Import(ledger.Config{}, e, start)
+		require.True(t, errors.Is(err, errors.NotValid))
+	}
+}
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -39,8 +39,8 @@
 // Finish ends the run with the whole answer, which repeats will get.
 func (e *Entry) Finish(a Answer, now time.Time) { e.shard.end(e, func() { e.answer = &a }, now) }
 
-// Abandon ends a run that is proven not to have run. Its key may be used again, after
-// retryAfter. The reason is passed on to those that wait.
+// Abandon ends a run that is proven not to have run. Its key never runs. The reason and
+// retryAfter are passed on to those that wait.
 func (e *Entry) Abandon(reason string, retryAfter time.Duration, now time.Time) {
 	e.shard.end(e, func() { e.abandoned, e.reason, e.retryAfter = true, reason, retryAfter }, now)
 }
@@ -49,10 +49,12 @@
 func (e *Entry) Lose(now time.Time) { e.shard.end(e, func() {}, now) }
 
 // record is what is known of a begun sequence. Without an entry it only says
-// that the sequence may have run.
+// whether the sequence may have run.
 type record struct {
 	key   Key
 	entry *Entry
+	// notRun says that it was abandoned; entry is then nil.
+	notRun bool
 }
 
 type shard struct {
@@ -121,14 +123,14 @@
 
 func (r *record) state() (State, *Entry) {
 	switch {
+	case r.notRun:
+		return NeverRun, nil
 	case r.entry == nil:
 		return Unknown, nil
 	case !r.entry.ended:
 		return Running, r.entry
-	case r.entry.answer != nil:
-		return Done, r.entry
 	}
-	return Unknown, nil
+	return Done, r.entry
 }
 
 // end ends a run; only the first end of an entry counts.
@@ -143,15 +145,14 @@
 	set()
 	s.running--
 	close(e.done)
+	r := s.records[e.key.Sequence]
+	r.notRun = e.abandoned
 	switch {
-	case e.abandoned:
-		delete(s.records, e.key.Sequence)
-		s.used -= recordBytes
 	case e.answer != nil && e.answer.size()+recordBytes <= s.limit:
 		s.used += e.answer.size()
 		s.order = append(s.order, e.key.Sequence)
 	default:
-		s.records[e.key.Sequence].entry = nil
+		r.entry = nil
 	}
 	s.trim()
 }
--- a/outlier/doc.go
+++ b/outlier/doc.go
@@ -1,6 +1,6 @@
 // Package outlier judges upstreams by the results that an agent measured
-// itself. The claims of health and load endpoints count only while there are no fresh
-// results of one's own. It does no I/O.
+// itself. The claims of health and load endpoints count only while there has been no
+// result of its own for a minute. It does no I/O.
 //
 // An upstream that looks bad is ejected for some seconds and then returns with
 // the weight of a cold one. At most MaxEjected of a service's upstreams are
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -36,6 +36,9 @@
 	maxEjectFactor = 8
 	// claimExpires is the age at which a claim says nothing any more.
 	claimExpires = 10 * time.Second
+	// resultsOutrank is how long results of our own outrank claims. Endpoints lag by up to 30 s, so a
+	// claim made within that time may describe a fault that is over.
+	resultsOutrank = time.Minute
 )
 
 // Config configures a Judge.
@@ -51,9 +54,11 @@
 // Result is one measured result of a request.
 type Result struct {
 	Target netip.AddrPort
-	// Failed says that the upstream did not do the work: no answer, a broken one, or a 5xx status. Work
-	// that the upstream shed with a statement that it did not run it is no failure.
-	Failed  bool
+	// Failed says that the upstream did not do the work: no answer, a broken one, a 5xx
+	// status, or a statement that it shed the work.
+	Failed bool
+	// Latency is the run time of an answered request. It is 0, and does not count, for long
+	// work: a few long jobs among short ones would make any upstream look slow.
 	Latency time.Duration
 }
 
@@ -181,7 +186,7 @@
 	var out []time.Duration
 	for _, addr := range addrs {
 		if t, ok := j.targets[addr]; ok {
-			if w := t.fresh(now); w.answered >= minResults {
+			if w := t.fresh(now); w.timed >= minResults {
 				out = append(out, w.mean())
 			}
 		}
@@ -193,20 +198,20 @@
 func (j *Judge) judge(addr netip.AddrPort, latencies []time.Duration, now time.Time) Verdict {
 	t := j.target(addr)
 	v := Verdict{Target: addr, Weight: fullWeight, Reason: ReasonGood}
+	t.comeBack(now)
 	if now.Before(t.ejectedUntil) {
 		v.Bad, v.Reason = true, ReasonEjected
 		return v
 	}
-	if t.ejected() {
-		t.comeBack()
-	}
 	if reason := t.bad(latencies, now); reason != "" {
 		v.Bad, v.Reason = true, reason
 		return v
 	}
 	if w := j.slowStart(t, now); w < fullWeight {
 		v.Weight, v.Reason = w, ReasonSlowStart
+		return v
 	}
+	t.ejections = 0
 	return v
 }
 
--- a/outlier/target.go
+++ b/outlier/target.go
@@ -17,8 +17,10 @@
 	started time.Time
 	// ejectedUntil is the end of the latest ejection; zero when there is none.
 	ejectedUntil time.Time
-	// ejections counts ejections since the upstream last stayed good.
+	// ejections counts ejections since the upstream last reached its full weight.
 	ejections int
+	// latest is the time of the latest result, zero when there is none.
+	latest time.Time
 	// claimed is the time of the latest claim, zero when there is none.
 	claimed time.Time
 	healthy bool
@@ -28,14 +30,18 @@
 type bucket struct {
 	second           int64
 	answered, failed int
-	latency          time.Duration
+	// timed is the number of answered requests that latency sums up.
+	timed   int
+	latency time.Duration
 }
 
-func (b bucket) mean() time.Duration { return b.latency / time.Duration(max(b.answered, 1)) }
+func (b bucket) mean() time.Duration { return b.latency / time.Duration(max(b.timed, 1)) }
 
 func secondOf(t time.Time) int64 { return t.UnixNano() / int64(bucketSpan) }
 
 func (t *target) record(r Result, now time.Time) {
+	t.comeBack(now)
+	t.latest = now
 	second := secondOf(now)
 	b := &t.ring[((second%buckets)+buckets)%buckets]
 	if b.second != second {
@@ -46,9 +52,12 @@
 		t.inRow++
 		return
 	}
-	b.answered++
-	b.latency += r.Latency
 	t.inRow = 0
+	b.answered++
+	if r.Latency > 0 {
+		b.timed++
+		b.latency += r.Latency
+	}
 }
 
 // fresh sums the results of the window.
@@ -61,6 +70,7 @@
 		}
 		sum.answered += b.answered
 		sum.failed += b.failed
+		sum.timed += b.timed
 		sum.latency += b.latency
 	}
 	return sum
@@ -75,15 +85,22 @@
 		return ReasonInRow
 	case n >= minResults && float64(w.failed) >= failedShare*float64(n):
 		return ReasonShare
-	case w.answered >= minResults && len(latencies) > 2 && w.mean() > slowFactor*latencies[(len(latencies)-1)/2]:
+	case w.timed >= minResults && len(latencies) > 2 && w.mean() > slowFactor*latencies[(len(latencies)-1)/2]:
 		return ReasonLatency
-	case n == 0 && !t.claimed.IsZero() && now.Sub(t.claimed) < claimExpires && !t.healthy:
+	case t.claimedBad(now):
 		return ReasonClaim
 	}
 	return ""
 }
 
-func (t *target) ejected() bool { return !t.ejectedUntil.IsZero() }
+// claimedBad says whether a claim of being unhealthy counts: it is recent, and there was no result of our own
+// for longer than claims lag.
+func (t *target) claimedBad(now time.Time) bool {
+	if t.healthy || t.claimed.IsZero() || now.Sub(t.claimed) >= claimExpires {
+		return false
+	}
+	return t.latest.IsZero() || now.Sub(t.latest) >= resultsOutrank
+}
 
 func (t *target) eject(base time.Duration, now time.Time) {
 	if now.Before(t.ejectedUntil) {
@@ -93,10 +110,13 @@
 	t.ejectedUntil = now.Add(base * time.Duration(t.ejections))
 }
 
-// comeBack ends an ejection: the results from before say nothing about the present, and
-// the upstream starts like a cold one.
-func (t *target) comeBack() {
+// comeBack ends an ejection whose time is over: the results from before say nothing about
+// the present, and the upstream starts like a cold one.
+func (t *target) comeBack(now time.Time) {
 	until := t.ejectedUntil
+	if until.IsZero() || now.Before(until) {
+		return
+	}
 	t.reset()
 	t.started = until
 }
