apply: conditional writes with audit entries and read-back

Cause: two operators race on one object, and the store loses answers after the write took effect.

Change: a step is written on the condition of the version that the file names, or else the one read at planning. The loser of a race gets a ConflictError with the audit entries of the other writes. After an unclear write the object is read back and the same conditional write is repeated until one of the two settles the outcome; stale reads settle nothing.

--- /dev/null
+++ b/apply/applier.go
@@ -0,0 +1,282 @@
+package apply
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	stderrors "errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/platform"
+)
+
+// DefaultResolveFor is how long a write with an unclear outcome is followed up.
+const DefaultResolveFor = 15 * time.Second
+
+// Config configures an Applier.
+type Config struct {
+	// Client calls the store.
+	Client *platform.Client
+	// Who is the operator named in audit entries; never empty.
+	Who string
+	// Now returns the time of audit entries; nil means time.Now.
+	Now func() time.Time
+	// NewID returns a unique operation ID; nil means random text.
+	NewID func() string
+	// ResolveFor bounds the follow-up of an unclear write; 0 means DefaultResolveFor.
+	ResolveFor time.Duration
+	// Backoff spaces the reads of the follow-up.
+	Backoff platform.Backoff
+}
+
+// Applier writes configuration to the store. It is safe for concurrent use.
+type Applier struct{ cfg Config }
+
+// Action is what a step does to an object.
+type Action string
+
+// Actions of steps.
+const (
+	ActionCreate Action = "create"
+	ActionUpdate Action = "update"
+	ActionDelete Action = "delete"
+	ActionNone   Action = "none"
+)
+
+// Step is the planned write of one object.
+type Step struct {
+	Key    config.Key
+	Action Action
+	// Base is the version that the write is based on; 0 when there is no object.
+	Base uint64
+	// Diff lists the changed settings, one "path: old -> new" each.
+	Diff []string
+	// old and object are the objects before and after the write.
+	old, object config.Object
+}
+
+// Result is the outcome of one step.
+type Result struct {
+	Step
+	// Version is the version after the write; 0 when it failed or was not tried.
+	Version uint64
+	// Recovered says that the store's answer was lost and the write was found by reading back.
+	Recovered bool
+	// Err is why the write failed; nil when it took effect or there was nothing to write.
+	Err error
+}
+
+// Report holds the outcome of each step in the order of the writes. It ends
+// with the first failure: later steps were not tried.
+type Report struct {
+	Results []Result
+	// NotTried are the steps after the first failure.
+	NotTried []Step
+}
+
+// New returns an applier, or an error of kind errors.NotValid.
+func New(cfg Config) (*Applier, error) {
+	if cfg.Client == nil || strings.TrimSpace(cfg.Who) == "" {
+		return nil, errors.NotValidf("applier without a client or an operator's name")
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.NewID == nil {
+		cfg.NewID = rand.Text
+	}
+	if cfg.ResolveFor <= 0 {
+		cfg.ResolveFor = DefaultResolveFor
+	}
+	return &Applier{cfg: cfg}, nil
+}
+
+// Objects returns all objects in the store, deleted ones included, ordered by key.
+func (a *Applier) Objects(ctx context.Context) ([]config.Object, error) {
+	l, err := a.cfg.Client.List(ctx, config.StorePrefix)
+	if err != nil {
+		return nil, fmt.Errorf("reading the configuration: %w", err)
+	}
+	out := make([]config.Object, 0, len(l.Objects))
+	for _, stored := range l.Objects {
+		o, err := config.DecodeValue(stored.Value, stored.Version)
+		if err != nil {
+			return nil, fmt.Errorf("reading %s: %w", stored.Key, err)
+		}
+		out = append(out, o)
+	}
+	return config.NewSet(out...).Objects(), nil
+}
+
+// Plan returns the steps that bring a set into force. A step is based on the
+// version given in the set, or else on the one read now.
+func (a *Applier) Plan(ctx context.Context, set config.Set) ([]Step, error) {
+	current, err := a.byKey(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var steps []Step
+	var problems []error
+	for _, o := range set.Objects() {
+		old := current[o.Key]
+		if err := checkOwner(old, o); err != nil {
+			problems = append(problems, err)
+			continue
+		}
+		if o.Version != 0 && o.Version != old.Version {
+			problems = append(problems, conflictOf(o.Key, o.Version, old))
+			continue
+		}
+		steps = append(steps, planned(old, o))
+	}
+	if len(problems) > 0 {
+		return nil, stderrors.Join(problems...)
+	}
+	slices.SortStableFunc(steps, func(x, y Step) int { return cmp.Compare(rank(x.Key.Kind), rank(y.Key.Kind)) })
+	return steps, nil
+}
+
+func (a *Applier) byKey(ctx context.Context) (map[config.Key]config.Object, error) {
+	objects, err := a.Objects(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[config.Key]config.Object, len(objects))
+	for _, o := range objects {
+		out[o.Key] = o
+	}
+	return out, nil
+}
+
+// rank orders kinds so that services come before what refers to them.
+func rank(k config.Kind) int {
+	return slices.Index([]config.Kind{config.KindService, config.KindUpstream, config.KindDefaults, config.KindException}, k)
+}
+
+// checkOwner keeps an object with the service or host that it was created for.
+// Agents get the objects of their service only: an object that moved to another
+// service would stay in force at the agents of the former one.
+func checkOwner(old, next config.Object) error {
+	was, is := owner(old), owner(next)
+	if was == "" || is == "" || was == is {
+		return nil
+	}
+	return errors.NotValidf("%s applies to %s and cannot move to %s; use another name", next.Key, was, is)
+}
+
+func owner(o config.Object) string {
+	switch {
+	case o.Upstream != nil:
+		return config.ServiceTarget(o.Upstream.Service)
+	case o.Exception != nil:
+		return o.Exception.Target
+	}
+	return ""
+}
+
+func planned(old, next config.Object) Step {
+	s := Step{Key: next.Key, Base: old.Version, old: old, object: next, Action: ActionUpdate}
+	before := old
+	if old.Version == 0 || old.Deleted {
+		s.Action = ActionCreate
+		before = config.Object{Key: next.Key}
+	}
+	s.Diff = diff(before, next)
+	if s.Action == ActionUpdate && len(s.Diff) == 0 {
+		s.Action = ActionNone
+	}
+	return s
+}
+
+// PlanDelete returns the steps that delete objects. Objects that live ones
+// refer to are not deleted; the error is then of kind errors.NotValid.
+func (a *Applier) PlanDelete(ctx context.Context, keys ...config.Key) ([]Step, error) {
+	current, err := a.byKey(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var steps []Step
+	var problems []error
+	for _, k := range keys {
+		old, ok := current[k]
+		if !ok || old.Deleted {
+			problems = append(problems, errors.NotFoundf("%s", k))
+			continue
+		}
+		next := old
+		next.Deleted = true
+		steps = append(steps, Step{Key: k, Action: ActionDelete, Base: old.Version, Diff: []string{"deleted: false -> true"}, old: old, object: next})
+		delete(current, k)
+	}
+	for _, k := range keys {
+		for _, o := range users(current, k) {
+			problems = append(problems, errors.NotValidf("deleting %s, which %s refers to", k, o))
+		}
+	}
+	if len(problems) > 0 {
+		return nil, stderrors.Join(problems...)
+	}
+	slices.SortStableFunc(steps, func(x, y Step) int { return cmp.Compare(rank(y.Key.Kind), rank(x.Key.Kind)) })
+	return steps, nil
+}
+
+// users returns the keys of live objects that refer to a service.
+func users(current map[config.Key]config.Object, k config.Key) []config.Key {
+	if k.Kind != config.KindService {
+		return nil
+	}
+	var out []config.Key
+	for _, o := range current {
+		if !o.Deleted && owner(o) == config.ServiceTarget(k.Name) {
+			out = append(out, o.Key)
+		}
+	}
+	slices.SortFunc(out, func(x, y config.Key) int { return strings.Compare(x.String(), y.String()) })
+	return out
+}
+
+// Apply brings a set into force. See Run for the errors.
+func (a *Applier) Apply(ctx context.Context, set config.Set, why string) (Report, error) {
+	steps, err := a.Plan(ctx, set)
+	if err != nil {
+		return Report{}, err
+	}
+	return a.Run(ctx, steps, why)
+}
+
+// Delete marks objects as deleted. See Run for the errors.
+func (a *Applier) Delete(ctx context.Context, why string, keys ...config.Key) (Report, error) {
+	steps, err := a.PlanDelete(ctx, keys...)
+	if err != nil {
+		return Report{}, err
+	}
+	return a.Run(ctx, steps, why)
+}
+
+// Run makes the planned writes and stops at the first failure. The error is a
+// *ConflictError when another write came first, and of kind
+// platform.Unavailable or platform.Unclear when the store did not answer.
+func (a *Applier) Run(ctx context.Context, steps []Step, why string) (Report, error) {
+	if strings.TrimSpace(why) == "" {
+		return Report{}, errors.NotValidf("write without a reason")
+	}
+	var report Report
+	for i, s := range steps {
+		r := Result{Step: s, Version: s.Base}
+		if s.Action != ActionNone {
+			r = a.write(ctx, s, why)
+		}
+		report.Results = append(report.Results, r)
+		if r.Err != nil {
+			report.NotTried = steps[i+1:]
+			return report, r.Err
+		}
+	}
+	return report, nil
+}
--- /dev/null
+++ b/apply/applier_test.go
@@ -0,0 +1,208 @@
+package apply_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	jujuerrors "github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/apply"
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/standin"
+)
+
+func service(port uint16) config.Object {
+	return config.Object{
+		Key:     config.Key{Kind: config.KindService, Name: "rota"},
+		Service: &config.Service{Address: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port)},
+	}
+}
+
+func applier(t *testing.T, p *standin.Platform, who string) *apply.Applier {
+	t.Helper()
+	c, err := platform.New(platform.Config{URL: "http://store", HTTP: &http.Client{Transport: p.Transport()}})
+	require.NoError(t, err)
+	a, err := apply.New(apply.Config{Client: c, Who: who})
+	require.NoError(t, err)
+	return a
+}
+
+func run(t *testing.T, test func(t *testing.T, p *standin.Platform)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.NewPlatform(standin.PlatformConfig{})
+		test(t, p)
+		time.Sleep(time.Minute) // Lets delayed calls end.
+	})
+}
+
+func requireApplied(t *testing.T, a *apply.Applier, port uint16) apply.Result {
+	t.Helper()
+	report, err := a.Apply(t.Context(), config.NewSet(service(port)), "test")
+	require.NoError(t, err)
+	require.Len(t, report.Results, 1)
+	return report.Results[0]
+}
+
+// requireChanges checks that each write is in the audit trail once.
+func requireChanges(t *testing.T, a *apply.Applier, who ...string) {
+	t.Helper()
+	objects, err := a.Objects(t.Context())
+	require.NoError(t, err)
+	var got []string
+	for _, c := range objects[0].Changes {
+		got = append(got, c.Who)
+	}
+	require.Equal(t, who, got)
+}
+
+// Guards against writes of what is already in force, and against an audit trail
+// that grows without bound or lacks the difference.
+func TestApplyAndHistory(t *testing.T) {
+	run(t, func(t *testing.T, p *standin.Platform) {
+		a := applier(t, p, "ann")
+		require.Equal(t, apply.ActionCreate, requireApplied(t, a, 1).Action)
+		require.Equal(t, apply.ActionNone, requireApplied(t, a, 1).Action)
+		require.EqualValues(t, 1, p.Revision())
+		r := requireApplied(t, a, 2)
+		require.Equal(t, []string{"address: 192.0.2.1:1 -> 192.0.2.1:2"}, r.Diff)
+		for port := range uint16(config.MaxChanges) {
+			requireApplied(t, a, port+3)
+		}
+		objects, err := a.Objects(t.Context())
+		require.NoError(t, err)
+		require.Len(t, objects[0].Changes, config.MaxChanges)
+		_, err = a.Apply(t.Context(), config.NewSet(service(99)), " ")
+		require.ErrorIs(t, err, jujuerrors.NotValid)
+	})
+}
+
+// Guards against one operator's write that silently replaces another's.
+func TestRacingOperators(t *testing.T) {
+	run(t, func(t *testing.T, p *standin.Platform) {
+		ann, ben := applier(t, p, "ann"), applier(t, p, "ben")
+		requireApplied(t, ann, 1)
+		p.Set(standin.Switches{Delay: 10 * time.Millisecond})
+		errs := make([]error, 2)
+		var wg sync.WaitGroup
+		for i, a := range []*apply.Applier{ann, ben} {
+			wg.Go(func() { _, errs[i] = a.Apply(t.Context(), config.NewSet(service(uint16(10+i))), "race") })
+		}
+		wg.Wait()
+		names := []string{"ann", "ben"}
+		loser := 0
+		if errs[0] == nil {
+			loser = 1
+		}
+		require.NoError(t, errs[1-loser])
+		var conflict *apply.ConflictError
+		require.ErrorAs(t, errs[loser], &conflict)
+		require.ErrorIs(t, errs[loser], platform.Conflict)
+		require.Len(t, conflict.Others, 1)
+		require.Equal(t, names[1-loser], conflict.Others[0].Who)
+		require.Contains(t, errs[loser].Error(), fmt.Sprintf("changed by %s at 2000-01-01T", names[1-loser]))
+		requireChanges(t, ann, "ann", names[1-loser])
+	})
+}
+
+// Guards against an edited copy of an old version that replaces newer changes.
+func TestVersionReadByTheOperator(t *testing.T) {
+	run(t, func(t *testing.T, p *standin.Platform) {
+		requireApplied(t, applier(t, p, "ann"), 1)
+		requireApplied(t, applier(t, p, "ben"), 2)
+		edited := service(3)
+		edited.Version = 1
+		_, err := applier(t, p, "ann").Apply(t.Context(), config.NewSet(edited), "late")
+		require.ErrorIs(t, err, platform.Conflict)
+		require.Contains(t, err.Error(), "changed by ben")
+	})
+}
+
+// Guards against a write that took effect but is reported as failed, or is made twice.
+func TestLostAnswer(t *testing.T) {
+	run(t, func(t *testing.T, p *standin.Platform) {
+		a := applier(t, p, "ann")
+		requireApplied(t, a, 1)
+		for name, s := range map[string]standin.Switches{
+			"answer lost":          {LoseAnswers: 1},
+			"stale reads after it": {LoseAnswers: 1, StaleRevision: 1},
+		} {
+			base := p.Revision()
+			if s.StaleRevision > 0 {
+				s.StaleRevision = base
+				time.AfterFunc(5*time.Second, func() { p.Set(standin.Switches{}) })
+			}
+			p.Set(s)
+			r := requireApplied(t, a, uint16(base+100))
+			require.True(t, r.Recovered, name)
+			require.Equal(t, base+1, r.Version, name)
+			require.Equal(t, base+1, p.Revision(), name)
+			p.Set(standin.Switches{})
+		}
+		requireChanges(t, a, "ann", "ann", "ann")
+	})
+}
+
+// Guards against a claim about a write whose outcome is not known: a delayed
+// write takes effect after its caller gave up, then once and under its own operation.
+func TestDelayedWrite(t *testing.T) {
+	run(t, func(t *testing.T, p *standin.Platform) {
+		a := applier(t, p, "ann")
+		steps, err := a.Plan(t.Context(), config.NewSet(service(1)))
+		require.NoError(t, err)
+		p.Set(standin.Switches{Delay: 5 * time.Second})
+		time.AfterFunc(4*time.Second, func() { p.Set(standin.Switches{}) })
+		report, err := a.Run(t.Context(), steps, "test")
+		require.NoError(t, err)
+		require.EqualValues(t, 1, report.Results[0].Version)
+		time.Sleep(20 * time.Second)
+		require.EqualValues(t, 1, p.Revision())
+
+		steps, err = a.Plan(t.Context(), config.NewSet(service(2)))
+		require.NoError(t, err)
+		p.Set(standin.Switches{Delay: time.Minute})
+		_, err = a.Run(t.Context(), steps, "test")
+		require.ErrorIs(t, err, platform.Unclear)
+		p.Set(standin.Switches{Outage: true})
+		_, err = a.Apply(t.Context(), config.NewSet(service(3)), "test")
+		require.ErrorIs(t, err, platform.Unavailable)
+		require.False(t, errors.Is(err, platform.Unclear))
+	})
+}
+
+// Guards against references to deleted services and objects that change their owner.
+func TestDelete(t *testing.T) {
+	run(t, func(t *testing.T, p *standin.Platform) {
+		a := applier(t, p, "ann")
+		exception := config.Object{
+			Key:       config.Key{Kind: config.KindException, Name: "x"},
+			Exception: &config.Exception{Target: "service/rota", Setting: config.SettingSlowStart, Value: "1s", Reason: "x"},
+		}
+		report, err := a.Apply(t.Context(), config.NewSet(exception, service(1)), "test")
+		require.NoError(t, err)
+		require.Equal(t, config.KindService, report.Results[0].Key.Kind, "what is referred to is written first")
+		_, err = a.Delete(t.Context(), "test", service(1).Key)
+		require.ErrorContains(t, err, "Exception/x refers to")
+
+		moved := exception
+		moved.Exception = &config.Exception{Target: "service/draws", Setting: config.SettingSlowStart, Value: "1s", Reason: "x"}
+		_, err = a.Apply(t.Context(), config.NewSet(moved), "test")
+		require.ErrorContains(t, err, "cannot move")
+
+		_, err = a.Delete(t.Context(), "test", service(1).Key, exception.Key)
+		require.NoError(t, err)
+		_, err = a.Delete(t.Context(), "test", service(1).Key)
+		require.ErrorIs(t, err, jujuerrors.NotFound)
+		r := requireApplied(t, a, 1)
+		require.Equal(t, apply.ActionCreate, r.Action)
+		require.EqualValues(t, 5, r.Version, "versions grow over a deletion")
+	})
+}
--- /dev/null
+++ b/apply/diff.go
@@ -0,0 +1,72 @@
+package apply
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"endiveflow.example/endiveflow/config"
+)
+
+// absent stands for a setting without a value in a diff.
+const absent = "-"
+
+// diff lists the settings in which two objects differ, one "path: old -> new" each.
+func diff(old, next config.Object) []string {
+	before, after := flatten(old), flatten(next)
+	paths := make(map[string]bool, len(before)+len(after))
+	for p := range before {
+		paths[p] = true
+	}
+	for p := range after {
+		paths[p] = true
+	}
+	var out []string
+	for _, p := range slices.Sorted(maps.Keys(paths)) {
+		x, y := valueAt(before, p), valueAt(after, p)
+		if x != y {
+			out = append(out, fmt.Sprintf("%s: %s -> %s", p, x, y))
+		}
+	}
+	return out
+}
+
+func valueAt(values map[string]string, path string) string {
+	if v, ok := values[path]; ok {
+		return v
+	}
+	return absent
+}
+
+// flatten returns the settings of a specification by path. Lists are one value.
+func flatten(o config.Object) map[string]string {
+	out := make(map[string]string)
+	spec, err := json.Marshal(o.Spec())
+	if err != nil {
+		return out // The types of specifications always encode.
+	}
+	var tree map[string]any
+	if json.Unmarshal(spec, &tree) == nil {
+		flattenInto(out, "", tree)
+	}
+	return out
+}
+
+func flattenInto(out map[string]string, path string, tree map[string]any) {
+	for key, value := range tree {
+		at := key
+		if path != "" {
+			at = path + "." + key
+		}
+		switch v := value.(type) {
+		case map[string]any:
+			flattenInto(out, at, v)
+		case string:
+			out[at] = v
+		default:
+			text, _ := json.Marshal(v)
+			out[at] = string(text)
+		}
+	}
+}
--- /dev/null
+++ b/apply/write.go
@@ -0,0 +1,116 @@
+package apply
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/platform"
+)
+
+// write makes one conditional write and follows it up until its outcome is
+// known or ResolveFor has passed. Repeating the write is safe: each attempt has
+// the same condition, so that it takes effect at most once.
+func (a *Applier) write(ctx context.Context, s Step, why string) Result {
+	r := Result{Step: s}
+	change := config.Change{OperationID: a.cfg.NewID(), Who: a.cfg.Who, When: a.cfg.Now().UTC(), Why: why, BaseVersion: s.Base, Diff: s.Diff}
+	object := s.object
+	object.Changes = appendChange(s.old.Changes, change)
+	value, err := config.EncodeValue(object)
+	if err != nil {
+		r.Err = err
+		return r
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.ResolveFor)
+	defer cancel()
+	kind := platform.Unavailable
+	for failures := 1; ; failures++ {
+		version, err := a.cfg.Client.Put(ctx, s.Key.StoreKey(), value, s.Base)
+		if err == nil {
+			r.Version = version
+			return r
+		}
+		kind = worse(kind, err)
+		if kind == platform.Unavailable {
+			r.Err = fmt.Errorf("writing %s: %w", s.Key, err)
+			return r
+		}
+		if a.resolve(ctx, &r, change) {
+			return r
+		}
+		if a.cfg.Backoff.Wait(ctx, failures) != nil {
+			r.Err = errors.WithType(fmt.Errorf("writing %s, operation %s: %w", s.Key, change.OperationID, err), kind)
+			return r
+		}
+	}
+}
+
+// worse returns what is known about the write after another failed attempt. An
+// attempt that may have taken effect leaves the outcome unclear until it is read back.
+func worse(kind errors.ConstError, err error) errors.ConstError {
+	switch {
+	case kind == platform.Unclear, errors.Is(err, platform.Unclear):
+		return platform.Unclear
+	case errors.Is(err, platform.Conflict):
+		return platform.Conflict
+	}
+	return kind
+}
+
+// resolve reads the object back and sets the outcome if it is known. A read of
+// the base or an older version settles nothing: it may be stale, and a delayed
+// write may still take effect.
+func (a *Applier) resolve(ctx context.Context, r *Result, change config.Change) bool {
+	current, err := a.read(ctx, r.Key)
+	if err != nil {
+		return false
+	}
+	if version, ok := versionOf(current, change); ok {
+		r.Version, r.Recovered = version, true
+		return true
+	}
+	if current.Version > r.Base {
+		r.Err = conflictOf(r.Key, r.Base, current)
+		return true
+	}
+	return false
+}
+
+func (a *Applier) read(ctx context.Context, k config.Key) (config.Object, error) {
+	stored, err := a.cfg.Client.Get(ctx, k.StoreKey())
+	if errors.Is(err, errors.NotFound) {
+		return config.Object{Key: k}, nil
+	}
+	if err != nil {
+		return config.Object{}, fmt.Errorf("reading %s back: %w", k, err)
+	}
+	o, err := config.DecodeValue(stored.Value, stored.Version)
+	if err != nil {
+		return config.Object{}, fmt.Errorf("reading %s back: %w", k, err)
+	}
+	return o, nil
+}
+
+// versionOf returns the version that a change made, if the object has it. When
+// others wrote since, that is the version that the next change is based on.
+func versionOf(o config.Object, change config.Change) (uint64, bool) {
+	for i, c := range o.Changes {
+		if c.OperationID != change.OperationID {
+			continue
+		}
+		if i+1 < len(o.Changes) {
+			return o.Changes[i+1].BaseVersion, true
+		}
+		return o.Version, true
+	}
+	return 0, false
+}
+
+// appendChange returns a new list with the newest MaxChanges entries.
+func appendChange(old []config.Change, c config.Change) []config.Change {
+	start := max(0, len(old)+1-config.MaxChanges)
+	out := append([]config.Change(nil), old[start:]...)
+	return append(out, c)
+}
--- a/config/codec.go
+++ b/config/codec.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -79,6 +80,22 @@
 	return w.Object, w.check()
 }
 
+// StorePrefix starts the keys of all objects in the store.
+const StorePrefix = "config/"
+
+// StoreKey returns the key of an object in the store.
+func (k Key) StoreKey() string { return StorePrefix + k.String() }
+
+// ParseKey reads "Kind/name". Errors are of kind errors.NotValid.
+func ParseKey(text string) (Key, error) {
+	kind, name, _ := strings.Cut(text, "/")
+	k := Key{Kind: Kind(kind), Name: name}
+	if !k.Kind.valid() || !nameForm.MatchString(name) {
+		return Key{}, errors.NotValidf("key %q, expected KIND/NAME such as Service/rota with kind Service, Upstream, Defaults or Exception", text)
+	}
+	return k, nil
+}
+
 // EncodeValue returns the JSON form in which the store keeps an object. The
 // version is not part of it: the store returns it beside the value.
 func EncodeValue(o Object) ([]byte, error) {
--- a/config/load.go
+++ b/config/load.go
@@ -19,14 +19,17 @@
 	return Set{objects: out}
 }
 
-// Objects returns the objects ordered by key. They have no version and no changes.
+// Objects returns the objects ordered by key. Their version is the one given in
+// the file, which the write is based on, or 0. They have no changes.
 func (s Set) Objects() []Object { return slices.Clone(s.objects) }
 
 // envelope is one YAML document.
 type envelope struct {
-	Kind string         `yaml:"kind"`
-	Name string         `yaml:"name"`
-	Spec strictyaml.Raw `yaml:"spec"`
+	Kind string `yaml:"kind"`
+	Name string `yaml:"name"`
+	// Version is the version that the operator read and edited, if given.
+	Version int            `yaml:"version,omitempty"`
+	Spec    strictyaml.Raw `yaml:"spec"`
 }
 
 // defaultsSpec is a Defaults as operators write it: values may be numbers.
@@ -88,6 +91,10 @@
 	var e envelope
 	doc.DecodeDocument(&e)
 	o := loaded{Object: Object{Key: Key{Kind: Kind(e.Kind), Name: e.Name}}, doc: doc}
+	if doc.Has("version") && !doc.Failed("version") && e.Version < 1 {
+		doc.Reportf("version", "an integer of 1 or more", "version %d", e.Version)
+	}
+	o.Version = uint64(max(e.Version, 0))
 	switch o.Kind {
 	case KindService:
 		o.Service = &Service{}
