--- a/agent/requests.go
+++ b/agent/requests.go
@@ -77,9 +77,11 @@
 	tag := config.TagOf(cfg.Settings.Service)
 	self := b.Self.Record()
 	return dispatch.New(dispatch.Config{
-		Self:      dispatch.Self{Peer: self.Peer, Incarnation: uint64(self.Incarnation)},
-		Upstream:  func(r *http.Request) (*http.Response, error) { return askUpstream(client, r) },
-		Peer:      askPeer(peers),
+		Self:     dispatch.Self{Peer: self.Peer, Incarnation: uint64(self.Incarnation)},
+		Upstream: func(r *http.Request) (*http.Response, error) { return askUpstream(client, r) },
+		Peer: func(ctx context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
+			return askPeer(ctx, peers, addr, r)
+		},
 		Peers:     func() []dispatch.PeerInfo { return peersOf(b, tag) },
 		Successor: successors.get,
 		Policy:    func() config.Policy { return b.Policy(cfg.Settings.Service) },
@@ -109,14 +111,12 @@
 	return resp, nil
 }
 
-func askPeer(peers *peer.Client) func(context.Context, netip.AddrPort, *http.Request) (*http.Response, error) {
-	return func(ctx context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
-		resp, err := peers.Do(ctx, addr, r)
-		if err != nil {
-			return nil, attemptError("asking peer", err, peer.ErrNotSent)
-		}
-		return resp, nil
+func askPeer(ctx context.Context, peers *peer.Client, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
+	resp, err := peers.Do(ctx, addr, r)
+	if err != nil {
+		return nil, attemptError("asking peer", err, peer.ErrNotSent)
 	}
+	return resp, nil
 }
 
 // attemptError keeps the statement that no byte was sent.
--- /dev/null
+++ b/cmd/endiveflow/demo.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/demo"
+)
+
+type demoCommand struct {
+	JSON    bool `name:"json" help:"Print the report as one JSON object."`
+	Verbose bool `help:"Print the processes' log lines and, at the end, their metrics."`
+}
+
+// Help returns the examples of the command.
+func (demoCommand) Help() string {
+	return `Examples:
+  endiveflow demo
+  endiveflow demo --json`
+}
+
+// errDemoFailed says that the demo ran and a promise was not kept.
+const errDemoFailed = errors.ConstError("the demo broke a promise, see the report")
+
+// Run runs the demo and fails unless every promise was kept.
+func (c demoCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log := slog.New(slog.DiscardHandler)
+	if c.Verbose {
+		log = slog.Default()
+	}
+	report, err := demo.Run(ctx, demo.Config{Log: log, Progress: c.progress})
+	if err != nil {
+		return fmt.Errorf("running demo: %w", err)
+	}
+	if c.Verbose {
+		metrics.WritePrometheus(os.Stderr, false)
+	}
+	if err := c.print(report); err != nil {
+		return err
+	}
+	if !report.Passed() {
+		return errDemoFailed
+	}
+	return nil
+}
+
+func (c demoCommand) progress(what string) {
+	if !c.JSON {
+		fmt.Fprintln(os.Stderr, what)
+	}
+}
+
+func (c demoCommand) print(r demo.Report) error {
+	if !c.JSON {
+		return r.WriteTable(os.Stdout)
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+		return fmt.Errorf("printing report: %w", err)
+	}
+	return nil
+}
--- a/cmd/endiveflow/main.go
+++ b/cmd/endiveflow/main.go
@@ -10,6 +10,7 @@
 
 // cli lists the commands, each in a file of its own.
 type cli struct {
+	Demo    demoCommand    `cmd:"" help:"Run a small fleet in one process and report what callers saw."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,414 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"endiveflow.example/endiveflow/agent"
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/entry"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/settings"
+	"endiveflow.example/endiveflow/standin"
+)
+
+const (
+	// region is the region of the brief's smaller fleet.
+	region = "okanagan"
+	// firstEntryIP and firstHostIP are the last two bytes of the first loopback addresses.
+	firstEntryIP = 0x0100
+	firstHostIP  = 0x0200
+	// startTimeout bounds the start of one process.
+	startTimeout = 10 * time.Second
+	// poll is how often a condition is checked.
+	poll = 20 * time.Millisecond
+)
+
+var zones = []string{"okn-a", "okn-b", "okn-c"}
+
+// FleetConfig configures a Fleet.
+type FleetConfig struct {
+	Services []ServiceConfig
+	// Entries is the number of entries at the start.
+	Entries int
+	// Grace bounds the planned stop of each process.
+	Grace time.Duration
+	Log   *slog.Logger
+}
+
+// ServiceConfig describes one service of a fleet.
+type ServiceConfig struct {
+	Name string
+	// Hosts is the number of hosts, Slots the number of slots of each.
+	Hosts, Slots int
+	// Long are path prefixes of long work.
+	Long []string
+	// Work is the work time by path prefix.
+	Work map[string]time.Duration
+}
+
+// Fleet is a small fleet in one process. Its methods are called by one goroutine.
+type Fleet struct {
+	cfg      FleetConfig
+	dir      string
+	cert     standin.Certificate
+	secret   []byte
+	platform *process[*standin.Platform]
+	services map[string]*service
+	entries  []*process[*entry.Role]
+	// started counts the entries ever started, which gives each its own address.
+	started int
+	applied []config.Object
+}
+
+type service struct {
+	cfg    ServiceConfig
+	fabric *process[*standin.Fabric]
+	hosts  []*Host
+}
+
+// Host is an upstream with its agent.
+type Host struct {
+	IP       netip.Addr
+	Upstream *standin.Upstream
+	agent    *process[*agent.Role]
+	upstream *process[*standin.Upstream]
+}
+
+// process is a part that runs until it is stopped.
+type process[T any] struct {
+	part T
+	stop context.CancelFunc
+	done <-chan error
+}
+
+// start runs a part under a context of its own.
+func start[T any](ctx context.Context, part T, run func(context.Context) <-chan error) *process[T] {
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	return &process[T]{part: part, stop: cancel, done: run(runCtx)}
+}
+
+// end stops the part and returns its error.
+func (p *process[T]) end() error {
+	p.stop()
+	return <-p.done
+}
+
+// NewFleet starts the platform, the fabrics, the hosts and the entries.
+func NewFleet(ctx context.Context, cfg FleetConfig) (*Fleet, error) {
+	f := &Fleet{
+		cfg:      cfg,
+		secret:   bytes.Repeat([]byte{7}, fleetkey.MinSecretBytes),
+		services: make(map[string]*service),
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("starting fleet: %w", err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.writeCertificate(); err != nil {
+		return err
+	}
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	for _, s := range f.cfg.Services {
+		if err := f.startService(ctx, s); err != nil {
+			return fmt.Errorf("starting service %s: %w", s.Name, err)
+		}
+	}
+	if err := f.Apply(ctx, f.Objects()...); err != nil {
+		return err
+	}
+	if err := f.AddEntries(ctx, f.cfg.Entries); err != nil {
+		return err
+	}
+	for _, s := range f.cfg.Services {
+		if err := f.startHosts(ctx, f.services[s.Name]); err != nil {
+			return fmt.Errorf("starting hosts of %s: %w", s.Name, err)
+		}
+	}
+	return f.awaitReady(ctx)
+}
+
+func (f *Fleet) writeCertificate() error {
+	var names []string
+	for _, s := range f.cfg.Services {
+		names = append(names, s.Name)
+	}
+	cert, err := standin.NewCertificate(names...)
+	if err != nil {
+		return fmt.Errorf("making certificate: %w", err)
+	}
+	dir, err := os.MkdirTemp("", "endiveflow-demo-")
+	if err != nil {
+		return fmt.Errorf("making directory: %w", err)
+	}
+	f.cert, f.dir = cert, dir
+	return cert.WriteFiles(dir)
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	p := standin.NewPlatform(standin.PlatformConfig{Address: "127.0.0.1:0"})
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	done, err := p.Run(runCtx)
+	if err != nil {
+		cancel()
+		return fmt.Errorf("starting platform: %w", err)
+	}
+	f.platform = &process[*standin.Platform]{part: p, stop: cancel, done: done}
+	return nil
+}
+
+func (f *Fleet) startService(ctx context.Context, cfg ServiceConfig) error {
+	fabric, err := standin.NewFabric(standin.FabricConfig{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: f.cfg.Log})
+	if err != nil {
+		return fmt.Errorf("starting fabric: %w", err)
+	}
+	f.services[cfg.Name] = &service{cfg: cfg, fabric: start(ctx, fabric, fabric.Run)}
+	return nil
+}
+
+// Objects returns the configuration of the fleet.
+func (f *Fleet) Objects() []config.Object {
+	var out []config.Object
+	for _, s := range f.cfg.Services {
+		out = append(out,
+			config.Object{
+				Key:     config.Key{Kind: config.KindService, Name: s.Name},
+				Service: &config.Service{Address: f.Address(s.Name), Long: s.Long},
+			},
+			config.Object{
+				Key: config.Key{Kind: config.KindUpstream, Name: s.Name + "-hosts"},
+				Upstream: &config.Upstream{
+					Service:  s.Name,
+					Networks: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
+					Slots:    s.Slots,
+				},
+			},
+		)
+	}
+	return append(out, config.Object{
+		Key:      config.Key{Kind: config.KindDefaults, Name: config.DefaultsName},
+		Defaults: &config.Defaults{Settings: map[config.Setting]string{config.SettingSlowStart: "1s"}},
+	})
+}
+
+// Address returns the address of a service towards callers.
+func (f *Fleet) Address(service string) netip.AddrPort {
+	return f.services[service].fabric.part.Address()
+}
+
+// Hosts returns the hosts of a service.
+func (f *Fleet) Hosts(service string) []*Host { return f.services[service].hosts }
+
+// Platform returns the stand-in store, for its switches.
+func (f *Fleet) Platform() *standin.Platform { return f.platform.part }
+
+func (f *Fleet) platformURL() string { return "http://" + f.platform.part.Addr().String() }
+
+// loopback returns 127.x.y.z with the number in its last bytes.
+func loopback(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 0, byte(n >> 8), byte(n)})
+}
+
+func (f *Fleet) nodeSettings(ip netip.Addr, n int) settings.Node {
+	any := netip.AddrPortFrom(ip, 0)
+	return settings.Node{
+		Zone:           zones[n%len(zones)],
+		Region:         region,
+		TunnelAddress:  any,
+		ControlAddress: any,
+		PeerAddress:    any,
+		AdminAddress:   any,
+		FleetKeys:      []settings.FleetKey{settings.NewFleetKey(1, f.secret)},
+		PlatformURL:    f.platformURL(),
+		Seeds:          f.seeds(),
+		ShutdownGrace:  f.cfg.Grace,
+	}
+}
+
+func (f *Fleet) seeds() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, e := range f.entries {
+		out = append(out, e.part.Board().Self.Record().Control)
+	}
+	return out
+}
+
+// AddEntries starts entries and puts them behind the fabric.
+func (f *Fleet) AddEntries(ctx context.Context, n int) error {
+	for range n {
+		ip := loopback(firstEntryIP + f.started + 1)
+		role, err := entry.New(entry.RoleConfig{
+			Settings: settings.Entry{Node: f.nodeSettings(ip, f.started), BindIP: ip},
+			Log:      f.cfg.Log.With("process", fmt.Sprintf("entry-%d", f.started)),
+		})
+		if err != nil {
+			return fmt.Errorf("starting entry %d: %w", f.started, err)
+		}
+		f.started++
+		for _, o := range f.applied {
+			role.Board().Config.Apply(o)
+		}
+		f.entries = append(f.entries, start(ctx, role, role.Run))
+	}
+	f.setFabricEntries(f.entries)
+	return nil
+}
+
+func (f *Fleet) setFabricEntries(entries []*process[*entry.Role]) {
+	for name, s := range f.services {
+		var behind []standin.FabricEntry
+		for _, e := range entries {
+			ip := e.part.Board().Self.Record().Tunnel.Addr()
+			behind = append(behind, standin.FabricEntry{
+				Address: netip.AddrPortFrom(ip, f.Address(name).Port()),
+				Health:  "http://" + e.part.AdminAddress().String() + "/readyz",
+			})
+		}
+		s.fabric.part.SetEntries(behind)
+	}
+}
+
+// ReplaceEntries starts as many new entries as there are, and stops the old
+// ones all at once when the new ones are ready.
+func (f *Fleet) ReplaceEntries(ctx context.Context) error {
+	old := f.entries
+	if err := f.AddEntries(ctx, len(old)); err != nil {
+		return err
+	}
+	if err := f.awaitReady(ctx); err != nil {
+		return err
+	}
+	ended := make(chan error, len(old))
+	for _, e := range old {
+		go func() { ended <- e.end() }()
+	}
+	var failed error
+	for range old {
+		if err := <-ended; err != nil {
+			failed = fmt.Errorf("stopping an entry: %w", err)
+		}
+	}
+	f.entries = f.entries[len(old):]
+	f.setFabricEntries(f.entries)
+	return failed
+}
+
+func (f *Fleet) startHosts(ctx context.Context, s *service) error {
+	for range s.cfg.Hosts {
+		h, err := f.startHost(ctx, s)
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	return nil
+}
+
+func (f *Fleet) startHost(ctx context.Context, s *service) (*Host, error) {
+	n := 0
+	for _, other := range f.services {
+		n += len(other.hosts)
+	}
+	ip := loopback(firstHostIP + n + 1)
+	role, err := agent.New(agent.RoleConfig{
+		Settings: settings.Agent{
+			Node:    f.nodeSettings(ip, n),
+			Service: s.cfg.Name,
+			TLS: settings.TLS{
+				CertFile: filepath.Join(f.dir, standin.CertificateFile),
+				KeyFile:  filepath.Join(f.dir, standin.PrivateKeyFile),
+			},
+		},
+		Log: f.cfg.Log.With("process", fmt.Sprintf("agent-%d", n)),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("starting agent: %w", err)
+	}
+	up, err := standin.NewUpstream(standin.UpstreamConfig{
+		Service:  s.cfg.Name,
+		Address:  netip.AddrPortFrom(ip, 0),
+		Slots:    s.cfg.Slots,
+		Work:     s.cfg.Work,
+		AgentURL: "http://" + role.AdminAddress().String(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("starting upstream: %w", err)
+	}
+	h := &Host{IP: ip, Upstream: up}
+	h.agent = start(ctx, role, role.Run)
+	h.upstream = start(ctx, up, up.Run)
+	return h, nil
+}
+
+// awaitReady waits until each entry is ready and knows each host as ready.
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		missing := f.notReady()
+		if missing == "" {
+			return nil
+		}
+		if node.Sleep(ctx, poll) != nil {
+			return fmt.Errorf("waiting for the fleet: %s: %w", missing, ctx.Err())
+		}
+	}
+}
+
+func (f *Fleet) notReady() string {
+	for i, e := range f.entries {
+		b := e.part.Board()
+		for name, s := range f.services {
+			ready := 0
+			for _, r := range b.Members.OfService(config.TagOf(name)) {
+				if r.AcceptsFlows() {
+					ready++
+				}
+			}
+			if ready < len(s.hosts) {
+				return fmt.Sprintf("entry %d knows %d of %d ready hosts of %s", i, ready, len(s.hosts), name)
+			}
+		}
+	}
+	return ""
+}
+
+// Close stops everything at once.
+func (f *Fleet) Close() {
+	for _, s := range f.services {
+		for _, h := range s.hosts {
+			h.agent.stop()
+		}
+	}
+	for _, s := range f.services {
+		for _, h := range s.hosts {
+			_ = h.agent.end()
+			_ = h.upstream.end()
+		}
+	}
+	for _, e := range f.entries {
+		_ = e.end()
+	}
+	for _, s := range f.services {
+		_ = s.fabric.end()
+	}
+	if f.platform != nil {
+		_ = f.platform.end()
+	}
+	if f.dir != "" {
+		_ = os.RemoveAll(f.dir)
+	}
+}
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,207 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"endiveflow.example/endiveflow/caller"
+	"endiveflow.example/endiveflow/h3conn"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/standin"
+)
+
+const (
+	// requestTimeout bounds one request of a caller.
+	requestTimeout = 10 * time.Second
+	// histogramMax is the longest latency that is told apart.
+	histogramMax = 30 * time.Second
+	// histogramDigits is the number of significant digits of a latency.
+	histogramDigits = 3
+)
+
+// Operation is one kind of request that callers send.
+type Operation struct {
+	Method, Path string
+	// Long work is counted apart from short work.
+	Long bool
+	// Share is its share of the requests of a flow, 0 to 1.
+	Share float64
+}
+
+// LoadConfig describes the callers of one service.
+type LoadConfig struct {
+	Service    string
+	Flows      int
+	Operations []Operation
+	// Think is the pause between two requests of a flow.
+	Think time.Duration
+}
+
+// results collects what callers saw. It is safe for concurrent use.
+type results struct {
+	mu sync.Mutex
+	// All below is guarded by mu.
+	short, long *hdrhistogram.Histogram
+	outcomes    map[string]int
+	brokenFlows int
+	wrong       []string
+	lastError   string
+}
+
+func newResults() *results {
+	return &results{
+		short:    hdrhistogram.New(1, histogramMax.Microseconds(), histogramDigits),
+		long:     hdrhistogram.New(1, histogramMax.Microseconds(), histogramDigits),
+		outcomes: make(map[string]int),
+	}
+}
+
+func (r *results) add(op Operation, outcome string, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes[outcome]++
+	h := r.short
+	if op.Long {
+		h = r.long
+	}
+	_ = h.RecordValue(min(latency, histogramMax).Microseconds())
+}
+
+func (r *results) fail(outcome string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes[outcome]++
+	r.lastError = err.Error()
+}
+
+func (r *results) wrongAnswer(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wrong = append(r.wrong, what)
+}
+
+func (r *results) broken() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.brokenFlows++
+}
+
+// load runs the flows of one service.
+type load struct {
+	cfg     LoadConfig
+	fleet   *Fleet
+	results *results
+	ids     *atomic.Uint64
+	open    sync.WaitGroup
+	ended   sync.WaitGroup
+}
+
+// startLoad opens the flows. They send requests until ctx ends; a request in
+// flight is then finished.
+func startLoad(ctx context.Context, f *Fleet, cfg LoadConfig, r *results, ids *atomic.Uint64) *load {
+	l := &load{cfg: cfg, fleet: f, results: r, ids: ids}
+	for range cfg.Flows {
+		l.open.Add(1)
+		l.ended.Go(func() { l.runFlow(ctx) })
+	}
+	return l
+}
+
+func (l *load) runFlow(ctx context.Context) {
+	c, err := l.connect(ctx)
+	l.open.Done()
+	if err != nil {
+		l.results.broken()
+		l.results.fail("connect", err)
+		return
+	}
+	defer c.Close()
+	first := c.Conn()
+	for ctx.Err() == nil {
+		l.request(ctx, c)
+		_ = node.Sleep(ctx, l.cfg.Think)
+	}
+	if flowBroke(c, first) {
+		l.results.broken()
+	}
+}
+
+// flowBroke says whether the flow is no longer the one that was opened. In the
+// demo each agent stays, so nothing may end a flow.
+func flowBroke(c *caller.Client, first *h3conn.Conn) bool {
+	return c.Conn() != first || first.Err() != nil
+}
+
+func (l *load) connect(ctx context.Context) (*caller.Client, error) {
+	c, err := caller.New(caller.Config{
+		Address: l.fleet.Address(l.cfg.Service),
+		TLS:     l.fleet.cert.ClientTLS(l.cfg.Service),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making caller: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	if err := c.Connect(ctx); err != nil {
+		c.Close()
+		return nil, fmt.Errorf("opening flow: %w", err)
+	}
+	return c, nil
+}
+
+func (l *load) pick() Operation {
+	x := rand.Float64()
+	for _, op := range l.cfg.Operations {
+		if x < op.Share {
+			return op
+		}
+		x -= op.Share
+	}
+	return l.cfg.Operations[0]
+}
+
+func (l *load) request(ctx context.Context, c *caller.Client) {
+	op := l.pick()
+	id := fmt.Sprintf("%s-%d", op.Method, l.ids.Add(1))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+	defer cancel()
+	begin := time.Now()
+	answer, err := c.Do(ctx, caller.Request{
+		Method: op.Method,
+		Path:   op.Path,
+		Header: http.Header{standin.RequestIDHeader: {id}},
+	})
+	if err != nil {
+		outcome := "unknown"
+		if oe := new(caller.OutcomeError); errors.As(err, &oe) {
+			outcome = oe.Outcome
+		}
+		l.results.fail(outcome, err)
+		return
+	}
+	l.results.add(op, answer.Outcome, time.Since(begin))
+	if problem := checkAnswer(answer, l.cfg.Service, id); problem != "" {
+		l.results.wrongAnswer(problem)
+	}
+}
+
+// checkAnswer returns what is wrong with an answer, or nothing.
+func checkAnswer(a caller.Answer, service, id string) string {
+	var body standin.UpstreamAnswer
+	if err := json.Unmarshal(a.Body, &body); err != nil {
+		return fmt.Sprintf("answer to %s with status %d is not complete: %v", id, a.Status, err)
+	}
+	if body.Service != service || body.ID != id {
+		return fmt.Sprintf("request %s to %s got the answer to %s of %s", id, service, body.ID, body.Service)
+	}
+	return ""
+}
