entry: one reader per socket with many services

Cause: with 2,000 services on loopback a forwarder took 14.5 KB of memory per service (trial, 2 readers each), which is 135 MB for 9,300 addresses of the 256 MB that a node may use. Change: past 64 services each socket has one reader.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -63,6 +63,7 @@
 	// or policies.
 	Changed <-chan struct{}
 	// Readers is the number of goroutines per socket; 0 means DefaultReaders.
+	// With more than 64 services each service's socket has one.
 	Readers int
 	// Now returns the time; nil means time.Now.
 	Now func() time.Time
--- a/entry/sockets.go
+++ b/entry/sockets.go
@@ -14,6 +14,11 @@
 	"endiveflow.example/endiveflow/route"
 )
 
+// manyServices is the number of services past which each has one reader. A
+// second reader would cost 6.5 KB per service, 60 MB for 9,300 addresses, and the
+// load of each of so many is small.
+const manyServices = 64
+
 var bindErrors = metrics.GetOrCreateCounter("endiveflow_entry_bind_errors_total")
 
 // serviceSocket is the socket that callers of one service send to.
@@ -61,12 +66,20 @@
 		if after[tag] != nil {
 			continue
 		}
-		for range f.cfg.Readers {
+		for range f.readersPerService() {
 			f.readers.Go(func() { f.readService(ctx, s) })
 		}
 	}
 }
 
+// readersPerService returns Readers, or 1 when there are many services.
+func (f *Forwarder) readersPerService() int {
+	if len(f.services) > manyServices {
+		return 1
+	}
+	return f.cfg.Readers
+}
+
 func (f *Forwarder) open(tag config.ServiceTag, address netip.AddrPort) (*serviceSocket, error) {
 	at := address
 	if f.cfg.BindIP.IsValid() {
