control: codec properties and fuzz targets

Guards against fields lost on the wire, messages over the size limit and datagrams accepted by another process or as another kind.

--- /dev/null
+++ b/control/codec_test.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/member"
+)
+
+func testSealer(t require.TestingT) *fleetkey.Sealer {
+	ring, err := fleetkey.New(fleetkey.Config{Keys: []fleetkey.Key{{ID: 1, Secret: make([]byte, fleetkey.MinSecretBytes)}}})
+	require.NoError(t, err)
+	s, err := ring.Sealer(fleetkey.PurposeControl)
+	require.NoError(t, err)
+	return s
+}
+
+func drawAddress(t *rapid.T) netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "ip")))
+	return netip.AddrPortFrom(ip, rapid.Uint16().Draw(t, "port"))
+}
+
+func drawRecord(t *rapid.T) member.Record {
+	r := member.Record{
+		Role: member.Role(rapid.IntRange(1, 2).Draw(t, "role")), Zone: rapid.StringN(0, 20, maxZone).Draw(t, "zone"),
+		Tunnel: drawAddress(t), Control: drawAddress(t), Peer: drawAddress(t),
+		Incarnation: member.Incarnation(rapid.Uint64Min(1).Draw(t, "incarnation")), Version: rapid.Uint32().Draw(t, "version"),
+		State: member.State(rapid.IntRange(1, 5).Draw(t, "state")), Slots: rapid.Uint16().Draw(t, "slots"),
+		Weight: uint8(rapid.IntRange(0, 100).Draw(t, "weight")),
+	}
+	if r.Role == member.RoleAgent {
+		r.Service = config.ServiceTag(rapid.Uint32Min(1).Draw(t, "service"))
+	}
+	r.ID = member.IDOf(r.Role, r.Control)
+	return r
+}
+
+// A field lost in encoding would differ between the member's own view and all
+// others; a message over the size that pack and gossip assume would be dropped.
+func TestRecordsSurviveTheWire(t *testing.T) {
+	s := testSealer(t)
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(drawRecord), 0, 60).Draw(t, "records")
+		var ended []member.Brief
+		for range rapid.IntRange(0, 100).Draw(t, "ended") {
+			ended = append(ended, member.Brief{ID: 1 << 63, Incarnation: 1 << 63, Version: 1 << 31, State: member.StateDead})
+		}
+		to, from := drawAddress(t), drawAddress(t)
+		var got []member.Record
+		gotEnded := 0
+		for _, m := range pack(records, ended) {
+			data, err := seal(s, KindRecords, m, to)
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(data), maxDatagram)
+			d, err := open(s, data, from, to)
+			require.NoError(t, err)
+			body, err := decode[Records](d)
+			require.NoError(t, err)
+			part, invalid := fromWire(body.Records)
+			require.Zero(t, invalid)
+			got = append(got, part...)
+			gotEnded += len(fromWireBriefs(body.Ended))
+		}
+		require.Equal(t, len(ended), gotEnded)
+		require.Len(t, got, len(records))
+		for i := range records {
+			require.Equal(t, records[i], got[i])
+		}
+	})
+}
+
+// A datagram recorded for one process must not be accepted by another one, nor as another kind.
+func TestDatagramIsBoundToKindAndReceiver(t *testing.T) {
+	s := testSealer(t)
+	a, b := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7")
+	data, err := seal(s, KindProbe, Probe{}, a)
+	require.NoError(t, err)
+	_, err = open(s, data, b, b)
+	require.ErrorIs(t, err, errors.Unauthorized)
+	data[0] = byte(KindWant)
+	_, err = open(s, data, b, a)
+	require.ErrorIs(t, err, errors.Unauthorized)
+}
+
+// An invalid record would be routed to or would poison the indexes.
+func TestInvalidRecordsAreRefused(t *testing.T) {
+	valid := toWire(member.Record{Role: member.RoleAgent, Service: 1, Incarnation: 1, State: member.StateReady})
+	_, err := valid.record()
+	require.NoError(t, err)
+	for name, change := range map[string]func(*wireRecord){
+		"addresses":   func(w *wireRecord) { w.Addresses = w.Addresses[1:] },
+		"role":        func(w *wireRecord) { w.Role = 3 },
+		"state":       func(w *wireRecord) { w.State = 6 },
+		"incarnation": func(w *wireRecord) { w.Incarnation = 0 },
+		"weight":      func(w *wireRecord) { w.Weight = 101 },
+		"service":     func(w *wireRecord) { w.Service = 0 },
+		"zone":        func(w *wireRecord) { w.Zone = string(make([]byte, maxZone+1)) },
+	} {
+		w := valid
+		change(&w)
+		_, err := w.record()
+		require.ErrorIs(t, err, errors.NotValid, name)
+	}
+}
+
+// decodeAny decodes a body as the message of its kind.
+func decodeAny(d datagram) error {
+	var err error
+	switch d.kind {
+	case KindBeat:
+		_, err = decode[Beat](d)
+	case KindAnswer:
+		_, err = decode[Answer](d)
+	case KindRecords:
+		var m Records
+		if m, err = decode[Records](d); err == nil {
+			fromWire(m.Records)
+			fromWireBriefs(m.Ended)
+		}
+	case KindBriefs:
+		_, err = decode[Briefs](d)
+	case KindWant:
+		_, err = decode[Want](d)
+	case KindGroups:
+		_, err = decode[Groups](d)
+	case KindBuckets:
+		_, err = decode[Buckets](d)
+	case KindProbe:
+		_, err = decode[Probe](d)
+	case KindAsk:
+		_, err = decode[Ask](d)
+	case KindOpinion:
+		_, err = decode[OpinionOf](d)
+	case KindOffer:
+		_, err = decode[Offer](d)
+	case KindObjectWant:
+		_, err = decode[ObjectWant](d)
+	case KindObjects:
+		_, err = decode[Objects](d)
+	case KindConfigBuckets:
+		_, err = decode[ConfigBuckets](d)
+	case KindConfigHashes:
+		_, err = decode[ConfigHashes](d)
+	}
+	return err
+}
+
+// A body that a peer of another version or a faulty one sends must be an error, never a panic.
+func FuzzBody(f *testing.F) {
+	for kind, body := range map[Kind]any{
+		KindBeat: Beat{Brief: 1 << 60}, KindAnswer: Answer{Interval: 32}, KindGroups: Groups{Digests: make([]byte, 128)},
+		KindRecords: Records{Records: []wireRecord{{Zone: "okn-a", Addresses: make([]byte, addressBytes)}}, Ended: []wireBrief{{}}},
+		KindBriefs:  Briefs{Scope: holdings}, KindOffer: Offer{Hashes: []uint64{1}}, KindObjects: Objects{Objects: [][]byte{{1}}},
+	} {
+		plain, err := encMode.Marshal(body)
+		require.NoError(f, err)
+		f.Add(byte(kind), plain)
+	}
+	f.Fuzz(func(t *testing.T, kind byte, body []byte) {
+		if err := decodeAny(datagram{kind: Kind(kind), body: body}); err != nil {
+			require.ErrorIs(t, err, errors.NotValid)
+		}
+	})
+}
+
+// Whatever arrives on the socket must be refused unless it was sealed for this process.
+func FuzzDatagram(f *testing.F) {
+	s := testSealer(f)
+	self := netip.MustParseAddrPort("10.0.0.1:7")
+	data, err := seal(s, KindProbe, Probe{}, self)
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := open(s, data, self, self); err != nil {
+			require.NotEmpty(t, reasonOf(err))
+		}
+	})
+}
--- a/control/config_test.go
+++ b/control/config_test.go
@@ -31,7 +31,7 @@
 	for _, padding := range []int{0, 900, 100_000} {
 		t.Run(fmt.Sprintf("%d bytes", padding), func(t *testing.T) {
 			simulate(t, 11, 12, 30, func(f *fleet) {
-				f.net.loss = 0.1
+				f.net.set(func(n *network) { n.loss = 0.1 })
 				for version := range uint64(3) {
 					f.entries[4].accept(object("Service/rota", 1+version, padding))
 					f.within(10*time.Second, "in effect", func() bool { return f.inEffect(f.entries[4]) })
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -30,7 +30,7 @@
 func TestDrainIsKnownEverywhereWithinTwoSeconds(t *testing.T) {
 	for seed := range uint64(3) {
 		simulate(t, seed, 12, 30, func(f *fleet) {
-			f.net.loss, f.net.repeat, f.net.delay = 0.1, 0.1, 30*time.Millisecond
+			f.net.set(func(n *network) { n.loss, n.repeat, n.delay = 0.1, 0.1, 30*time.Millisecond })
 			f.agents[3].set(draining)
 			f.within(2*time.Second, "all entries see draining", func() bool {
 				return f.entriesSee(f.agents[3], member.StateDraining)
@@ -180,10 +180,10 @@
 // back what it was.
 func TestReplayIsHarmless(t *testing.T) {
 	simulate(t, 9, 3, 6, func(f *fleet) {
-		f.net.record = true
+		f.net.set(func(n *network) { n.record = true })
 		f.agents[1].set(draining)
 		time.Sleep(20 * time.Second)
-		f.net.record = false
+		f.net.set(func(n *network) { n.record = false })
 		f.kill(f.agents[1])
 		for range 200 {
 			f.net.replay(f.agents[1].addr)
--- a/control/network_test.go
+++ b/control/network_test.go
@@ -49,10 +49,15 @@
 	}
 }
 
-func (n *network) setCut(cut func(from, to netip.AddrPort) bool) {
+// set changes the faults.
+func (n *network) set(change func(*network)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut = cut
+	change(n)
+}
+
+func (n *network) setCut(cut func(from, to netip.AddrPort) bool) {
+	n.set(func(n *network) { n.cut = cut })
 }
 
 func (n *network) listen(addr netip.AddrPort) *conn {
