--- /dev/null
+++ b/dispatch/cut_test.go
@@ -0,0 +1,207 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/dispatch"
+)
+
+// rawUpstream is a server on a real socket that closes connections where a test says.
+type rawUpstream struct {
+	listener net.Listener
+	// runs counts requests that arrived completely, started connections that carried any byte.
+	runs, started atomic.Int64
+	ended         chan struct{}
+}
+
+// newRawUpstream serves each connection by handle, one at a time.
+func newRawUpstream(t *testing.T, handle func(u *rawUpstream, c net.Conn)) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &rawUpstream{listener: l, ended: make(chan struct{})}
+	go func() {
+		defer close(u.ended)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			handle(u, c)
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-u.ended
+	})
+	return u
+}
+
+// readRequest reads a request from a connection and counts it.
+func (u *rawUpstream) readRequest(r *bufio.Reader) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	u.runs.Add(1)
+	return true
+}
+
+// send is an Upstream over a real http.Transport.
+func (u *rawUpstream) send(tr *http.Transport) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		connected := false
+		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+		r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
+		r.URL.Host = u.listener.Addr().String()
+		resp, err := tr.RoundTrip(r)
+		if err != nil && !connected {
+			return nil, &dispatch.NotSentError{Err: err}
+		}
+		return resp, err
+	}
+}
+
+func transport(t *testing.T) *http.Transport {
+	tr := &http.Transport{DisableCompression: true}
+	t.Cleanup(tr.CloseIdleConnections)
+	return tr
+}
+
+// Guards against "not run" for a request of which an upstream has seen a byte, against a second run, and
+// against an answer that passes for complete, for a connection that closes after each byte
+// of the request and of the answer.
+func TestCutPoints(t *testing.T) {
+	const answerText = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nclaim"
+	var inRequest, inAnswer int
+	u := newRawUpstream(t, func(u *rawUpstream, c net.Conn) {
+		if inRequest >= 0 {
+			n, _ := io.CopyN(io.Discard, c, int64(inRequest))
+			u.started.Add(min(n, 1))
+			return
+		}
+		if u.readRequest(bufio.NewReader(c)) {
+			_, _ = io.WriteString(c, answerText[:inAnswer])
+		}
+	})
+	h := dispatch.New(agentConfig(u.send(transport(t))))
+	for inRequest = range 120 {
+		require.Equal(t, "unknown", outcome(post(h, nil)), "request cut after %d bytes", inRequest)
+	}
+	require.Zero(t, u.runs.Load())
+	require.GreaterOrEqual(t, u.started.Load(), int64(100), "the cuts lie within the request")
+
+	inRequest = -1
+	for inAnswer = range len(answerText) + 1 {
+		before := u.runs.Load()
+		resp := post(h, nil)
+		require.Equal(t, before+1, u.runs.Load(), "answer cut after %d bytes", inAnswer)
+		if inAnswer < len(answerText) {
+			require.Equal(t, "unknown", outcome(resp), "answer cut after %d bytes", inAnswer)
+			continue
+		}
+		body, _ := io.ReadAll(resp.Body)
+		require.Equal(t, "answered claim", outcome(resp)+" "+string(body))
+	}
+	_ = u.listener.Close()
+	require.Equal(t, "not-run", outcome(post(h, nil)), "no connection, so no byte was sent")
+}
+
+// Guards against the replay by http.Transport of a request on a reused connection, which an
+// Idempotency-Key header allows when the body is empty. The control shows that a plain request
+// is replayed.
+func TestTransportDoesNotReplay(t *testing.T) {
+	serveOne := func(u *rawUpstream, c net.Conn) {
+		r := bufio.NewReader(c)
+		if u.readRequest(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			u.readRequest(r)
+		}
+	}
+	u := newRawUpstream(t, serveOne)
+	h := dispatch.New(agentConfig(u.send(transport(t))))
+	header := map[string]string{"Idempotency-Key": "k", "X-Idempotency-Key": "k"}
+	require.Equal(t, "answered", outcome(post(h, header)))
+	require.Equal(t, "unknown", outcome(post(h, header)))
+	require.Equal(t, int64(2), u.runs.Load())
+
+	control := newRawUpstream(t, serveOne)
+	send := control.send(transport(t))
+	for range 2 {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://upstream/claims", nil)
+		require.NoError(t, err)
+		r.Header.Set("Idempotency-Key", "k")
+		resp, err := send(r)
+		require.NoError(t, err)
+		_ = resp.Body.Close()
+	}
+	require.Equal(t, int64(3), control.runs.Load(), "the transport replays the plain request")
+}
+
+// Guards against a long answer that breaks off and reaches the caller as a complete short one.
+func TestBrokenStreamReachesTheCaller(t *testing.T) {
+	for name, length := range map[string]string{"withLength": "Content-Length: 200000", "chunked": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			u := newRawUpstream(t, func(u *rawUpstream, c net.Conn) {
+				u.readRequest(bufio.NewReader(c))
+				text := "HTTP/1.1 200 OK\r\n" + length + "\r\n\r\n"
+				if name == "chunked" {
+					text += "30d40\r\n"
+				}
+				_, _ = io.WriteString(c, text+strings.Repeat("x", 150_000))
+			})
+			server := httptest.NewServer(dispatch.New(agentConfig(u.send(transport(t)))))
+			defer server.Close()
+			resp, err := server.Client().Get(server.URL + "/report")
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			_, err = io.ReadAll(resp.Body)
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		})
+	}
+}
+
+// Guards against an answer that is changed on its way: status, headers, length of HEAD, and a body longer
+// than what the agent reads before it sends.
+func TestAnswerArrivesWhole(t *testing.T) {
+	long := bytes.Repeat([]byte("0123456789"), 30_000)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Rota", "club")
+		w.Header().Set("Content-Length", "300000")
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write(long)
+	}))
+	defer upstream.Close()
+	u := &rawUpstream{listener: upstream.Listener}
+	server := httptest.NewServer(dispatch.New(agentConfig(u.send(transport(t)))))
+	defer server.Close()
+	for _, method := range []string{http.MethodGet, http.MethodHead} {
+		r, err := http.NewRequestWithContext(context.Background(), method, server.URL+"/report", nil)
+		require.NoError(t, err)
+		resp, err := server.Client().Do(r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusAccepted, resp.StatusCode)
+		require.Equal(t, "club answered", resp.Header.Get("X-Rota")+" "+outcome(resp))
+		require.Equal(t, int64(len(long)), resp.ContentLength)
+		require.Equal(t, method == http.MethodGet, bytes.Equal(long, body))
+	}
+}
--- /dev/null
+++ b/dispatch/helpers_test.go
@@ -0,0 +1,90 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"time"
+
+	"endiveflow.example/endiveflow/audit"
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/dispatch"
+)
+
+func quietTrail() *audit.Trail {
+	return audit.New(audit.Config{Log: slog.New(slog.NewJSONHandler(io.Discard, nil))})
+}
+
+func issueKey(k dispatch.Key) string {
+	return fmt.Sprintf("%s %d %d %d", k.Home, k.Incarnation, k.Sequence, k.Issued.UnixNano())
+}
+
+func parseKey(text string) (dispatch.Key, error) {
+	var home string
+	var k dispatch.Key
+	var nanos int64
+	if _, err := fmt.Sscanf(text, "%s %d %d %d", &home, &k.Incarnation, &k.Sequence, &nanos); err != nil {
+		return k, err
+	}
+	k.Issued = time.Unix(0, nanos)
+	var err error
+	k.Home, err = netip.ParseAddrPort(home)
+	return k, err
+}
+
+// eagerPolicy allows a retry for each request, so that tests of what must not be retried reach their fault.
+func eagerPolicy() config.Policy {
+	p := config.BuiltinPolicy()
+	p.RetryShare = 1
+	return p
+}
+
+var home = netip.MustParseAddrPort("10.0.0.1:700")
+
+// agentConfig is a configuration of one agent without peers.
+func agentConfig(upstream func(*http.Request) (*http.Response, error)) dispatch.Config {
+	return dispatch.Config{
+		Self: dispatch.Self{Peer: home, Incarnation: 1}, Slots: 2, Upstream: upstream,
+		Peers:  func() []dispatch.PeerInfo { return nil },
+		Policy: eagerPolicy, Service: noRules,
+		IssueKey: issueKey, ParseKey: parseKey, Trail: quietTrail(),
+	}
+}
+
+// call serves one request and returns its answer.
+func call(h http.Handler, method, path string, header map[string]string) *http.Response {
+	return callContext(context.Background(), h, method, path, header)
+}
+
+func callContext(ctx context.Context, h http.Handler, method, path string, header map[string]string) *http.Response {
+	r := httptest.NewRequestWithContext(ctx, method, path, nil)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Result()
+}
+
+// post serves one request that must not run twice, with a new key.
+func post(h http.Handler, header map[string]string) *http.Response {
+	key := call(h, http.MethodPost, "/claims", nil).Header.Get(dispatch.HeaderKey)
+	all := map[string]string{dispatch.HeaderKey: key}
+	for k, v := range header {
+		all[k] = v
+	}
+	return call(h, http.MethodPost, "/claims", all)
+}
+
+func outcome(r *http.Response) string { return r.Header.Get(dispatch.HeaderOutcome) }
+
+func answer(status int, body string) *http.Response {
+	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func noRules() config.Service { return config.Service{} }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -65,10 +65,12 @@
 				earned += 20
 				burst = 0
 			},
-			"retry": func(*rapid.T) {
-				if budget.Take(clock) {
-					retries++
-					burst++
+			"retries": func(*rapid.T) {
+				for range 15 {
+					if budget.Take(clock) {
+						retries++
+						burst++
+					}
 				}
 				require.LessOrEqual(t, float64(retries), earned+1e-6)
 				require.LessOrEqual(t, burst, retry.DefaultBurst)
