cmd/endiveflow, examples: run each part as a process of its own

Cause: the demo runs in one process; operators run entries, agents and the stand-ins separately. Ruled out: one settings file for the whole fleet, because each VM learns only its own addresses. Change: commands entry, agent and standin with example settings; a signal of the operating system is a planned stop and no failed controller. Result: an entry started by hand stopped on SIGTERM with 'a controller failed' before, without an error after.

--- a/cmd/endiveflow/main.go
+++ b/cmd/endiveflow/main.go
@@ -11,6 +11,9 @@
 // cli lists the commands, each in a file of its own.
 type cli struct {
 	Demo    demoCommand    `cmd:"" help:"Run a small fleet in one process and report what callers saw."`
+	Entry   entryCommand   `cmd:"" help:"Run an entry: the process behind the fabric."`
+	Agent   agentCommand   `cmd:"" help:"Run an agent: the process beside an upstream."`
+	Standin standinCommand `cmd:"" help:"Run stand-ins for what surrounds the system."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/cmd/endiveflow/standin_certificate.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+
+	"endiveflow.example/endiveflow/standin"
+)
+
+type standinCertificateCommand struct {
+	Dir  string   `default:"." type:"existingdir" help:"Directory of the files service.crt and service.key."`
+	Name []string `required:"" help:"Name of a service; may be repeated."`
+}
+
+// Run writes a certificate and its key.
+func (c standinCertificateCommand) Run() error {
+	cert, err := standin.NewCertificate(c.Name...)
+	if err != nil {
+		return fmt.Errorf("making certificate: %w", err)
+	}
+	if err := cert.WriteFiles(c.Dir); err != nil {
+		return fmt.Errorf("writing certificate: %w", err)
+	}
+	return nil
+}
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -223,7 +223,8 @@
 	}
 	w := httptest.NewRecorder()
 	defer func() {
-		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+		cause := recover()
+		if abort, ok := cause.(error); cause != nil && (!ok || !errors.Is(abort, http.ErrAbortHandler)) {
 			panic(cause)
 		} else if cause != nil {
 			resp, err = w.Result(), nil
--- a/node/run.go
+++ b/node/run.go
@@ -46,8 +46,11 @@
 	var cause error
 	select {
 	case <-ctx.Done():
-	case <-app.Wait():
-		cause = ErrController
+	case signal := <-app.Wait():
+		// An ordinary signal of the operating system has exit code 0.
+		if signal.ExitCode != 0 {
+			cause = ErrController
+		}
 	case inc := <-b.Self.Superseded():
 		cause = &SupersededError{Incarnation: inc}
 	}
--- a/standin/upstream_serve.go
+++ b/standin/upstream_serve.go
@@ -35,6 +35,9 @@
 		}
 		_, _ = fmt.Fprintf(w, "{\"load\":%d}\n", load)
 	})
+	mux.HandleFunc("GET /executed", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(u.Executed())
+	})
 	mux.HandleFunc("/", u.serve)
 	return mux
 }
