confsync: two watchers per zone and the zone's page of entries

Cause: entries need the configuration from a store that allows few calls and goes away for long, and starting entries need to find the others.

Ruled out: a lease for the watch duty, because a paused holder still believes it holds it; watching twice is harmless.

Change: the two highest-ranked live entries of a zone list and watch, with backoff and a new list after each failure. The highest-ranked one writes the page conditionally, at most every 5 s, and reads it again every minute. A starting entry that knows no other one waits up to 10 s before it takes duties, unless the page tells that it is alone.

--- /dev/null
+++ b/confsync/sync_test.go
@@ -0,0 +1,345 @@
+package confsync_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/confsync"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/standin"
+)
+
+// node is one entry with its own view.
+type node struct {
+	*confsync.Sync
+	view *config.View
+	self member.Record
+	stop context.CancelFunc
+	done <-chan error
+}
+
+// fleet is a set of entries in zones of equal size that see each other at once.
+type fleet struct {
+	store    *standin.Platform
+	watchers int
+	mu       sync.Mutex
+	nodes    []*node
+	// members are the records of nodes; the slice is replaced, not modified.
+	members []member.Record
+}
+
+// add starts an entry that knows the others.
+func (f *fleet) add(t *testing.T, zone string) *node {
+	t.Helper()
+	client, err := platform.New(platform.Config{URL: "http://store", HTTP: &http.Client{Transport: f.store.Transport()}})
+	require.NoError(t, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := len(f.nodes)
+	control := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7001)
+	n := &node{view: config.NewView(), self: member.Record{
+		ID: member.IDOf(member.RoleEntry, control), Role: member.RoleEntry, Zone: zone, Control: control, State: member.StateReady,
+	}}
+	n.Sync, err = confsync.New(confsync.Config{
+		Client: client, View: n.view, Region: "okanagan", Zone: zone, Watchers: f.watchers, Log: slog.New(slog.DiscardHandler),
+		Self: func() member.Record { return n.self }, Entries: f.records,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop, n.done = cancel, n.Run(ctx)
+	f.nodes = append(f.nodes, n)
+	f.members = append(slices.Clone(f.members), n.self)
+	return n
+}
+
+func (f *fleet) records() []member.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members
+}
+
+func (f *fleet) list() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.nodes)
+}
+
+func (f *fleet) remove(n *node) {
+	n.stop()
+	<-n.done
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := slices.Index(f.nodes, n)
+	f.nodes = slices.Delete(slices.Clone(f.nodes), i, i+1)
+	f.members = slices.Delete(slices.Clone(f.members), i, i+1)
+}
+
+// gossip stands for the exchange between entries: every interval, each entry
+// takes the objects of one other.
+func (f *fleet) gossip(ctx context.Context, interval time.Duration) {
+	for round := 1; ctx.Err() == nil; round++ {
+		time.Sleep(interval)
+		nodes := f.list()
+		for i, n := range nodes {
+			from := nodes[(i+round*7+1)%len(nodes)]
+			if from.view.Digest() == n.view.Digest() {
+				continue
+			}
+			for _, o := range from.view.Objects() {
+				n.view.Apply(o)
+			}
+		}
+	}
+}
+
+func (f *fleet) watching() int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.Watching() {
+			count++
+		}
+	}
+	return count
+}
+
+// run runs a test under synthetic time and ends the fleet after it.
+func run(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{store: standin.NewPlatform(standin.PlatformConfig{})}
+		test(t, f)
+		f.store.Set(standin.Switches{})
+		for len(f.nodes) > 0 {
+			f.remove(f.nodes[0])
+		}
+		time.Sleep(time.Minute) // Lets held calls end.
+	})
+}
+
+// write stores a service at an address with the port and returns its version.
+func write(t *testing.T, store *standin.Platform, port uint16) uint64 {
+	t.Helper()
+	o := config.Object{
+		Key:     config.Key{Kind: config.KindService, Name: "rota"},
+		Service: &config.Service{Address: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port)},
+	}
+	value, err := config.EncodeValue(o)
+	require.NoError(t, err)
+	client, err := platform.New(platform.Config{URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}})
+	require.NoError(t, err)
+	current, _ := client.Get(t.Context(), o.StoreKey())
+	version, err := client.Put(t.Context(), o.StoreKey(), value, current.Version)
+	require.NoError(t, err)
+	return version
+}
+
+func requireVersion(t *testing.T, n *node, version uint64) {
+	t.Helper()
+	o, _ := n.view.Get(config.Key{Kind: config.KindService, Name: "rota"})
+	require.Equal(t, version, o.Version)
+}
+
+// Guards against a zone that nobody watches, also after its watchers died, or that everybody watches.
+func TestTwoEntriesWatch(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		for range 6 {
+			f.add(t, "okn-a")
+		}
+		for range 5 {
+			time.Sleep(5 * time.Second)
+			require.Equal(t, min(2, len(f.nodes)), f.watching())
+			version := write(t, f.store, uint16(len(f.nodes)))
+			time.Sleep(time.Second)
+			for _, n := range f.nodes {
+				if n.Watching() {
+					requireVersion(t, n, version)
+				}
+			}
+			for _, n := range f.nodes {
+				if n.Watching() {
+					f.remove(n)
+					break
+				}
+			}
+		}
+	})
+}
+
+// Guards against an outage that ends a watch for good, reverts the view, or is
+// met with a flood of calls when it lasts and when it ends.
+func TestOutageAndStaleReads(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		n := f.add(t, "okn-a")
+		write(t, f.store, 1)
+		version := write(t, f.store, 2)
+		time.Sleep(time.Minute)
+		requireVersion(t, n, version)
+
+		f.store.Set(standin.Switches{Outage: true})
+		before := total(f.store)
+		time.Sleep(2 * time.Hour)
+		require.True(t, n.Watching())
+		requireVersion(t, n, version)
+		// A list is tried 3 times per pause of 7.5 to 15 s; the page is one more such loop.
+		require.Less(t, total(f.store)-before, uint64(2*2*3600*3/7))
+
+		f.store.Set(standin.Switches{StaleRevision: 1})
+		time.Sleep(5 * time.Minute)
+		requireVersion(t, n, version)
+		f.store.Set(standin.Switches{})
+		version = write(t, f.store, 3)
+		time.Sleep(30 * time.Second)
+		requireVersion(t, n, version)
+
+		f.store.Set(standin.Switches{Delay: time.Hour})
+		time.Sleep(3 * time.Hour)
+		requireVersion(t, n, version)
+		f.store.Set(standin.Switches{})
+		version = write(t, f.store, 4)
+		time.Sleep(30 * time.Second)
+		requireVersion(t, n, version)
+		time.Sleep(time.Hour) // Lets the calls end that are still delayed.
+	})
+}
+
+func total(store *standin.Platform) uint64 {
+	sum := uint64(0)
+	for _, n := range store.Calls() {
+		sum += n
+	}
+	return sum
+}
+
+// Guards against an entry that cannot start without the store, or that stays
+// behind when the store returns.
+func TestStartDuringOutage(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		version := write(t, f.store, 1)
+		old := f.add(t, "okn-a")
+		time.Sleep(time.Minute)
+		f.store.Set(standin.Switches{Outage: true})
+		started := f.add(t, "okn-a")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.gossip(ctx, 200*time.Millisecond)
+		time.Sleep(time.Minute)
+		requireVersion(t, started, version)
+		require.True(t, started.Watching())
+		cancel()
+		time.Sleep(time.Second)
+		f.remove(old)
+		f.store.Set(standin.Switches{})
+		version = write(t, f.store, 2)
+		time.Sleep(30 * time.Second)
+		requireVersion(t, started, version)
+	})
+}
+
+// Guards against a page that is written without a change or too often, that a
+// starting entry overwrites, and against seeds that are missing.
+func TestPage(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		for range 3 {
+			f.add(t, "okn-a")
+		}
+		other := f.add(t, "okn-b")
+		time.Sleep(2 * time.Minute)
+		writes := f.store.Calls()["put"]
+		// One for each zone and each view of it that lasted.
+		require.LessOrEqual(t, writes, uint64(4))
+		time.Sleep(time.Hour)
+		require.Equal(t, writes, f.store.Calls()["put"], "writes without a change")
+		for i := range 100 {
+			f.remove(f.add(t, "okn-a"))
+			time.Sleep(time.Duration(i%3) * 100 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.store.Calls()["put"]-writes, uint64(4), "writes within 10 s of changes")
+		late := f.add(t, "okn-a")
+		time.Sleep(5 * time.Second)
+		require.Len(t, late.Seeds(), 4)
+		require.Contains(t, late.Seeds(), other.self.Control)
+		require.NotContains(t, late.Seeds(), late.self.Control)
+	})
+}
+
+// TestStoreCalls logs the calls a second that entries make, against the
+// baseline in which each entry watches. It guards against calls that grow with
+// the number of entries of a zone.
+func TestStoreCalls(t *testing.T) {
+	for _, size := range []int{10, 40, 160} {
+		rates := make(map[int]float64)
+		for _, watchers := range []int{confsync.DefaultWatchers, size} {
+			run(t, func(t *testing.T, f *fleet) {
+				f.watchers = watchers
+				for range size {
+					f.add(t, "okn-a")
+				}
+				time.Sleep(time.Minute)
+				before := total(f.store)
+				const changes = 12
+				for i := range changes {
+					write(t, f.store, uint16(i+1))
+					time.Sleep(10 * time.Second)
+				}
+				// The writes of the test itself are one get and one put each.
+				rates[watchers] = float64(total(f.store)-before-2*changes) / (changes * 10)
+			})
+		}
+		t.Logf("%d entries of one zone, a change every 10 s: %.3f calls/s, each watching %.3f calls/s", size, rates[confsync.DefaultWatchers], rates[size])
+		// A watcher makes one call for each wait and each change; the page is
+		// read once a minute and written at most every 5 s.
+		bound := confsync.DefaultWatchers*(1/platform.DefaultWatchWait.Seconds()+0.1) +
+			1/confsync.DefaultRefreshInterval.Seconds() + 1/confsync.DefaultPageInterval.Seconds()
+		require.Less(t, rates[confsync.DefaultWatchers], bound, "calls a second of a zone")
+	}
+}
+
+// TestPropagation logs the time from an accepted write until 20 entries apply
+// it, of which two watch and the others gossip every 500 ms. It guards against
+// changes that take longer than the 20 s that operators are promised.
+func TestPropagation(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		for range 20 {
+			f.add(t, "okn-a")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.gossip(ctx, 500*time.Millisecond)
+		time.Sleep(time.Minute)
+		require.Equal(t, 2, f.watching())
+		var worst, sum time.Duration
+		const writes = 200
+		for i := range writes {
+			version := write(t, f.store, uint16(i+1))
+			started := time.Now()
+			for !f.allAt(version) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			worst, sum = max(worst, time.Since(started)), sum+time.Since(started)
+			time.Sleep(time.Duration(i) * 37 * time.Millisecond % time.Second)
+		}
+		cancel()
+		time.Sleep(time.Second)
+		t.Logf("%d writes to 20 entries: mean %v, worst %v", writes, sum/writes, worst)
+		require.Less(t, worst, 20*time.Second)
+	})
+}
+
+func (f *fleet) allAt(version uint64) bool {
+	for _, n := range f.nodes {
+		if n.view.Version() < version {
+			return false
+		}
+	}
+	return true
+}
