confsync, entry: read the configuration from the store

Cause: entries had no controller for the store, and in the first demo run with it a drain took effect 5 s late: 549 requests reached the drained upstream after its two seconds. All entries had been replaced; the new ones knew no other entry in their zone and took the old page for a sign of others, so that nobody watched until ten seconds after their start. Ruled out: a shorter settle time, because a zone that starts at once would then list the store from every entry. Change: an entry that has known any other entry has settled. The entry role runs the watch duty and seeds from the pages; the demo applies through apply. Conclusion: settled means joined, not old.

--- a/confsync/sync.go
+++ b/confsync/sync.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,8 +63,10 @@
 	cfg      Config
 	started  time.Time
 	watching atomic.Bool
-	page     pageState
-	mu       sync.Mutex
+	// joined is set once another entry was known.
+	joined atomic.Bool
+	page   pageState
+	mu     sync.Mutex
 	// seeds is guarded by mu and never modified in place.
 	seeds []netip.AddrPort
 }
@@ -173,18 +176,30 @@
 
 func (s *Sync) shouldWatch() bool {
 	at := s.standing()
-	return at.rank < s.cfg.Watchers && s.cfg.Self().Alive() && !s.settling(at)
+	settling := s.settling(at)
+	return at.rank < s.cfg.Watchers && s.cfg.Self().Alive() && !settling
 }
 
-// settling says whether the entry has just started and knows no other entry of
-// its zone, although no page has told yet that there is none.
+// settling says whether the entry has just started and has not known any other
+// entry yet, although no page has told that there is none. An entry that knew
+// others and is now alone in its zone has settled: it is the only one there
+// that can watch.
 func (s *Sync) settling(at standing) bool {
-	if at.others > 0 || time.Since(s.started) >= s.cfg.SettleFor {
+	if at.others > 0 || s.knowsEntries() {
+		s.joined.Store(true)
+	}
+	if s.joined.Load() || time.Since(s.started) >= s.cfg.SettleFor {
 		return false
 	}
 	return !s.page.knownAlone()
 }
 
+// knowsEntries says whether the view holds another entry, of whatever zone and state.
+func (s *Sync) knowsEntries() bool {
+	self := s.cfg.Self().ID
+	return slices.ContainsFunc(s.cfg.Entries(), func(r member.Record) bool { return r.ID != self })
+}
+
 func count(what, result string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`endiveflow_confsync_%s_total{result=%q}`, what, result)).Inc()
 }
--- a/confsync/sync_test.go
+++ b/confsync/sync_test.go
@@ -176,6 +176,21 @@
 	})
 }
 
+// Guards against a zone without a watcher while its only entry is new: when
+// every entry was replaced at once, the new one took its predecessor's page for
+// a sign of others and waited for ten seconds.
+func TestSuccessorOfOnlyEntryWatches(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		old := f.add(t, "okn-a")
+		time.Sleep(15 * time.Second)
+		successor := f.add(t, "okn-a")
+		time.Sleep(2 * time.Second)
+		f.remove(old)
+		time.Sleep(2 * time.Second)
+		require.True(t, successor.Watching())
+	})
+}
+
 // Guards against an outage that ends a watch for good, reverts the view, or is
 // met with a flood of calls when it lasts and when it ends.
 func TestOutageAndStaleReads(t *testing.T) {
--- a/demo/apply.go
+++ b/demo/apply.go
@@ -4,32 +4,23 @@
 	"context"
 	"fmt"
 
+	"endiveflow.example/endiveflow/apply"
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/platform"
 )
 
-// Apply writes objects to the store.
-func (f *Fleet) Apply(ctx context.Context, objects ...config.Object) error {
+// Apply writes objects to the store, as an operator's apply does.
+func (f *Fleet) Apply(ctx context.Context, why string, objects ...config.Object) error {
 	client, err := platform.New(platform.Config{URL: f.platformURL()})
 	if err != nil {
 		return fmt.Errorf("making store client: %w", err)
 	}
-	for _, o := range objects {
-		value, err := config.EncodeValue(o)
-		if err != nil {
-			return fmt.Errorf("encoding %s: %w", o, err)
-		}
-		version, err := client.Put(ctx, "config/"+o.String(), value, 0)
-		if err != nil {
-			return fmt.Errorf("writing %s: %w", o, err)
-		}
-		o.Version = version
-		f.applied = append(f.applied, o)
+	applier, err := apply.New(apply.Config{Client: client, Who: "demo"})
+	if err != nil {
+		return fmt.Errorf("making applier: %w", err)
 	}
-	for _, e := range f.entries {
-		for _, o := range f.applied {
-			e.part.Board().Config.Apply(o)
-		}
+	if _, err := applier.Apply(ctx, config.NewSet(objects...), why); err != nil {
+		return fmt.Errorf("applying: %w", err)
 	}
 	return nil
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -65,7 +65,6 @@
 	entries  []*process[*entry.Role]
 	// started counts the entries ever started, which gives each its own address.
 	started int
-	applied []config.Object
 }
 
 type service struct {
@@ -127,7 +126,7 @@
 			return fmt.Errorf("starting service %s: %w", s.Name, err)
 		}
 	}
-	if err := f.Apply(ctx, f.Objects()...); err != nil {
+	if err := f.Apply(ctx, "first configuration", f.Objects()...); err != nil {
 		return err
 	}
 	if err := f.AddEntries(ctx, f.cfg.Entries); err != nil {
@@ -258,9 +257,6 @@
 			return fmt.Errorf("starting entry %d: %w", f.started, err)
 		}
 		f.started++
-		for _, o := range f.applied {
-			role.Board().Config.Apply(o)
-		}
 		f.entries = append(f.entries, start(ctx, role, role.Run))
 	}
 	f.setFabricEntries(f.entries)
--- a/demo/run.go
+++ b/demo/run.go
@@ -139,7 +139,7 @@
 
 // Drain writes the operator's exception that drains a host.
 func (f *Fleet) Drain(ctx context.Context, h *Host, reason string) error {
-	return f.Apply(ctx, config.Object{
+	return f.Apply(ctx, reason, config.Object{
 		Key: config.Key{Kind: config.KindException, Name: "drain-" + strings.ReplaceAll(h.IP.String(), ".", "-")},
 		Exception: &config.Exception{
 			Target:  config.HostTarget(h.IP),
--- a/entry/control.go
+++ b/entry/control.go
@@ -4,22 +4,25 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/fx"
 
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/confsync"
 	"endiveflow.example/endiveflow/control"
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/member"
 	"endiveflow.example/endiveflow/node"
 	"endiveflow.example/endiveflow/peer"
+	"endiveflow.example/endiveflow/platform"
 )
 
 // joinEvery is the time between attempts to take over the state of another entry.
 const joinEvery = 500 * time.Millisecond
 
-func provideControl(lc fx.Lifecycle, cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, b *node.Board, peers *peer.Client) (*control.Entry, error) {
+func provideControl(lc fx.Lifecycle, cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, b *node.Board, peers *peer.Client, store *confsync.Sync) (*control.Entry, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.StopHook(cancel))
 	e, err := control.NewEntry(control.EntryConfig{
@@ -29,7 +32,7 @@
 		Changed:       b.Self.Changed(),
 		Refute:        b.Self.Refute,
 		Members:       b.Members,
-		Seeds:         func() []netip.AddrPort { return cfg.Settings.Seeds },
+		Seeds:         func() []netip.AddrPort { return slices.Concat(store.Seeds(), cfg.Settings.Seeds) },
 		ConfigDigest:  b.Config.Digest,
 		ConfigObjects: func() [][]byte { return node.EncodeObjects(b.Log, b.Config.Objects()) },
 		ApplyConfig:   node.ApplyEncoded(b.Config),
@@ -51,6 +54,28 @@
 	return e, nil
 }
 
+// provideSync makes the watch duty of the entry. The store may be away: the
+// entry then takes its configuration from other entries.
+func provideSync(cfg RoleConfig, b *node.Board) (*confsync.Sync, error) {
+	client, err := platform.New(platform.Config{URL: cfg.Settings.PlatformURL})
+	if err != nil {
+		return nil, fmt.Errorf("making store client: %w", err)
+	}
+	s, err := confsync.New(confsync.Config{
+		Client:  client,
+		View:    b.Config,
+		Region:  cfg.Settings.Region,
+		Zone:    cfg.Settings.Zone,
+		Self:    b.Self.Record,
+		Entries: b.Members.Entries,
+		Log:     cfg.Log,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("making store watch: %w", err)
+	}
+	return s, nil
+}
+
 // join takes over the state of one other entry, so that a new entry need not
 // wait for the exchange of digests. It ends after the first success.
 func (c components) join(ctx context.Context) <-chan error {
--- a/entry/role.go
+++ b/entry/role.go
@@ -12,6 +12,7 @@
 
 	"endiveflow.example/endiveflow/admin"
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/confsync"
 	"endiveflow.example/endiveflow/control"
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/member"
@@ -57,7 +58,7 @@
 	r.app = fx.New(
 		fx.WithLogger(node.FxLogger(cfg.Log)),
 		fx.Supply(cfg, cfg.Log),
-		fx.Provide(provideRing, provideSockets, provideBoard, providePeerClient, provideControl, provideForwarder, provideAdmin, providePeerServer),
+		fx.Provide(provideRing, provideSockets, provideBoard, providePeerClient, provideSync, provideControl, provideForwarder, provideAdmin, providePeerServer),
 		fx.Invoke(register),
 		fx.Populate(&r.board, &r.admin),
 		fx.StopTimeout(cfg.Settings.ShutdownGrace+fabricGrace),
@@ -199,6 +200,7 @@
 	Sockets    node.Sockets
 	Forwarder  *Forwarder
 	Control    *control.Entry
+	Sync       *confsync.Sync
 	PeerClient *peer.Client
 	PeerServer *peer.Server
 	Admin      *admin.Server
@@ -214,6 +216,7 @@
 		{Name: "peer server", Run: c.PeerServer.Run, Stop: c.PeerServer.Shutdown},
 		{Name: "control", Run: c.Control.Run, Stop: c.leave},
 		{Name: "forwarder", Run: c.Forwarder.Run, Stop: c.stopForwarding},
+		{Name: "store", Run: c.Sync.Run},
 		{Name: "join", Run: c.join},
 	} {
 		node.Append(lc, shutdown, log, ctl)
