dispatch, caller: queue on peers while draining; replace refused keys

Ruled out: local work while draining, since a leaving upstream gets no new work; running a refused key after all, since 'not run' was already told. Change: an agent without an upstream of its own hands a request to the queue of a peer; the caller takes the new key that comes with a refusal; refusals carry the time in milliseconds beside Retry-After.

--- a/caller/do.go
+++ b/caller/do.go
@@ -134,6 +134,7 @@
 	switch res.answer.Outcome {
 	case header.OutcomeNotRun:
 		refusedTotal.Inc()
+		op.takeKey(res.answer)
 		return verdict{
 			pause: retryAfter(res.answer.Header),
 			err:   fmt.Errorf("refused with status %d", res.answer.Status),
@@ -160,17 +161,27 @@
 	return verdict{pause: op.backoff(), err: err}
 }
 
-// judgeKey takes the key of a 428. A 428 to a request with a key is final.
+// judgeKey takes the key of a 428.
 func (op *operation) judgeKey(a Answer) verdict {
-	key := a.Header.Get(header.Key)
-	if key == "" || op.key != "" {
+	if !op.takeKey(a) {
 		return verdict{final: true, err: op.fail(errors.New("balancer issued no usable key"))}
 	}
+	return verdict{err: errors.New("key not used yet")}
+}
+
+// takeKey takes the new key of an answer that says not-run, if it carries one.
+// Such an answer proves that no earlier attempt ran the request: without a key
+// the service does not run it, and an old key is replaced only after its home
+// has ended it without a run.
+func (op *operation) takeKey(a Answer) bool {
+	key := a.Header.Get(header.Key)
+	if key == "" || key == op.key || a.Outcome != header.OutcomeNotRun {
+		return false
+	}
 	keysTotal.Inc()
 	op.key = key
-	// The service runs this request only with a key, so no earlier attempt ran it.
 	op.maybeRun = false
-	return verdict{err: errors.New("key not used yet")}
+	return true
 }
 
 // backoff is zero after the first attempt: a connection that ends while idle
@@ -188,6 +199,9 @@
 
 // retryAfter returns the time that a refusal asks to wait.
 func retryAfter(h http.Header) time.Duration {
+	if ms, err := strconv.Atoi(h.Get(header.RetryAfter)); err == nil && ms > 0 {
+		return jitter(time.Duration(ms) * time.Millisecond)
+	}
 	seconds, err := strconv.Atoi(h.Get("Retry-After"))
 	if err != nil || seconds < 0 {
 		return jitter(retryPause)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -180,12 +180,12 @@
 	return time.Duration(min(seconds, 60)) * time.Second
 }
 
-// runOnPeer attempts a request on a free slot of a peer. A result that is not-run and not
-// tried is a refusal of the peer's admission.
-func (h *Handler) runOnPeer(ctx context.Context, j *job, addr netip.AddrPort) result {
+// runOnPeer attempts a request on a free slot of a peer, or in its queue. A result that is not-run
+// and not tried is a refusal of the peer's admission.
+func (h *Handler) runOnPeer(ctx context.Context, j *job, addr netip.AddrPort, handover string) result {
 	started := h.cfg.Now()
 	r := j.request(ctx, started)
-	r.Header.Set(HeaderHandover, handoverSlot)
+	r.Header.Set(HeaderHandover, handover)
 	r.Header.Set(HeaderClass, j.class.String())
 	resp, err := h.cfg.Peer(ctx, addr, r)
 	if err != nil {
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -8,24 +8,27 @@
 
 	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/header"
 )
 
 // Headers between callers, agents and upstreams.
 const (
-	HeaderOutcome  = "Endiveflow-Outcome"
-	HeaderKey      = "Endiveflow-Key"
-	HeaderDeadline = "Endiveflow-Deadline-Ms"
-	HeaderLoad     = "Endiveflow-Load"
-	HeaderShed     = "Endiveflow-Shed"
-	HeaderReason   = "Endiveflow-Reason"
-	HeaderHandover = "Endiveflow-Handover"
-	HeaderClass    = "Endiveflow-Class"
+	HeaderOutcome    = header.Outcome
+	HeaderKey        = header.Key
+	HeaderDeadline   = header.Deadline
+	HeaderShed       = header.Shed
+	HeaderRetryAfter = header.RetryAfter
+	HeaderLoad       = "Endiveflow-Load"
+	HeaderReason     = "Endiveflow-Reason"
+	HeaderHandover   = "Endiveflow-Handover"
+	HeaderClass      = "Endiveflow-Class"
 )
 
 // Values of HeaderHandover.
 const (
-	handoverSlot = "slot"
-	handoverHome = "home"
+	handoverSlot  = "slot"
+	handoverQueue = "queue"
+	handoverHome  = "home"
 )
 
 // Defaults of a Config.
--- a/dispatch/handler.go
+++ b/dispatch/handler.go
@@ -151,6 +151,10 @@
 			return
 		}
 		j.class = admit.ParseClass(class)
+		if mode == handoverQueue {
+			h.writeToPeer(w, h.runQueued(ctx, j))
+			return
+		}
 		h.writeToPeer(w, h.runOnFreeSlot(ctx, j))
 	})
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -111,19 +111,11 @@
 	case ctx.Err() != nil:
 		return h.endedBeforeRun(ctx)
 	case !accepts:
-		return refused(reasonDraining, time.Second)
+		return h.queueOnPeer(ctx, j, reasonDraining)
 	case avoid:
-		return refused(reasonEjected, time.Second)
+		return h.queueOnPeer(ctx, j, reasonEjected)
 	}
-	d, err := h.slots.acquire(ctx, j)
-	switch {
-	case err != nil:
-		return h.endedBeforeRun(ctx)
-	case d.Verdict == admit.Refuse:
-		return refused(d.Reason, d.RetryAfter)
-	}
-	placedQueue.Inc()
-	return h.runLocal(ctx, j)
+	return h.runLocalQueued(ctx, j)
 }
 
 // endedBeforeRun is the result of a request whose context ended before it got a slot.
@@ -146,7 +138,7 @@
 			return result{}, false
 		}
 		skip[addr] = true
-		res = h.runOnPeer(ctx, j, addr)
+		res = h.runOnPeer(ctx, j, addr, handoverSlot)
 		if res.outcome != retry.NotRun || res.tried {
 			placedPeer.Inc()
 			return res, true
--- a/dispatch/write.go
+++ b/dispatch/write.go
@@ -67,6 +67,7 @@
 	}
 	if res.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(h.wholeSeconds(res.retryAfter)))
+		w.Header().Set(HeaderRetryAfter, strconv.FormatInt(res.retryAfter.Milliseconds(), 10))
 	}
 	http.Error(w, res.reason, res.status)
 }
--- a/header/doc.go
+++ b/header/doc.go
@@ -10,6 +10,9 @@
 	Outcome = "Endiveflow-Outcome"
 	// Key identifies a non-repeatable request, so that it runs at most once.
 	Key = "Endiveflow-Key"
+	// RetryAfter is the field Retry-After in whole milliseconds, for callers
+	// that can wait for less than a second.
+	RetryAfter = "Endiveflow-Retry-After-Ms"
 	// Shed is "1" on a 503 of an upstream that did not run the request.
 	Shed = "Endiveflow-Shed"
 )
