entry, tunnel: keep flows on former addresses of services

Cause: a change or deletion of a service's address closed its socket at once, so each flow on the old address ended with the caller's idle timeout.

Ruled out: keeping the socket without telling the agent. Two addresses of one service may be in use at once, so the entry cannot tell from a return datagram which one the caller uses, and a swap of addresses gives one socket to two services. A table of callers per entry would be flow state. Closing by the time alone would cut flows that last for a shift; closing by a few minutes of silence would cut flows of which each entry sees a packet only rarely.

Change: the tunnel header (version 2, 56 bytes) carries the service's address; agents remember it per caller and echo it. Sockets belong to addresses, not to services: each has at most one service that takes first flights, and former ones that take packets with their own connection IDs only. Retries of binds run only while a socket is missing.

The last part of TestServicesDoNotMix required that flows of a deleted service are dropped as soon as another service has the address, which contradicts that flows survive planned changes. It now requires that they reach their own agent and no other one, that addresses without a service take no first flight, and that the packets are dropped once the address is given up.

The largest datagram is 1,484 bytes with IP and UDP.

--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -37,10 +37,10 @@
 	r.Tunnel = agent.place.Agent
 	f := newForwarder(t, ring, newView(r))
 	bind(t, f)
-	p := &benchPath{f: f, s: (*f.sockets.Load())[serviceA], agent: agent, caller: addrOf(listen(t))}
+	p := &benchPath{f: f, s: (*f.sockets.Load())[binding{service: serviceA}], agent: agent, caller: addrOf(listen(t))}
 	p.inFlow = append(agent.packet(t, 1), make([]byte, benchPacketBytes)...)[:benchPacketBytes]
 	p.opening = append([]byte{0xc0, 0, 0, 0, 1, 8}, make([]byte, benchPacketBytes-6)...)
-	h := tunnel.Header{Kind: tunnel.KindReturn, Service: serviceA, Incarnation: 5, Caller: p.caller}
+	h := tunnel.Header{Kind: tunnel.KindReturn, Service: serviceA, Incarnation: 5, Caller: p.caller, ServiceAddress: anyPort(1)}
 	p.answers = agent.codec.Append(nil, h, p.inFlow)
 	return p
 }
@@ -126,7 +126,7 @@
 	f.cfg.Members = func(tag config.ServiceTag) []member.Record { return byService[tag] }
 	services := make(map[config.ServiceTag]netip.AddrPort)
 	for tag := range byService {
-		services[tag] = netip.AddrPortFrom(loopback, 0)
+		services[tag] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(tag >> 8), byte(tag)}), 0)
 	}
 	f.cfg.Services = func() map[config.ServiceTag]netip.AddrPort { return services }
 	bind(b, f)
--- a/entry/flows_test.go
+++ b/entry/flows_test.go
@@ -14,6 +14,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/flowid"
 	"endiveflow.example/endiveflow/member"
@@ -27,14 +28,16 @@
 type fabric struct {
 	front *net.UDPConn
 	mu    sync.Mutex
-	// entries, next and backs are guarded by mu.
+	// entries, used, next and backs are guarded by mu.
 	entries []netip.AddrPort
-	next    int
-	backs   map[netip.AddrPort]*net.UDPConn
+	// used holds all entries so far. Callers get answers of no other address.
+	used  map[netip.AddrPort]bool
+	next  int
+	backs map[netip.AddrPort]*net.UDPConn
 }
 
 func newFabric(t *testing.T) *fabric {
-	f := &fabric{front: listen(t), backs: make(map[netip.AddrPort]*net.UDPConn)}
+	f := &fabric{front: listen(t), used: make(map[netip.AddrPort]bool), backs: make(map[netip.AddrPort]*net.UDPConn)}
 	var readers sync.WaitGroup
 	t.Cleanup(func() {
 		f.front.Close()
@@ -68,10 +71,13 @@
 		readers.Go(func() {
 			buf := make([]byte, 1500)
 			for {
-				n, err := back.Read(buf)
+				n, from, err := back.ReadFromUDPAddrPort(buf)
 				if err != nil {
 					return
 				}
+				if !f.uses(from) {
+					continue
+				}
 				_, _ = f.front.WriteToUDPAddrPort(buf[:n], caller)
 			}
 		})
@@ -84,6 +90,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries = entries
+	for _, e := range entries {
+		f.used[e] = true
+	}
+}
+
+func (f *fabric) uses(entry netip.AddrPort) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.used[entry]
 }
 
 // echoAgent answers each stream with its number and what it received.
@@ -94,22 +109,22 @@
 	draining  atomic.Bool
 }
 
-func startAgent(t *testing.T, ring *fleetkey.Ring, number byte, entries func() []netip.AddrPort) *echoAgent {
+func startAgent(t *testing.T, ring *fleetkey.Ring, service config.ServiceTag, number byte, entries func() []netip.AddrPort) *echoAgent {
 	socket := listen(t)
-	r := record(int(number), serviceA, member.Incarnation(number)*1000, member.StateReady)
+	r := record(int(number), service, member.Incarnation(number)*1000, member.StateReady)
 	r.Tunnel = addrOf(socket)
 	place := Observation{Record: r}.place()
 	codec, err := tunnel.NewCodec(ring)
 	require.NoError(t, err)
 	a := &echoAgent{socket: socket, record: r}
 	conn, err := tunnel.NewConn(tunnel.ConnConfig{
-		Socket: socket, Codec: codec, Service: serviceA, Incarnation: place.Incarnation, Entries: entries,
+		Socket: socket, Codec: codec, Service: service, Incarnation: place.Incarnation, Entries: entries,
 		AcceptsFlows: func() bool { return !a.draining.Load() },
 	})
 	require.NoError(t, err)
 	ids, err := flowid.New(flowid.Config{Ring: ring})
 	require.NoError(t, err)
-	key, err := flowid.StatelessResetKey(ring, ring.Active(), serviceA)
+	key, err := flowid.StatelessResetKey(ring, ring.Active(), service)
 	require.NoError(t, err)
 	a.transport = &quic.Transport{Conn: conn, ConnectionIDGenerator: ids.NewGenerator(place), StatelessResetKey: &key}
 	listener, err := a.transport.Listen(serverTLS(t), &quic.Config{KeepAlivePeriod: time.Second})
@@ -187,7 +202,7 @@
 func newSite(t *testing.T, agents int) *site {
 	s := &site{fabric: newFabric(t)}
 	for n := range agents {
-		s.agents = append(s.agents, startAgent(t, newRing(t, 1, 2), byte(n+1), s.entries))
+		s.agents = append(s.agents, startAgent(t, newRing(t, 1, 2), serviceA, byte(n+1), s.entries))
 	}
 	return s
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/flowid"
 	"endiveflow.example/endiveflow/quicheader"
 	"endiveflow.example/endiveflow/tunnel"
@@ -39,6 +40,7 @@
 	dropDatagram  = dropCounter("datagram")
 	dropKind      = dropCounter("kind")
 	dropNoSocket  = dropCounter("service not bound")
+	dropFormer    = dropCounter("former address")
 	dropWrite     = dropCounter("write")
 	dropRead      = dropCounter("read")
 
@@ -140,44 +142,54 @@
 }
 
 // forwardFlow sends a packet to the agent that its connection ID names,
-// whatever the members are, unless that agent is known to be gone.
+// whatever the members are, unless that agent is known to be gone. The agent
+// must be one of a service that has or had the socket's address.
 func (f *Forwarder) forwardFlow(s *serviceSocket, head quicheader.Header, place flowid.Place, datagram []byte, caller netip.AddrPort) {
-	if place.Service != s.tag {
+	address, ok := s.use.Load().addressOf(place.Service)
+	if !ok {
 		dropService.Inc()
 		return
 	}
-	if !f.cfg.AllowsHost(s.tag, place.Agent.Addr()) {
+	if !f.cfg.AllowsHost(place.Service, place.Agent.Addr()) {
 		dropHost.Inc()
 		return
 	}
 	if gone := *f.gone.Load(); len(gone) > 0 {
 		if reason, ok := gone[place]; ok {
-			f.reset(s, head, reason, datagram, caller)
+			f.reset(s, head, place.Service, reason, datagram, caller)
 			return
 		}
 	}
 	f.send(datagram, tunnel.Header{
-		Kind:        tunnel.KindFlow,
-		Service:     s.tag,
-		Incarnation: place.Incarnation,
-		Caller:      caller,
+		Kind:           tunnel.KindFlow,
+		Service:        place.Service,
+		Incarnation:    place.Incarnation,
+		Caller:         caller,
+		ServiceAddress: address,
 	}, place.Agent)
 	flowPackets.Inc()
 }
 
-// forwardFirstFlight sends a packet whose connection ID the caller chose.
+// forwardFirstFlight sends a packet whose connection ID the caller chose. It
+// belongs to the service that has the socket's address now.
 func (f *Forwarder) forwardFirstFlight(s *serviceSocket, head quicheader.Header, datagram []byte, caller netip.AddrPort) {
-	first, second, ok := s.table.Load().Choose(head.Destination)
+	use := s.use.Load()
+	if !use.current.address.IsValid() {
+		dropFormer.Inc()
+		return
+	}
+	first, second, ok := use.table.Choose(head.Destination)
 	if !ok {
 		dropNoAgent.Inc()
 		return
 	}
 	f.send(datagram, tunnel.Header{
-		Kind:        tunnel.KindFirstFlight,
-		Service:     s.tag,
-		Incarnation: first.Incarnation,
-		Caller:      caller,
-		Second:      second.Tunnel,
+		Kind:           tunnel.KindFirstFlight,
+		Service:        use.current.service,
+		Incarnation:    first.Incarnation,
+		Caller:         caller,
+		Second:         second.Tunnel,
+		ServiceAddress: use.current.address,
 	}, first.Tunnel)
 	firstFlights.Inc()
 }
@@ -191,12 +203,12 @@
 
 // reset ends the caller's flow. Only packets with a short header are answered,
 // since a caller in its handshake has no token yet.
-func (f *Forwarder) reset(s *serviceSocket, head quicheader.Header, reason GoneReason, datagram []byte, caller netip.AddrPort) {
+func (f *Forwarder) reset(s *serviceSocket, head quicheader.Header, tag config.ServiceTag, reason GoneReason, datagram []byte, caller netip.AddrPort) {
 	if head.Long {
 		dropGone.Inc()
 		return
 	}
-	token, err := f.tokens.Token(head.Destination, s.tag)
+	token, err := f.tokens.Token(head.Destination, tag)
 	if err != nil {
 		dropGone.Inc()
 		return
@@ -213,7 +225,9 @@
 	resetPackets[reason].Inc()
 }
 
-// fromAgent passes one answer to its caller from the address of its service.
+// fromAgent passes one answer to its caller from the service's address that
+// the caller uses. An entry without that address drops the answer: from another
+// one, the caller would not take it.
 func (f *Forwarder) fromAgent(datagram []byte) {
 	if len(datagram) == len(packetBuffer{}) {
 		dropLong.Inc()
@@ -228,7 +242,7 @@
 		dropKind.Inc()
 		return
 	}
-	s := (*f.sockets.Load())[h.Service]
+	s := (*f.sockets.Load())[binding{h.Service, h.ServiceAddress}]
 	if s == nil {
 		dropNoSocket.Inc()
 		return
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -78,8 +78,8 @@
 	codec  *tunnel.Codec
 	ids    *flowid.Codec
 	tokens *flowid.ResetTokens
-	// sockets are the bound services. The map is replaced, never changed.
-	sockets atomic.Pointer[map[config.ServiceTag]*serviceSocket]
+	// sockets are those that answers leave from. The map is replaced, never changed.
+	sockets atomic.Pointer[map[binding]*serviceSocket]
 	// gone are the places that are reset. The map is replaced, never changed.
 	gone    atomic.Pointer[map[flowid.Place]GoneReason]
 	readers sync.WaitGroup
@@ -91,6 +91,14 @@
 
 	// services are the configured services by tag.
 	services map[config.ServiceTag]netip.AddrPort
+	// tables are the candidates of the configured services.
+	tables map[config.ServiceTag]route.Table
+	// bound are the open sockets by local address.
+	bound map[netip.AddrPort]*serviceSocket
+	// former are the former addresses of services.
+	former map[binding]*formerAddress
+	// bindFailed says that a socket is missing.
+	bindFailed bool
 	// records are those that the tables and the observer were last made from.
 	records  map[config.ServiceTag][]member.Record
 	observer *observer
@@ -118,10 +126,12 @@
 		ids:      ids,
 		tokens:   flowid.NewResetTokens(cfg.Ring),
 		stop:     make(chan struct{}),
+		bound:    make(map[netip.AddrPort]*serviceSocket),
+		former:   make(map[binding]*formerAddress),
 		records:  make(map[config.ServiceTag][]member.Record),
 		observer: newObserver(),
 	}
-	f.sockets.Store(&map[config.ServiceTag]*serviceSocket{})
+	f.sockets.Store(&map[binding]*serviceSocket{})
 	f.gone.Store(&map[flowid.Place]GoneReason{})
 	return f, nil
 }
@@ -179,11 +189,13 @@
 	f.stopOnce.Do(func() { close(f.stop) })
 }
 
-// Bound returns the addresses of the bound services.
+// Bound returns the addresses at which the services accept new flows.
 func (f *Forwarder) Bound() map[config.ServiceTag]netip.AddrPort {
 	bound := make(map[config.ServiceTag]netip.AddrPort)
-	for tag, s := range *f.sockets.Load() {
-		bound[tag] = s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	for b, s := range *f.sockets.Load() {
+		if !b.address.IsValid() {
+			bound[b.service] = s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		}
 	}
 	return bound
 }
@@ -200,10 +212,7 @@
 		case <-f.stop:
 			return
 		case <-tick.C:
-			f.bind(ctx)
-			if f.aging {
-				f.age()
-			}
+			f.check(ctx)
 			continue
 		case _, open := <-changed:
 			if !open {
@@ -233,29 +242,46 @@
 	}
 }
 
+// check does what is due without any change.
+func (f *Forwarder) check(ctx context.Context) {
+	if f.expireFormer(f.cfg.Now()) || f.bindFailed {
+		f.bind(ctx)
+	}
+	if f.aging {
+		f.age()
+	}
+}
+
 // refresh takes over the services, members and suspects as they are now.
 func (f *Forwarder) refresh(ctx context.Context) {
-	f.services = f.cfg.Services()
 	now := f.cfg.Now()
+	f.services = f.cfg.Services()
+	f.keepFormer(now)
+	f.observe(now)
+	f.tables = make(map[config.ServiceTag]route.Table, len(f.services))
+	for tag := range f.services {
+		f.tables[tag] = f.table(tag)
+	}
+	f.bind(ctx)
+	f.age()
+}
+
+// observe takes over the records of the services' agents.
+func (f *Forwarder) observe(now time.Time) {
+	watched := f.watched()
 	for tag, before := range f.records {
-		if _, ok := f.services[tag]; !ok {
+		if !watched[tag] {
 			f.observer.update(before, nil, now)
 			delete(f.records, tag)
 		}
 	}
-	for tag := range f.services {
+	for tag := range watched {
 		records := f.cfg.Members(tag)
 		if !slices.Equal(records, f.records[tag]) {
 			f.observer.update(f.records[tag], records, now)
 			f.records[tag] = records
 		}
 	}
-	f.bind(ctx)
-	for tag, s := range *f.sockets.Load() {
-		table := f.table(tag)
-		s.table.Store(&table)
-	}
-	f.age()
 }
 
 // age decides anew which places are gone.
--- a/entry/forwarder_test.go
+++ b/entry/forwarder_test.go
@@ -42,6 +42,12 @@
 	return c.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
+// anyPort is the address of a service at a port that the kernel chooses. Each
+// number is another address.
+func anyPort(number byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, number}), 0)
+}
+
 // view is the configuration and membership that one forwarder sees.
 type view struct {
 	services atomic.Pointer[map[config.ServiceTag]netip.AddrPort]
@@ -51,8 +57,7 @@
 
 func newView(records ...member.Record) *view {
 	v := &view{changed: make(chan struct{}, 1)}
-	anyPort := netip.AddrPortFrom(loopback, 0)
-	v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceA: anyPort, serviceB: anyPort})
+	v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceA: anyPort(1), serviceB: anyPort(2)})
 	v.members.Store(&records)
 	return v
 }
@@ -71,7 +76,6 @@
 	f, err := NewForwarder(ForwarderConfig{
 		Ring:       ring,
 		Tunnel:     listen(t),
-		BindIP:     loopback,
 		Services:   func() map[config.ServiceTag]netip.AddrPort { return *v.services.Load() },
 		Members:    v.of,
 		AllowsHost: func(_ config.ServiceTag, ip netip.Addr) bool { return ip.IsLoopback() },
@@ -158,8 +162,8 @@
 	})
 }
 
-// A packet must never reach an agent of another service, also after another
-// service got the address, nor a host that the service does not allow.
+// A packet must never reach an agent of another service, also while and after
+// another service shares the address, nor a host that the service does not allow.
 func TestServicesDoNotMix(t *testing.T) {
 	ring := newRing(t, 1)
 	a, b := newSink(t, ring, serviceA), newSink(t, ring, serviceB)
@@ -188,10 +192,20 @@
 	refused(addressA, dropMalformed, []byte{0x40})
 	refused(addressA, dropLong, make([]byte, tunnel.MaxInnerPacket+1))
 
-	// Service A ends, and service B moves to its address.
-	v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceB: addressA})
+	// Service A ends, and service B moves to its address. Flows of A stay with
+	// their agent until the address is given up.
+	now := time.Now()
+	f.cfg.Now = func() time.Time { return now }
+	v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceB: anyPort(1)})
 	f.refresh(t.Context())
 	require.Equal(t, map[config.ServiceTag]netip.AddrPort{serviceB: addressA}, f.Bound())
+	kept := a.packet(t, 2)
+	sendTo(t, caller, addressA, kept)
+	a.requirePacket(t, kept)
+	refused(addressB, dropService, a.packet(t, 1))
+	refused(addressB, dropFormer, append([]byte{0xc0, 0, 0, 0, 1, 8}, make([]byte, 1200)...))
+	now = now.Add(formerBound)
+	f.check(t.Context())
 	refused(addressA, dropService, a.packet(t, 1))
 	requireSilent(t, a)
 	requireSilent(t, b)
--- a/entry/sockets.go
+++ b/entry/sockets.go
@@ -1,14 +1,16 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
 
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/route"
@@ -21,55 +23,161 @@
 
 var bindErrors = metrics.GetOrCreateCounter("endiveflow_entry_bind_errors_total")
 
-// serviceSocket is the socket that callers of one service send to.
-type serviceSocket struct {
-	tag config.ServiceTag
+// binding is a service at one of its addresses.
+type binding struct {
+	service config.ServiceTag
 	// address is the configured address, which may differ from the bound one.
+	// In a lookup, the zero value stands for the address that the service has now.
 	address netip.AddrPort
-	conn    *net.UDPConn
-	table   atomic.Pointer[route.Table]
 }
 
-// bind makes the sockets those of the configured services. A socket is closed
-// before another service gets its address.
+// serviceSocket is a socket that callers send to.
+type serviceSocket struct {
+	// local is the address that was to be bound. Its port is 0 when the kernel chose it.
+	local netip.AddrPort
+	conn  *net.UDPConn
+	use   atomic.Pointer[socketUse]
+}
+
+// socketUse is an immutable description of the services that a socket serves.
+// Two services have one socket after one got an address of the other.
+type socketUse struct {
+	// current is the service that has the address now. It is zero when there
+	// is none; then the socket takes no first flights.
+	current binding
+	table   route.Table
+	// former are services that had the address. The socket takes packets of
+	// their established flows.
+	former []*formerAddress
+}
+
+// addressOf returns the address that a service's flows use on the socket, and
+// whether the socket takes their packets.
+func (u *socketUse) addressOf(tag config.ServiceTag) (netip.AddrPort, bool) {
+	if u.current.service == tag && u.current.address.IsValid() {
+		return u.current.address, true
+	}
+	for _, former := range u.former {
+		if former.service == tag {
+			former.note()
+			return former.address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// current says whether the socket accepts first flights for the binding.
+func (s *serviceSocket) current(b binding) bool { return s.use.Load().current == b }
+
+// local returns the address to bind for an address of a service.
+func (f *Forwarder) local(address netip.AddrPort) netip.AddrPort {
+	if f.cfg.BindIP.IsValid() {
+		return netip.AddrPortFrom(f.cfg.BindIP, address.Port())
+	}
+	return address
+}
+
+// bind makes the sockets those of the configured services and of the former
+// addresses that may have flows. A socket stays open while its address passes
+// from one service to another.
 func (f *Forwarder) bind(ctx context.Context) {
-	before := *f.sockets.Load()
-	after := maps.Clone(before)
-	for tag, s := range before {
-		if f.services[tag] == s.address {
-			continue
+	f.bindFailed = false
+	uses := f.uses()
+	f.closeUnused(uses)
+	var opened []*serviceSocket
+	for local, use := range uses {
+		s := f.bound[local]
+		if s == nil {
+			conn, err := open(local)
+			if err != nil {
+				f.failBind(use.current, err)
+				continue
+			}
+			s = &serviceSocket{local: local, conn: conn}
+			f.bound[local] = s
+			opened = append(opened, s)
 		}
-		delete(after, tag)
+		s.use.Store(use)
 	}
-	// Answers stop using a socket before it closes.
-	f.sockets.Store(&after)
-	for tag, s := range before {
-		if after[tag] == nil {
-			_ = s.conn.Close()
+	f.publish()
+	for _, s := range opened {
+		for range f.readersPerService() {
+			f.readers.Go(func() { f.readService(ctx, s) })
 		}
 	}
-	bound := maps.Clone(after)
+}
+
+// uses returns what the sockets are to be used for, by local address. Of two
+// services with one address, which an entry sees while a swap of addresses has
+// reached it in part, the one that has the socket keeps it.
+func (f *Forwarder) uses() map[netip.AddrPort]*socketUse {
+	uses := make(map[netip.AddrPort]*socketUse, len(f.services))
+	var others []binding
 	for tag, address := range f.services {
-		if bound[tag] != nil {
-			continue
+		b := binding{tag, address}
+		if s := f.bound[f.local(address)]; s != nil && s.current(b) {
+			uses[s.local] = &socketUse{current: b, table: f.tables[tag]}
+		} else {
+			others = append(others, b)
 		}
-		s, err := f.open(tag, address)
-		if err != nil {
-			bindErrors.Inc()
-			f.cfg.Log.Error("service not bound", "service", uint32(tag), "address", address.String(), "err", err)
+	}
+	slices.SortFunc(others, func(a, b binding) int { return cmp.Compare(a.service, b.service) })
+	for _, b := range others {
+		local := f.local(b.address)
+		if u := uses[local]; u != nil {
+			f.failBind(b, errors.AlreadyExistsf("socket %v of service %d", local, uint32(u.current.service)))
 			continue
 		}
-		bound[tag] = s
+		uses[local] = &socketUse{current: b, table: f.tables[b.service]}
 	}
-	f.sockets.Store(&bound)
-	for tag, s := range bound {
-		if after[tag] != nil {
-			continue
+	for _, former := range f.former {
+		local := f.local(former.address)
+		if uses[local] == nil {
+			uses[local] = &socketUse{}
 		}
-		for range f.readersPerService() {
-			f.readers.Go(func() { f.readService(ctx, s) })
+		uses[local].former = append(uses[local].former, former)
+	}
+	return uses
+}
+
+func (f *Forwarder) failBind(b binding, err error) {
+	f.bindFailed = true
+	bindErrors.Inc()
+	f.cfg.Log.Error("service not bound", "service", uint32(b.service), "address", b.address.String(), "err", err)
+}
+
+// closeUnused closes the sockets without a use. Answers stop using them before.
+func (f *Forwarder) closeUnused(uses map[netip.AddrPort]*socketUse) {
+	var unused []*serviceSocket
+	for local, s := range f.bound {
+		if uses[local] == nil {
+			unused = append(unused, s)
+			delete(f.bound, local)
 		}
 	}
+	if len(unused) == 0 {
+		return
+	}
+	f.publish()
+	for _, s := range unused {
+		_ = s.conn.Close()
+	}
+}
+
+// publish makes the bound sockets those that answers leave from.
+func (f *Forwarder) publish() {
+	sockets := make(map[binding]*serviceSocket, 2*len(f.bound))
+	for _, s := range f.bound {
+		use := s.use.Load()
+		if use.current.address.IsValid() {
+			sockets[use.current] = s
+			sockets[binding{service: use.current.service}] = s
+		}
+		for _, former := range use.former {
+			sockets[former.binding] = s
+		}
+	}
+	f.sockets.Store(&sockets)
 }
 
 // readersPerService returns Readers, or 1 when there are many services.
@@ -80,28 +188,20 @@
 	return f.cfg.Readers
 }
 
-func (f *Forwarder) open(tag config.ServiceTag, address netip.AddrPort) (*serviceSocket, error) {
-	at := address
-	if f.cfg.BindIP.IsValid() {
-		at = netip.AddrPortFrom(f.cfg.BindIP, address.Port())
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+func open(local netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
 	if err != nil {
-		return nil, fmt.Errorf("binding %v: %w", at, err)
+		return nil, fmt.Errorf("binding %v: %w", local, err)
 	}
 	_ = conn.SetReadBuffer(socketBuffer)
 	_ = conn.SetWriteBuffer(socketBuffer)
-	s := &serviceSocket{tag: tag, address: address, conn: conn}
-	table := f.table(tag)
-	s.table.Store(&table)
-	return s, nil
+	return conn, nil
 }
 
 // close closes all sockets and waits for their readers.
 func (f *Forwarder) close() {
-	sockets := *f.sockets.Load()
-	f.sockets.Store(&map[config.ServiceTag]*serviceSocket{})
-	for _, s := range sockets {
+	f.sockets.Store(&map[binding]*serviceSocket{})
+	for _, s := range f.bound {
 		_ = s.conn.Close()
 	}
 	_ = f.cfg.Tunnel.Close()
--- a/tunnel/codec.go
+++ b/tunnel/codec.go
@@ -19,14 +19,14 @@
 // Sizes in bytes.
 const (
 	// HeaderBytes is what encapsulation adds to a packet.
-	HeaderBytes = 50
+	HeaderBytes = 56
 	// MaxInnerPacket is the largest packet that is carried. With the header
 	// and the outer IP and UDP headers (28 bytes) it fits in 1,500 bytes.
 	MaxInnerPacket = 1400
 )
 
 // version is the version of the header; datagrams of another one are rejected.
-const version = 1
+const version = 2
 
 // Layout of the header.
 const (
@@ -37,8 +37,9 @@
 	incarnationAt = 8
 	callerAt      = 10
 	secondAt      = 16
-	nonceAt       = 22
-	tagAt         = 34
+	addressAt     = 22
+	nonceAt       = 28
+	tagAt         = 40
 	addrPortBytes = 6
 	keyBytes      = 32
 )
@@ -74,6 +75,11 @@
 	// set, the tunnel address of the entry that the answers go through. The
 	// zero value means none; otherwise it is IPv4.
 	Second netip.AddrPort
+	// ServiceAddress is the service's address that the caller uses: an entry
+	// states where it received the packet, and an agent where the answer
+	// leaves from. The zero value means the address that the service has now;
+	// otherwise it is IPv4.
+	ServiceAddress netip.AddrPort
 }
 
 // Codec encapsulates and decapsulates packets. It is safe for concurrent use.
@@ -161,6 +167,7 @@
 	binary.BigEndian.PutUint16(head[incarnationAt:], h.Incarnation)
 	putAddrPort(head[callerAt:], h.Caller)
 	putAddrPort(head[secondAt:], h.Second)
+	putAddrPort(head[addressAt:], h.ServiceAddress)
 	copy(head[nonceAt:], c.prefix[:])
 	binary.BigEndian.PutUint64(head[nonceAt+len(c.prefix):], c.counter.Add(1))
 	clear(head[tagAt:])
@@ -200,12 +207,13 @@
 		return Header{}, nil, errKind
 	}
 	return Header{
-		Kind:        kind,
-		HandedOn:    head[flagsAt]&flagHandedOn != 0,
-		Service:     config.ServiceTag(binary.BigEndian.Uint32(head[serviceAt:])),
-		Incarnation: binary.BigEndian.Uint16(head[incarnationAt:]),
-		Caller:      getAddrPort(head[callerAt:]),
-		Second:      getAddrPort(head[secondAt:]),
+		Kind:           kind,
+		HandedOn:       head[flagsAt]&flagHandedOn != 0,
+		Service:        config.ServiceTag(binary.BigEndian.Uint32(head[serviceAt:])),
+		Incarnation:    binary.BigEndian.Uint16(head[incarnationAt:]),
+		Caller:         getAddrPort(head[callerAt:]),
+		Second:         getAddrPort(head[secondAt:]),
+		ServiceAddress: getAddrPort(head[addressAt:]),
 	}, datagram[HeaderBytes:], nil
 }
 
--- a/tunnel/codec_test.go
+++ b/tunnel/codec_test.go
@@ -36,6 +36,8 @@
 	Incarnation: 0xcafe,
 	Caller:      netip.MustParseAddrPort("192.0.2.1:443"),
 	Second:      netip.MustParseAddrPort("10.0.0.2:4000"),
+
+	ServiceAddress: netip.MustParseAddrPort("198.51.100.1:443"),
 }
 
 func drawHeader(t *rapid.T) tunnel.Header {
@@ -53,6 +55,9 @@
 	if rapid.Bool().Draw(t, "has second") {
 		h.Second = addr("second")
 	}
+	if rapid.Bool().Draw(t, "has service address") {
+		h.ServiceAddress = addr("service address")
+	}
 	return h
 }
 
@@ -79,6 +84,13 @@
 	require.ErrorIs(t, err, errors.NotFound)
 }
 
+// A longer header must not make datagrams that the network fragments.
+func TestLargestDatagramFitsPacket(t *testing.T) {
+	const ipAndUDP, largest = 20 + 8, 1500
+	datagram := newCodec(t, 1).Append(nil, sample, make([]byte, tunnel.MaxInnerPacket))
+	require.LessOrEqual(t, len(datagram)+ipAndUDP, largest)
+}
+
 // No input may panic the parser; whatever it accepts was made by the fleet.
 func FuzzParse(f *testing.F) {
 	codec := newCodec(f, 1)
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -161,7 +161,7 @@
 		c.handOn(h, datagram, from)
 		return nil, nil
 	}
-	return packet, c.heard(h.Caller, from)
+	return packet, c.heard(h, from)
 }
 
 // takes says whether the agent keeps a first flight. It does so for a flow
@@ -201,14 +201,14 @@
 	handedOn.Inc()
 }
 
-// heard notes the entry that a caller's packet came through and returns the
-// caller's address.
-func (c *Conn) heard(caller, entry netip.AddrPort) *net.UDPAddr {
+// heard notes the entry and the service's address that a caller's packet came
+// through and returns the caller's address.
+func (c *Conn) heard(h Header, entry netip.AddrPort) *net.UDPAddr {
 	now := c.cfg.Now()
 	var addr *net.UDPAddr
-	c.paths.with(recentKey{caller: caller}, true, func(p *path) {
-		p.init(caller)
-		p.hear(entry, now)
+	c.paths.with(recentKey{caller: h.Caller}, true, func(p *path) {
+		p.init(h.Caller)
+		p.hear(entry, h.ServiceAddress, now)
 		addr = p.addr
 	})
 	return addr
@@ -227,7 +227,7 @@
 	}
 	var buf [64]byte
 	answer, ok := flowid.AppendReset(buf[:0], token, len(packet))
-	if ok && c.send(answer, h.Caller, entry) == nil {
+	if ok && c.send(answer, h.Caller, entry, h.ServiceAddress) == nil {
 		resets.Inc()
 	}
 }
@@ -249,32 +249,39 @@
 		dropLong.Inc()
 		return len(p), nil
 	}
-	entry := c.entryFor(caller)
+	entry, service := c.pathTo(caller)
 	if !entry.IsValid() {
 		dropNoEntry.Inc()
 		return len(p), nil
 	}
-	if err := c.send(p, caller, entry); err != nil {
+	if err := c.send(p, caller, entry, service); err != nil {
 		return 0, err
 	}
 	return len(p), nil
 }
 
-func (c *Conn) entryFor(caller netip.AddrPort) netip.AddrPort {
+// pathTo returns the entry that a packet to a caller goes through, and the
+// service's address that it leaves from.
+func (c *Conn) pathTo(caller netip.AddrPort) (entry, service netip.AddrPort) {
 	now := c.cfg.Now()
 	live := c.cfg.Entries()
-	var entry netip.AddrPort
 	c.paths.with(recentKey{caller: caller}, true, func(p *path) {
 		p.init(caller)
-		entry = p.choose(live, now)
+		entry, service = p.choose(live, now), p.service
 	})
-	return entry
+	return entry, service
 }
 
-func (c *Conn) send(packet []byte, caller, entry netip.AddrPort) error {
+func (c *Conn) send(packet []byte, caller, entry, service netip.AddrPort) error {
 	buf := c.buffers.Get().(*[bufferBytes]byte)
 	defer c.buffers.Put(buf)
-	h := Header{Kind: KindReturn, Service: c.cfg.Service, Incarnation: c.cfg.Incarnation, Caller: caller}
+	h := Header{
+		Kind:           KindReturn,
+		Service:        c.cfg.Service,
+		Incarnation:    c.cfg.Incarnation,
+		Caller:         caller,
+		ServiceAddress: service,
+	}
 	datagram := c.cfg.Codec.Append(buf[:0], h, packet)
 	if _, err := c.cfg.Socket.WriteToUDPAddrPort(datagram, entry); err != nil {
 		dropWrite.Inc()
--- a/tunnel/conn_test.go
+++ b/tunnel/conn_test.go
@@ -21,7 +21,11 @@
 	patience = 5 * time.Second
 )
 
-var caller = netip.MustParseAddrPort("192.0.2.1:5000")
+var (
+	caller = netip.MustParseAddrPort("192.0.2.1:5000")
+	// address is the service's address that the caller uses.
+	address = netip.MustParseAddrPort("198.51.100.1:443")
+)
 
 func listen(t testing.TB) *net.UDPConn {
 	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -72,8 +76,9 @@
 	require.Equal(t, caller.String(), addr.String())
 }
 
-// requireAnswer reads what an agent sent back through an entry.
-func requireAnswer(t *testing.T, entry *net.UDPConn) []byte {
+// requireAnswer reads what an agent sent back through an entry, which must
+// leave from the address that the caller uses.
+func requireAnswer(t *testing.T, entry *net.UDPConn, from netip.AddrPort) []byte {
 	t.Helper()
 	buf := make([]byte, 1500)
 	n, err := entry.Read(buf)
@@ -83,6 +88,7 @@
 	require.Equal(t, tunnel.KindReturn, h.Kind)
 	require.Equal(t, service, h.Service)
 	require.Equal(t, caller, h.Caller)
+	require.Equal(t, from, h.ServiceAddress)
 	return packet
 }
 
@@ -96,7 +102,7 @@
 		c.AcceptsFlows = func() bool { return false }
 	})
 	entry := listen(t)
-	h := tunnel.Header{Kind: tunnel.KindFirstFlight, Service: service, Incarnation: incarnation, Caller: caller, Second: addrOf(second)}
+	h := tunnel.Header{Kind: tunnel.KindFirstFlight, Service: service, Incarnation: incarnation, Caller: caller, Second: addrOf(second), ServiceAddress: address}
 	opened, later, last := firstFlight(1, 1200), firstFlight(2, 1200), firstFlight(3, 1200)
 	rest := firstFlight(4, 100)
 
@@ -118,7 +124,7 @@
 	// The answer of the second agent goes through the entry, not the first agent.
 	_, err := second.WriteTo([]byte("answer"), net.UDPAddrFromAddrPort(caller))
 	require.NoError(t, err)
-	require.Equal(t, []byte("answer"), requireAnswer(t, entry))
+	require.Equal(t, []byte("answer"), requireAnswer(t, entry, address))
 }
 
 // A packet for another service or incarnation must not reach the agent that
@@ -130,7 +136,7 @@
 	entry := listen(t)
 	id := bytes.Repeat([]byte{1}, flowid.Length)
 	packet := append(append([]byte{0x40}, id...), make([]byte, 19)...)
-	own := tunnel.Header{Kind: tunnel.KindFlow, Service: service, Incarnation: incarnation, Caller: caller}
+	own := tunnel.Header{Kind: tunnel.KindFlow, Service: service, Incarnation: incarnation, Caller: caller, ServiceAddress: address}
 
 	other := own
 	other.Service++
@@ -149,12 +155,33 @@
 
 	token, err := tokens.Token(id, service)
 	require.NoError(t, err)
-	reset := requireAnswer(t, entry)
+	reset := requireAnswer(t, entry, address)
 	require.Less(t, len(reset), len(packet))
 	require.Equal(t, byte(0x40), reset[0]&0xc0)
 	require.Equal(t, token[:], reset[len(reset)-flowid.ResetTokenBytes:])
 }
 
+// An answer that leaves from another address than the caller uses is lost to it.
+func TestAnswersFollowServiceAddress(t *testing.T) {
+	entry := listen(t)
+	conn := newConn(t, func(c *tunnel.ConnConfig) {
+		c.Entries = func() []netip.AddrPort { return []netip.AddrPort{addrOf(entry)} }
+	})
+	answer := func() {
+		_, err := conn.WriteTo([]byte("answer"), net.UDPAddrFromAddrPort(caller))
+		require.NoError(t, err)
+	}
+	answer()
+	requireAnswer(t, entry, netip.AddrPort{})
+	h := tunnel.Header{Kind: tunnel.KindFlow, Service: service, Incarnation: incarnation, Caller: caller}
+	for _, h.ServiceAddress = range []netip.AddrPort{address, netip.MustParseAddrPort("198.51.100.2:443"), address} {
+		deliver(t, entry, conn, h, []byte("packet"))
+		requireRead(t, conn, []byte("packet"))
+		answer()
+		requireAnswer(t, entry, h.ServiceAddress)
+	}
+}
+
 // A packet that no entry can carry must be lost like any other, not end the
 // QUIC transport with an error.
 func TestWriteWithoutPath(t *testing.T) {
--- a/tunnel/path.go
+++ b/tunnel/path.go
@@ -27,6 +27,9 @@
 	addr *net.UDPAddr
 	// entry is the tunnel address of the entry that answers go through.
 	entry netip.AddrPort
+	// service is the service's address that the caller last sent to. It is
+	// not valid when the caller was not heard.
+	service netip.AddrPort
 	// heard is when a packet of the caller last came in.
 	heard time.Time
 	// unanswered is when the first packet was sent through entry that the
@@ -41,9 +44,11 @@
 	}
 }
 
-// hear notes a packet of the caller that came in through an entry.
-func (p *path) hear(entry netip.AddrPort, now time.Time) {
+// hear notes a packet that the caller sent to an address of the service and
+// that came in through an entry.
+func (p *path) hear(entry, service netip.AddrPort, now time.Time) {
 	p.entry = entry
+	p.service = service
 	p.heard = now
 	p.unanswered = time.Time{}
 }
--- a/tunnel/path_test.go
+++ b/tunnel/path_test.go
@@ -51,7 +51,7 @@
 			for i, s := range c.steps {
 				now = now.Add(s.after)
 				if s.hear.IsValid() {
-					p.hear(s.hear, now)
+					p.hear(s.hear, netip.AddrPort{}, now)
 					continue
 				}
 				require.Equal(t, s.want, p.choose(c.live, now), "step %d", i)
