status, cmd/endiveflow: operator commands over the configuration

Cause: operators declare intent and read back what is in effect.

Change: apply, check, delete, diff, drain, get, history, status and undrain, one file each. apply validates against what is in force and writes on the condition of the versions that it validated against.

--- a/apply/applier.go
+++ b/apply/applier.go
@@ -114,13 +114,22 @@
 	return config.NewSet(out...).Objects(), nil
 }
 
-// Plan returns the steps that bring a set into force. A step is based on the
-// version given in the set, or else on the one read now.
+// Plan returns the steps that bring a set into force, based on the versions in
+// the store now. See PlanFrom.
 func (a *Applier) Plan(ctx context.Context, set config.Set) ([]Step, error) {
-	current, err := a.byKey(ctx)
+	known, err := a.Objects(ctx)
 	if err != nil {
 		return nil, err
 	}
+	return PlanFrom(known, set)
+}
+
+// PlanFrom returns the steps that bring a set into force. Each is based on the
+// version of the known object; a set that names another version gives a
+// *ConflictError. An object that would move to another service or host gives
+// an error of kind errors.NotValid.
+func PlanFrom(known []config.Object, set config.Set) ([]Step, error) {
+	current := byKey(known)
 	var steps []Step
 	var problems []error
 	for _, o := range set.Objects() {
@@ -142,16 +151,12 @@
 	return steps, nil
 }
 
-func (a *Applier) byKey(ctx context.Context) (map[config.Key]config.Object, error) {
-	objects, err := a.Objects(ctx)
-	if err != nil {
-		return nil, err
-	}
+func byKey(objects []config.Object) map[config.Key]config.Object {
 	out := make(map[config.Key]config.Object, len(objects))
 	for _, o := range objects {
 		out[o.Key] = o
 	}
-	return out, nil
+	return out
 }
 
 // rank orders kinds so that services come before what refers to them.
@@ -197,10 +202,11 @@
 // PlanDelete returns the steps that delete objects. Objects that live ones
 // refer to are not deleted; the error is then of kind errors.NotValid.
 func (a *Applier) PlanDelete(ctx context.Context, keys ...config.Key) ([]Step, error) {
-	current, err := a.byKey(ctx)
+	known, err := a.Objects(ctx)
 	if err != nil {
 		return nil, err
 	}
+	current := byKey(known)
 	var steps []Step
 	var problems []error
 	for _, k := range keys {
--- /dev/null
+++ b/cmd/endiveflow/apply.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"endiveflow.example/endiveflow/apply"
+	"endiveflow.example/endiveflow/config"
+)
+
+type applyCommand struct {
+	writeFlags
+	Files []string `arg:"" help:"Files of documents with kind, name and spec."`
+}
+
+// Run writes the objects of the files that differ from those in force.
+func (c applyCommand) Run(ctx context.Context, out io.Writer) error {
+	a, err := c.writer()
+	if err != nil {
+		return err
+	}
+	known, err := a.Objects(ctx)
+	if err != nil {
+		return fmt.Errorf("applying: %w", err)
+	}
+	set, err := config.LoadWith(known, c.Files...)
+	if err != nil {
+		return fmt.Errorf("nothing was applied:\n%w", err)
+	}
+	steps, err := apply.PlanFrom(known, set)
+	if err != nil {
+		return fmt.Errorf("nothing was applied: %w", err)
+	}
+	report, err := a.Run(ctx, steps, c.Why)
+	return printReport(out, report, err)
+}
--- /dev/null
+++ b/cmd/endiveflow/drain.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/config"
+)
+
+type drainCommand struct {
+	writeFlags
+	Host netip.Addr `arg:"" help:"IP address of the host."`
+}
+
+// Run writes the exception that drains a host. Its reason is that of the change.
+func (c drainCommand) Run(ctx context.Context, out io.Writer) error {
+	a, err := c.writer()
+	if err != nil {
+		return err
+	}
+	objects, err := a.Objects(ctx)
+	if err != nil {
+		return fmt.Errorf("draining %s: %w", c.Host, err)
+	}
+	if !allowed(objects, c.Host) {
+		return errors.NotFoundf("host %s in the networks of the upstreams", c.Host)
+	}
+	if keys := drains(objects, c.Host); len(keys) > 0 {
+		return errors.AlreadyExistsf("drain of host %s, %s,", c.Host, keys[0])
+	}
+	exception := config.Object{
+		Key:       config.Key{Kind: config.KindException, Name: "drain-" + strings.ReplaceAll(c.Host.String(), ".", "-")},
+		Exception: &config.Exception{Target: config.HostTarget(c.Host), Setting: config.SettingDrain, Value: "true", Reason: c.Why},
+	}
+	report, err := a.Apply(ctx, config.NewSet(exception), c.Why)
+	return printReport(out, report, err)
+}
+
+func allowed(objects []config.Object, host netip.Addr) bool {
+	view := config.NewView()
+	for _, o := range objects {
+		view.Apply(o)
+	}
+	for name := range view.Services() {
+		if view.AllowsHost(config.TagOf(name), host) {
+			return true
+		}
+	}
+	return false
+}
+
+// drains returns the live exceptions that drain a host.
+func drains(objects []config.Object, host netip.Addr) []config.Key {
+	var out []config.Key
+	for _, o := range objects {
+		e := o.Exception
+		if !o.Deleted && e != nil && e.Setting == config.SettingDrain && e.Target == config.HostTarget(host) && e.Value == "true" {
+			out = append(out, o.Key)
+		}
+	}
+	return out
+}
--- a/cmd/endiveflow/main.go
+++ b/cmd/endiveflow/main.go
@@ -2,20 +2,40 @@
 package main
 
 import (
+	"context"
+	"io"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 )
 
 // cli lists the commands, each in a file of its own.
 type cli struct {
+	Apply   applyCommand   `cmd:"" help:"Bring configuration files into force."`
+	Check   checkCommand   `cmd:"" help:"Check configuration files."`
+	Delete  deleteCommand  `cmd:"" help:"Delete objects of the configuration."`
+	Diff    diffCommand    `cmd:"" help:"Show what apply would change."`
+	Drain   drainCommand   `cmd:"" help:"Keep new work away from a host."`
+	Get     getCommand     `cmd:"" help:"Print objects of the configuration."`
+	History historyCommand `cmd:"" help:"Print the newest changes of an object."`
+	Status  statusCommand  `cmd:"" help:"Print what is in effect in each availability zone."`
+	Undrain undrainCommand `cmd:"" help:"End the drain of a host."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
 func main() {
 	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
 	var c cli
-	k := kong.Parse(&c, kong.Name("endiveflow"), kong.Description("Layer-4 load balancer for QUIC."))
+	k := kong.Parse(&c,
+		kong.Name("endiveflow"),
+		kong.Description("Layer-4 load balancer for QUIC."),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.BindTo(os.Stdout, (*io.Writer)(nil)),
+	)
 	k.FatalIfErrorf(k.Run())
 }
--- /dev/null
+++ b/cmd/endiveflow/store.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os/user"
+	"time"
+
+	"endiveflow.example/endiveflow/apply"
+	"endiveflow.example/endiveflow/platform"
+)
+
+// storeFlags are the flags of commands that call the object store.
+type storeFlags struct {
+	Platform string        `required:"" env:"ENDIVEFLOW_PLATFORM" placeholder:"URL" help:"Base URL of the platform's object API."`
+	Timeout  time.Duration `default:"2s" help:"Longest wait for one call of the store."`
+	Resolve  time.Duration `default:"15s" help:"Longest wait until the outcome of a write is known."`
+}
+
+// writeFlags are the flags of commands that write to the store.
+type writeFlags struct {
+	storeFlags
+	Why string `required:"" help:"Reason of the change, kept in its audit entry."`
+	Who string `env:"ENDIVEFLOW_OPERATOR" help:"Operator named in the audit entry; default the login name."`
+}
+
+// reader returns an applier for commands that only read.
+func (f storeFlags) reader() (*apply.Applier, error) { return f.applier("reader") }
+
+func (f storeFlags) applier(who string) (*apply.Applier, error) {
+	client, err := platform.New(platform.Config{URL: f.Platform, Timeout: f.Timeout})
+	if err != nil {
+		return nil, fmt.Errorf("connecting to the store: %w", err)
+	}
+	a, err := apply.New(apply.Config{Client: client, Who: who, ResolveFor: f.Resolve})
+	if err != nil {
+		return nil, fmt.Errorf("preparing to write: %w", err)
+	}
+	return a, nil
+}
+
+func (f writeFlags) writer() (*apply.Applier, error) {
+	who := f.Who
+	if who == "" {
+		login, err := user.Current()
+		if err != nil {
+			return nil, fmt.Errorf("finding the login name, which --who replaces: %w", err)
+		}
+		who = login.Username
+	}
+	return f.applier(who)
+}
+
+// printReport prints one line for each write and returns the error of the run.
+func printReport(out io.Writer, report apply.Report, err error) error {
+	for _, r := range report.Results {
+		switch {
+		case r.Err != nil:
+			_, _ = fmt.Fprintf(out, "%s: %s failed\n", r.Key, r.Action)
+		case r.Action == apply.ActionNone:
+			_, _ = fmt.Fprintf(out, "%s: unchanged at version %d\n", r.Key, r.Version)
+		case r.Recovered:
+			_, _ = fmt.Fprintf(out, "%s: %s, version %d (answer lost, found by reading back)\n", r.Key, r.Action, r.Version)
+		default:
+			_, _ = fmt.Fprintf(out, "%s: %s, version %d\n", r.Key, r.Action, r.Version)
+		}
+	}
+	for _, s := range report.NotTried {
+		_, _ = fmt.Fprintf(out, "%s: not tried\n", s.Key)
+	}
+	return err
+}
--- /dev/null
+++ b/status/report.go
@@ -0,0 +1,181 @@
+package status
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/member"
+)
+
+// Path is the path of the admin endpoint that answers with a Report.
+const Path = "/status"
+
+// Report is what one entry knows of its region.
+type Report struct {
+	// Version is the highest configuration version that the answering entry
+	// knows, Digest identifies everything it knows; both are empty without configuration.
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+	// Zones are ordered by name.
+	Zones []Zone `json:"zones"`
+	// Upstreams are ordered by service and host.
+	Upstreams []Upstream `json:"upstreams"`
+}
+
+// Zone is the state of the configuration in one availability zone.
+type Zone struct {
+	Zone string `json:"zone"`
+	// Nodes is the number of live entries and agents, Current the number of
+	// those that have what the answering entry has.
+	Nodes   int `json:"nodes"`
+	Current int `json:"current"`
+	// Version is Report.Version when every live node is current, else 0.
+	Version uint64 `json:"version"`
+	// Behind are the live nodes that are not current, ordered by address.
+	Behind []Behind `json:"behind,omitempty"`
+}
+
+// Behind is a node without the configuration of the answering entry.
+type Behind struct {
+	Role    string         `json:"role"`
+	Address netip.AddrPort `json:"address"`
+	Service string         `json:"service,omitempty"`
+	State   string         `json:"state"`
+	Digest  string         `json:"digest"`
+	// Reason says in words why the node is behind.
+	Reason string `json:"reason"`
+}
+
+// Upstream is an agent and the upstream beside it.
+type Upstream struct {
+	Service string         `json:"service"`
+	Address netip.AddrPort `json:"address"`
+	Zone    string         `json:"zone"`
+	State   string         `json:"state"`
+	Slots   uint16         `json:"slots"`
+	// Weight is the share of new flows in percent.
+	Weight uint8 `json:"weight"`
+	// Note says what is unusual: a drain with the operator's reason, or a host
+	// that no Upstream allows. Empty otherwise.
+	Note string `json:"note,omitempty"`
+}
+
+// Build returns the report of an entry with a view and the records that it knows.
+func Build(view *config.View, records []member.Record) Report {
+	r := Report{Version: view.Version(), Digest: digestText(view.Digest()), Zones: []Zone{}, Upstreams: []Upstream{}}
+	zones := make(map[string]*Zone)
+	expected := make(map[config.ServiceTag]uint64)
+	for _, m := range records {
+		if m.Role == member.RoleAgent && m.State != member.StateLeft {
+			r.Upstreams = append(r.Upstreams, upstreamOf(view, m))
+		}
+		if !m.Alive() {
+			continue
+		}
+		z := zones[m.Zone]
+		if z == nil {
+			z = &Zone{Zone: m.Zone}
+			zones[m.Zone] = z
+		}
+		z.add(view, m, wanted(view, m, expected))
+	}
+	for _, z := range zones {
+		if z.Current == z.Nodes {
+			z.Version = r.Version
+		}
+		slices.SortFunc(z.Behind, func(a, b Behind) int { return a.Address.Compare(b.Address) })
+		r.Zones = append(r.Zones, *z)
+	}
+	slices.SortFunc(r.Zones, func(a, b Zone) int { return strings.Compare(a.Zone, b.Zone) })
+	slices.SortFunc(r.Upstreams, func(a, b Upstream) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), a.Address.Compare(b.Address))
+	})
+	return r
+}
+
+// wanted returns the digest that a current node reports. Agents of one service share it.
+func wanted(view *config.View, m member.Record, known map[config.ServiceTag]uint64) uint64 {
+	if m.Role == member.RoleEntry {
+		return view.Digest()
+	}
+	digest, ok := known[m.Service]
+	if !ok {
+		digest = view.DigestFor(m.Service)
+		known[m.Service] = digest
+	}
+	return digest
+}
+
+func (z *Zone) add(view *config.View, m member.Record, digest uint64) {
+	z.Nodes++
+	if m.ConfigDigest == digest {
+		z.Current++
+		return
+	}
+	z.Behind = append(z.Behind, Behind{
+		Role:    m.Role.String(),
+		Address: m.Control,
+		Service: serviceName(view, m),
+		State:   m.State.String(),
+		Digest:  digestText(m.ConfigDigest),
+		Reason:  reason(view, m),
+	})
+}
+
+func reason(view *config.View, m member.Record) string {
+	switch {
+	case m.ConfigDigest == 0:
+		return "has no configuration yet"
+	case view.Digest() == 0:
+		return "the answering entry has no configuration yet"
+	case m.State == member.StateStarting:
+		return "is starting and has only part of the configuration"
+	}
+	return "reports other versions than the answering entry has"
+}
+
+func upstreamOf(view *config.View, m member.Record) Upstream {
+	u := Upstream{Service: serviceName(view, m), Address: m.Tunnel, Zone: m.Zone, State: m.State.String(), Slots: m.Slots, Weight: m.Weight}
+	host := m.Tunnel.Addr()
+	switch name, _, known := view.Service(m.Service); {
+	case !known:
+		u.Note = "the service is not configured"
+	case !view.AllowsHost(m.Service, host):
+		u.Note = "no Upstream of the service allows the host"
+	case view.Policy(name, host).Drain:
+		u.Note = "drained by the operator" + drainReason(view, name, host)
+	}
+	return u
+}
+
+func drainReason(view *config.View, service string, host netip.Addr) string {
+	for _, e := range view.Explain(service, host) {
+		if e.Setting == config.SettingDrain {
+			return fmt.Sprintf(": %s (%s)", e.Reason, e.Source)
+		}
+	}
+	return ""
+}
+
+// serviceName returns the name of an agent's service, or its tag when the
+// service is not configured; entries have none.
+func serviceName(view *config.View, m member.Record) string {
+	if m.Role != member.RoleAgent {
+		return ""
+	}
+	if name, _, ok := view.Service(m.Service); ok {
+		return name
+	}
+	return fmt.Sprintf("tag %08x", uint32(m.Service))
+}
+
+func digestText(d uint64) string {
+	if d == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", d)
+}
