--- a/apply/applier_test.go
+++ b/apply/applier_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -65,7 +66,7 @@
 }
 
 // Guards against writes of what is already in force, and against an audit trail
-// that grows without bound or lacks the difference.
+// that lacks the difference or grows until the object no longer fits the store.
 func TestApplyAndHistory(t *testing.T) {
 	run(t, func(t *testing.T, p *standin.Platform) {
 		a := applier(t, p, "ann")
@@ -74,8 +75,12 @@
 		require.EqualValues(t, 1, p.Revision())
 		r := requireApplied(t, a, 2)
 		require.Equal(t, []string{"address: 192.0.2.1:1 -> 192.0.2.1:2"}, r.Diff)
+		large := service(3)
+		large.Service.Long = slices.Repeat([]string{"/sheets/of/the/season"}, 40_000)
 		for port := range uint16(config.MaxChanges) {
-			requireApplied(t, a, port+3)
+			large.Service.Long[0] = fmt.Sprint("/", port)
+			_, err := a.Apply(t.Context(), config.NewSet(large), "test")
+			require.NoError(t, err)
 		}
 		objects, err := a.Objects(t.Context())
 		require.NoError(t, err)
--- a/apply/diff.go
+++ b/apply/diff.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"endiveflow.example/endiveflow/config"
 )
@@ -12,6 +13,10 @@
 // absent stands for a setting without a value in a diff.
 const absent = "-"
 
+// maxDiffValue bounds a value in a diff, in bytes. Long lists would otherwise
+// fill the object with the diffs of its kept changes.
+const maxDiffValue = 256
+
 // diff lists the settings in which two objects differ, one "path: old -> new" each.
 func diff(old, next config.Object) []string {
 	before, after := flatten(old), flatten(next)
@@ -26,12 +31,19 @@
 	for _, p := range slices.Sorted(maps.Keys(paths)) {
 		x, y := valueAt(before, p), valueAt(after, p)
 		if x != y {
-			out = append(out, fmt.Sprintf("%s: %s -> %s", p, x, y))
+			out = append(out, fmt.Sprintf("%s: %s -> %s", p, shorten(x), shorten(y)))
 		}
 	}
 	return out
 }
 
+func shorten(value string) string {
+	if len(value) <= maxDiffValue {
+		return value
+	}
+	return fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(value[:maxDiffValue], ""), len(value))
+}
+
 func valueAt(values map[string]string, path string) string {
 	if v, ok := values[path]; ok {
 		return v
--- a/apply/write.go
+++ b/apply/write.go
@@ -37,7 +37,7 @@
 			r.Err = fmt.Errorf("writing %s: %w", s.Key, err)
 			return r
 		}
-		if a.resolve(ctx, &r, change) {
+		if a.resolve(ctx, &r, change, kind) {
 			return r
 		}
 		if a.cfg.Backoff.Wait(ctx, failures) != nil {
@@ -61,21 +61,31 @@
 
 // resolve reads the object back and sets the outcome if it is known. A read of
 // the base or an older version settles nothing: it may be stale, and a delayed
-// write may still take effect.
-func (a *Applier) resolve(ctx context.Context, r *Result, change config.Change) bool {
+// write may still take effect. Of the writes based on one version only one took
+// effect; its audit entry tells whose it was, unless it is no longer kept.
+func (a *Applier) resolve(ctx context.Context, r *Result, change config.Change, kind errors.ConstError) bool {
 	current, err := a.read(ctx, r.Key)
-	if err != nil {
+	if err != nil || current.Version <= r.Base {
 		return false
 	}
-	if version, ok := versionOf(current, change); ok {
-		r.Version, r.Recovered = version, true
-		return true
+	for i, c := range current.Changes {
+		switch {
+		case c.BaseVersion != r.Base:
+		case c.OperationID == change.OperationID:
+			r.Version, r.Recovered = current.Version, true
+			if i+1 < len(current.Changes) {
+				r.Version = current.Changes[i+1].BaseVersion
+			}
+			return true
+		default:
+			kind = platform.Conflict
+		}
 	}
-	if current.Version > r.Base {
-		r.Err = conflictOf(r.Key, r.Base, current)
-		return true
+	if kind != platform.Conflict {
+		return false
 	}
-	return false
+	r.Err = conflictOf(r.Key, r.Base, current)
+	return true
 }
 
 func (a *Applier) read(ctx context.Context, k config.Key) (config.Object, error) {
@@ -93,21 +103,6 @@
 	return o, nil
 }
 
-// versionOf returns the version that a change made, if the object has it. When
-// others wrote since, that is the version that the next change is based on.
-func versionOf(o config.Object, change config.Change) (uint64, bool) {
-	for i, c := range o.Changes {
-		if c.OperationID != change.OperationID {
-			continue
-		}
-		if i+1 < len(o.Changes) {
-			return o.Changes[i+1].BaseVersion, true
-		}
-		return o.Version, true
-	}
-	return 0, false
-}
-
 // appendChange returns a new list with the newest MaxChanges entries.
 func appendChange(old []config.Change, c config.Change) []config.Change {
 	start := max(0, len(old)+1-config.MaxChanges)
