--- a/cmd/endiveflow/agent.go
+++ b/cmd/endiveflow/agent.go
@@ -22,13 +22,13 @@
 }
 
 // Run runs an agent.
-func (c agentCommand) Run() error {
+func (c agentCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadAgent(c.Settings)
 	if err != nil {
 		return fmt.Errorf("reading settings: %w", err)
 	}
 	log := newLog(s.LogLevel)
-	return runRole("agent", func(floor member.Incarnation) (func(context.Context) <-chan error, error) {
+	return runRole(ctx, "agent", func(floor member.Incarnation) (func(context.Context) <-chan error, error) {
 		role, err := agent.New(agent.RoleConfig{Settings: s, Floor: floor, Log: log})
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/cmd/endiveflow/e2e_test.go
@@ -0,0 +1,277 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/caller"
+	"endiveflow.example/endiveflow/standin"
+)
+
+const (
+	// e2eFlows is enough for each agent to hold several flows.
+	e2eFlows = 24
+	// e2eTimeout bounds each wait of the test.
+	e2eTimeout = 20 * time.Second
+)
+
+// fleet is the fleet of the examples, as separate processes.
+type fleet struct {
+	t      *testing.T
+	binary string
+	// dir holds the examples, moved to loopback addresses of their own.
+	dir string
+	// prefix replaces the first three bytes of the examples' addresses, so
+	// that two runs of the test on one machine do not meet.
+	prefix string
+	logs   map[string]*bytes.Buffer
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:      t,
+		binary: filepath.Join(t.TempDir(), "endiveflow"),
+		dir:    t.TempDir(),
+		prefix: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(256)),
+		logs:   make(map[string]*bytes.Buffer),
+	}
+	out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	files, err := filepath.Glob("../../examples/*.yaml")
+	require.NoError(t, err)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		require.NoError(t, err)
+		moved := strings.ReplaceAll(string(text), "127.0.0.", f.prefix)
+		moved = strings.ReplaceAll(moved, f.prefix+"0/8", "127.0.0.0/8")
+		require.NoError(t, os.WriteFile(filepath.Join(f.dir, filepath.Base(file)), []byte(moved), 0o600))
+	}
+	f.run("standin", "certificate", "--dir", f.dir, "--name", "rota", "--name", "draws")
+	return f
+}
+
+// run runs a command to its end.
+func (f *fleet) run(args ...string) {
+	f.t.Helper()
+	out, err := exec.Command(f.binary, args...).CombinedOutput()
+	require.NoError(f.t, err, string(out))
+}
+
+// start starts a process of the examples; it is killed at the end of the test.
+func (f *fleet) start(name string, command ...string) *exec.Cmd {
+	f.t.Helper()
+	log := new(bytes.Buffer)
+	f.logs[name] = log
+	cmd := exec.Command(f.binary, append(command, "--settings", filepath.Join(f.dir, name+".yaml"))...)
+	cmd.Stderr = log
+	require.NoError(f.t, cmd.Start())
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", name, tail(log.String()))
+		}
+	})
+	return cmd
+}
+
+func tail(text string) string {
+	const most = 2000
+	return text[max(0, len(text)-most):]
+}
+
+// awaitReady waits until a process answers its readiness check with 200.
+func (f *fleet) awaitReady(host string) {
+	f.t.Helper()
+	url := "http://" + f.prefix + host + ":7004/readyz"
+	require.Eventually(f.t, func() bool {
+		resp, err := http.Get(url)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, e2eTimeout, 50*time.Millisecond, "%s is not ready", url)
+}
+
+func (f *fleet) startAll() map[string]*exec.Cmd {
+	started := make(map[string]*exec.Cmd)
+	started["platform"] = f.start("platform", "standin", "platform")
+	started["fabric"] = f.start("fabric", "standin", "fabric")
+	for _, n := range []string{"entry-1", "entry-2", "entry-3"} {
+		started[n] = f.start(n, "entry")
+	}
+	for _, h := range []string{"rota-1", "rota-2", "draws-1"} {
+		started["agent-"+h] = f.start("agent-"+h, "agent")
+		started["upstream-"+h] = f.start("upstream-"+h, "standin", "upstream")
+	}
+	f.run("apply", "-f", filepath.Join(f.dir, "config.yaml"),
+		"--platform", "http://"+f.prefix+"2:7400", "--who", "test", "--why", "first configuration")
+	for _, host := range []string{"11", "12", "13", "21", "22", "23"} {
+		f.awaitReady(host)
+	}
+	return started
+}
+
+// executed returns how often each request ran, over all upstreams.
+func (f *fleet) executed() map[string]int {
+	f.t.Helper()
+	total := make(map[string]int)
+	for _, host := range []string{"21", "22", "23"} {
+		resp, err := http.Get("http://" + f.prefix + host + ":8000/executed")
+		require.NoError(f.t, err)
+		var executed map[string]int
+		require.NoError(f.t, json.NewDecoder(resp.Body).Decode(&executed))
+		resp.Body.Close()
+		for id, n := range executed {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+// traffic is what callers of a service saw.
+type traffic struct {
+	service  string
+	ids      atomic.Int64
+	answered atomic.Int64
+	mu       sync.Mutex
+	// faults is guarded by mu.
+	faults []string
+}
+
+func (c *traffic) fault(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+// runFlow sends requests over one flow until ctx ends. A fault is a broken flow, a
+// missing answer or a wrong one.
+func (c *traffic) runFlow(ctx context.Context, client *caller.Client) {
+	first := client.Conn()
+	for ctx.Err() == nil {
+		c.request(client)
+		time.Sleep(20 * time.Millisecond)
+	}
+	if client.Conn() != first || first.Err() != nil {
+		c.fault("flow broke: %v", first.Err())
+	}
+}
+
+func (c *traffic) request(client *caller.Client) {
+	n := c.ids.Add(1)
+	method := http.MethodGet
+	if n%5 == 0 {
+		method = http.MethodPost
+	}
+	id := fmt.Sprintf("%s-%s-%d", c.service, method, n)
+	ctx, cancel := context.WithTimeout(context.Background(), e2eTimeout)
+	defer cancel()
+	answer, err := client.Do(ctx, caller.Request{
+		Method: method, Path: "/slots", Header: http.Header{standin.RequestIDHeader: {id}},
+	})
+	if err != nil {
+		c.fault("request %s: %v", id, err)
+		return
+	}
+	var body standin.UpstreamAnswer
+	if err := json.Unmarshal(answer.Body, &body); err != nil || body.ID != id || body.Service != c.service {
+		c.fault("request %s got %q (%v)", id, answer.Body, err)
+		return
+	}
+	c.answered.Add(1)
+}
+
+// startTraffic opens flows to a service and returns a function that ends them.
+func (f *fleet) startTraffic(service string, port uint16) (*traffic, func()) {
+	f.t.Helper()
+	pem, err := os.ReadFile(filepath.Join(f.dir, standin.CertificateFile))
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &traffic{service: service}
+	var flows sync.WaitGroup
+	for range e2eFlows {
+		client, err := caller.New(caller.Config{
+			Address: netip.AddrPortFrom(netip.MustParseAddr(f.prefix+"3"), port),
+			TLS:     standin.Certificate{CertPEM: pem}.ClientTLS(service),
+		})
+		require.NoError(f.t, err)
+		f.t.Cleanup(client.Close)
+		require.NoError(f.t, client.Connect(context.Background()))
+		flows.Go(func() { c.runFlow(ctx, client) })
+	}
+	return c, func() {
+		cancel()
+		flows.Wait()
+	}
+}
+
+// progress waits until the callers got more answers, which shows that traffic goes on.
+func (c *traffic) progress(t *testing.T) {
+	t.Helper()
+	const more = 10 * e2eFlows
+	from := c.answered.Load()
+	require.Eventually(t, func() bool { return c.answered.Load() > from+more }, e2eTimeout, 10*time.Millisecond)
+}
+
+// requireGraceful stops a process by SIGTERM and checks that it ends by itself without an error.
+func requireGraceful(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	err := cmd.Wait()
+	exit := new(exec.ExitError)
+	if errors.As(err, &exit) {
+		t.Fatalf("%v ended with %v", cmd.Args[1:2], exit)
+	}
+}
+
+// Flows and requests must survive the loss of one entry and the planned stop
+// of another, as separate processes with the settings of the examples.
+func TestSeparateProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts eleven processes")
+	}
+	f := newFleet(t)
+	processes := f.startAll()
+	rota, endRota := f.startTraffic("rota", 8441)
+	draws, endDraws := f.startTraffic("draws", 8442)
+	rota.progress(t)
+	draws.progress(t)
+
+	require.NoError(t, processes["entry-1"].Process.Kill())
+	rota.progress(t)
+	f.start("entry-1", "entry")
+	f.awaitReady("11")
+	requireGraceful(t, processes["entry-2"])
+	rota.progress(t)
+	draws.progress(t)
+
+	endRota()
+	endDraws()
+	require.Empty(t, rota.faults)
+	require.Empty(t, draws.faults)
+	for id, n := range f.executed() {
+		if strings.Contains(id, http.MethodPost) {
+			require.Equal(t, 1, n, "request %s", id)
+		}
+	}
+}
--- a/cmd/endiveflow/entry.go
+++ b/cmd/endiveflow/entry.go
@@ -22,13 +22,13 @@
 }
 
 // Run runs an entry.
-func (c entryCommand) Run() error {
+func (c entryCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadEntry(c.Settings)
 	if err != nil {
 		return fmt.Errorf("reading settings: %w", err)
 	}
 	log := newLog(s.LogLevel)
-	return runRole("entry", func(floor member.Incarnation) (func(context.Context) <-chan error, error) {
+	return runRole(ctx, "entry", func(floor member.Incarnation) (func(context.Context) <-chan error, error) {
 		role, err := entry.New(entry.RoleConfig{Settings: s, Floor: floor, Log: log})
 		if err != nil {
 			return nil, err
--- a/cmd/endiveflow/run.go
+++ b/cmd/endiveflow/run.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"endiveflow.example/endiveflow/member"
 	"endiveflow.example/endiveflow/node"
@@ -18,27 +16,18 @@
 	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 }
 
-// untilSignal returns a context that ends with SIGINT or SIGTERM.
-func untilSignal() (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-}
-
-// runPart runs one part of a process until a signal arrives.
-func runPart(name string, run func(context.Context) <-chan error) error {
-	ctx, stop := untilSignal()
-	defer stop()
+// runPart runs one part of a process until ctx ends, as it does with a signal.
+func runPart(ctx context.Context, name string, run func(context.Context) <-chan error) error {
 	if err := <-run(ctx); err != nil {
 		return fmt.Errorf("running %s: %w", name, err)
 	}
 	return nil
 }
 
-// runRole runs a role until a signal arrives. When another incarnation of the
+// runRole runs a role until ctx ends, as it does with a signal. When another incarnation of the
 // same member is known, it starts again above it: the clock of the VM went
 // back, or an earlier process at these addresses still ran.
-func runRole(name string, start func(floor member.Incarnation) (func(context.Context) <-chan error, error)) error {
-	ctx, stop := untilSignal()
-	defer stop()
+func runRole(ctx context.Context, name string, start func(floor member.Incarnation) (func(context.Context) <-chan error, error)) error {
 	var floor member.Incarnation
 	for {
 		run, err := start(floor)
--- a/cmd/endiveflow/standin_call.go
+++ b/cmd/endiveflow/standin_call.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"time"
@@ -31,7 +32,7 @@
 }
 
 // Run sends the requests and prints each answer.
-func (c standinCallCommand) Run() error {
+func (c standinCallCommand) Run(ctx context.Context, out io.Writer) error {
 	address, err := netip.ParseAddrPort(c.Address)
 	if err != nil {
 		return fmt.Errorf("reading address: %w", err)
@@ -46,7 +47,7 @@
 	}
 	defer client.Close()
 	for range c.Count {
-		if err := c.call(client); err != nil {
+		if err := c.call(ctx, out, client); err != nil {
 			return err
 		}
 	}
@@ -65,14 +66,14 @@
 	return &tls.Config{RootCAs: pool, ServerName: c.Name, MinVersion: tls.VersionTLS13}, nil
 }
 
-func (c standinCallCommand) call(client *caller.Client) error {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+func (c standinCallCommand) call(ctx context.Context, out io.Writer, client *caller.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	answer, err := client.Do(ctx, caller.Request{Method: c.Method, Path: c.Path})
 	if err != nil {
 		return fmt.Errorf("calling %s %s: %w", c.Method, c.Path, err)
 	}
-	if _, err := fmt.Printf("%d %s %s\n", answer.Status, answer.Outcome, answer.Body); err != nil {
+	if _, err := fmt.Fprintf(out, "%d %s %s\n", answer.Status, answer.Outcome, answer.Body); err != nil {
 		return fmt.Errorf("printing answer: %w", err)
 	}
 	return nil
--- a/cmd/endiveflow/standin_fabric.go
+++ b/cmd/endiveflow/standin_fabric.go
@@ -13,7 +13,7 @@
 }
 
 // Run runs one stand-in fabric for each service.
-func (c standinFabricCommand) Run() error {
+func (c standinFabricCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadFabric(c.Settings)
 	if err != nil {
 		return fmt.Errorf("reading settings: %w", err)
@@ -30,7 +30,7 @@
 		}
 		fabrics = append(fabrics, f)
 	}
-	return runPart("fabric", func(ctx context.Context) <-chan error { return runAll(ctx, fabrics) })
+	return runPart(ctx, "fabric", func(ctx context.Context) <-chan error { return runAll(ctx, fabrics) })
 }
 
 func fabricEntries(entries []settings.FabricEntry) []standin.FabricEntry {
--- a/cmd/endiveflow/standin_platform.go
+++ b/cmd/endiveflow/standin_platform.go
@@ -13,13 +13,13 @@
 }
 
 // Run runs the stand-in platform.
-func (c standinPlatformCommand) Run() error {
+func (c standinPlatformCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadPlatform(c.Settings)
 	if err != nil {
 		return fmt.Errorf("reading settings: %w", err)
 	}
 	p := standin.NewPlatform(standin.PlatformConfig{Address: s.ListenAddress.String()})
-	return runPart("platform", func(ctx context.Context) <-chan error {
+	return runPart(ctx, "platform", func(ctx context.Context) <-chan error {
 		done, err := p.Run(ctx)
 		if err != nil {
 			return failedStart(err)
--- a/cmd/endiveflow/standin_upstream.go
+++ b/cmd/endiveflow/standin_upstream.go
@@ -17,7 +17,7 @@
 const longPath = "/long"
 
 // Run runs the stand-in upstream until a signal, which stops it gracefully.
-func (c standinUpstreamCommand) Run() error {
+func (c standinUpstreamCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadUpstream(c.Settings)
 	if err != nil {
 		return fmt.Errorf("reading settings: %w", err)
@@ -32,7 +32,7 @@
 	if err != nil {
 		return fmt.Errorf("starting upstream: %w", err)
 	}
-	return runPart("upstream", func(ctx context.Context) <-chan error { return runUpstream(ctx, u) })
+	return runPart(ctx, "upstream", func(ctx context.Context) <-chan error { return runUpstream(ctx, u) })
 }
 
 // runUpstream stops the upstream gracefully when ctx ends.
