peer, upstream, h3conn: tests of claims, silence and shutdown

Failures guarded against: a request called not sent that ran, a replay by net/http, a silent connection that holds up the next request, a shutdown that cuts answers, a restart that peers don't notice, work for a sender that left.

Found while writing them: a dial bound to the context of one request never ended when each request had less time left than a handshake takes, so no connection came up. The dial now has its own bound and serves later requests. A handler that ignores its context could block Shutdown for ever; the wait is bounded now.

--- a/h3conn/link.go
+++ b/h3conn/link.go
@@ -15,8 +15,16 @@
 	mu sync.Mutex
 	// conn is nil before the first request. Guarded by mu.
 	conn *Conn
-	// dialing is closed when the dial under way ends, and nil without one. Guarded by mu.
-	dialing chan struct{}
+	// dialing is the dial under way, or nil. Guarded by mu.
+	dialing *dialing
+}
+
+// dialing is one dial that several calls wait for.
+type dialing struct {
+	// done is closed when conn and err are set.
+	done chan struct{}
+	conn *Conn
+	err  error
 }
 
 // Usable returns the connection if it takes requests, or nil.
@@ -34,56 +42,45 @@
 	return l.conn
 }
 
-// Get returns a usable connection. Without one, it dials; concurrent calls
-// wait for the same dial, and one of them dials again if it fails. Errors are
+// Get returns a usable connection. Without one, concurrent calls wait for one
+// dial. The dial outlives the context of the call, so that calls with little
+// time left still lead to a connection; it must bound its own time. Errors are
 // of kind ErrNotSent.
 func (l *Link) Get(ctx context.Context, dial func(context.Context) (*Conn, error)) (*Conn, error) {
-	for {
-		conn, other := l.take()
-		if conn != nil {
-			return conn, nil
-		}
-		if other == nil {
-			return l.dial(ctx, dial)
-		}
-		select {
-		case <-other:
-		case <-ctx.Done():
-			return nil, errors.WithType(fmt.Errorf("waiting for connection: %w", ctx.Err()), ErrNotSent)
-		}
-	}
-}
-
-// take returns a usable connection, or the dial of another call, or neither
-// when the caller must dial.
-func (l *Link) take() (*Conn, chan struct{}) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if conn := l.usable(); conn != nil {
+		l.mu.Unlock()
 		return conn, nil
 	}
-	if l.dialing != nil {
-		return nil, l.dialing
+	d := l.dialing
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		l.dialing = d
+		go l.dial(context.WithoutCancel(ctx), d, dial)
+	}
+	l.mu.Unlock()
+	select {
+	case <-d.done:
+	case <-ctx.Done():
+		return nil, errors.WithType(fmt.Errorf("waiting for connection: %w", ctx.Err()), ErrNotSent)
 	}
-	l.dialing = make(chan struct{})
-	return nil, nil
+	if d.err != nil {
+		return nil, errors.WithType(fmt.Errorf("opening connection: %w", d.err), ErrNotSent)
+	}
+	return d.conn, nil
 }
 
-func (l *Link) dial(ctx context.Context, dial func(context.Context) (*Conn, error)) (*Conn, error) {
-	conn, err := dial(ctx)
+func (l *Link) dial(ctx context.Context, d *dialing, dial func(context.Context) (*Conn, error)) {
+	defer close(d.done)
+	d.conn, d.err = dial(ctx)
 	l.mu.Lock()
-	close(l.dialing)
 	l.dialing = nil
 	old := l.conn
-	if err == nil {
-		l.conn = conn
+	if d.err == nil {
+		l.conn = d.conn
 	}
 	l.mu.Unlock()
-	if err != nil {
-		return nil, errors.WithType(fmt.Errorf("opening connection: %w", err), ErrNotSent)
-	}
-	if old != nil {
+	if d.err == nil && old != nil {
 		old.Retire()
 	}
-	return conn, nil
 }
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,328 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/peer"
+)
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+func newRing(t testing.TB, id uint8) *fleetkey.Ring {
+	t.Helper()
+	r, err := fleetkey.New(fleetkey.Config{Keys: []fleetkey.Key{{ID: id, Secret: bytes.Repeat([]byte{id}, 32)}}})
+	require.NoError(t, err)
+	return r
+}
+
+// lossy drops all packets from and to the blocked addresses.
+type lossy struct {
+	net.PacketConn
+	blocked sync.Map
+}
+
+func (l *lossy) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		n, addr, err := l.PacketConn.ReadFrom(p)
+		if err != nil {
+			return n, addr, err
+		}
+		if _, ok := l.blocked.Load(addr.String()); !ok {
+			return n, addr, nil
+		}
+	}
+}
+
+func (l *lossy) WriteTo(p []byte, addr net.Addr) (int, error) {
+	if _, ok := l.blocked.Load(addr.String()); ok {
+		return len(p), nil
+	}
+	return l.PacketConn.WriteTo(p, addr)
+}
+
+func listen(t testing.TB, addr string) *lossy {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return &lossy{PacketConn: socket}
+}
+
+func addrOf(c net.PacketConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func startServer(t testing.TB, socket net.PacketConn, handler http.HandlerFunc) (*peer.Server, context.CancelFunc) {
+	t.Helper()
+	s, err := peer.NewServer(peer.ServerConfig{Ring: newRing(t, 1), IP: loopback, Socket: socket, Handler: handler})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := s.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return s, cancel
+}
+
+func newClient(t testing.TB, cfg peer.ClientConfig) *peer.Client {
+	t.Helper()
+	if cfg.Ring == nil {
+		cfg.Ring = newRing(t, 1)
+	}
+	cfg.LocalIP = loopback
+	c, err := peer.NewClient(cfg)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// do returns the body of the answer.
+func do(ctx context.Context, c *peer.Client, addr netip.AddrPort, method, path string) (string, error) {
+	resp, err := c.Do(ctx, addr, httptest.NewRequest(method, path, strings.NewReader("lawn 7")))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// A request that failed at any point must be called not sent only if the
+// handler never saw it, and must never run twice.
+func TestClaimsAtCutPoints(t *testing.T) {
+	cuts := map[string]http.HandlerFunc{
+		"before the answer":  func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"short answer":       func(w http.ResponseWriter, _ *http.Request) { writeHalf(w, "10") },
+		"cut without length": func(w http.ResponseWriter, _ *http.Request) { writeHalf(w, ""); panic(http.ErrAbortHandler) },
+	}
+	for name, handler := range cuts {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				var ran atomic.Int32
+				socket := listen(t, "127.0.0.1:0")
+				startServer(t, socket, func(w http.ResponseWriter, r *http.Request) {
+					ran.Add(1)
+					handler(w, r)
+				})
+				_, err := do(t.Context(), newClient(t, peer.ClientConfig{}), addrOf(socket), method, "/")
+				require.Error(t, err)
+				require.NotErrorIs(t, err, peer.ErrNotSent)
+				require.EqualValues(t, 1, ran.Load())
+			})
+		}
+	}
+	t.Run("nobody there", func(t *testing.T) {
+		c := newClient(t, peer.ClientConfig{ConnectTimeout: 100 * time.Millisecond})
+		_, err := do(t.Context(), c, addrOf(listen(t, "127.0.0.1:0")), http.MethodPost, "/")
+		require.ErrorIs(t, err, peer.ErrNotSent)
+	})
+	t.Run("foreign key", func(t *testing.T) {
+		socket := listen(t, "127.0.0.1:0")
+		startServer(t, socket, func(http.ResponseWriter, *http.Request) { t.Error("a foreign request ran") })
+		_, err := do(t.Context(), newClient(t, peer.ClientConfig{Ring: newRing(t, 2)}), addrOf(socket), http.MethodPost, "/")
+		require.ErrorIs(t, err, peer.ErrNotSent)
+	})
+}
+
+func writeHalf(w http.ResponseWriter, length string) {
+	if length != "" {
+		w.Header().Set("Content-Length", length)
+	}
+	_, _ = io.WriteString(w, "half")
+	_ = http.NewResponseController(w).Flush()
+}
+
+// A cancellation at any moment must not be called not sent when the handler runs.
+func TestCancelledRequestIsNeverFalselyNotSent(t *testing.T) {
+	var ran sync.Map
+	socket := listen(t, "127.0.0.1:0")
+	s, _ := startServer(t, socket, func(_ http.ResponseWriter, r *http.Request) { ran.Store(r.URL.Path, true) })
+	c := newClient(t, peer.ClientConfig{})
+	_, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/warm")
+	require.NoError(t, err)
+	claimed := make(map[string]bool)
+	for i := range 1000 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%250)*time.Microsecond)
+		path := fmt.Sprint("/", i)
+		_, err := do(ctx, c, addrOf(socket), http.MethodPost, path)
+		claimed[path] = errors.Is(err, peer.ErrNotSent)
+		cancel()
+	}
+	require.NoError(t, s.Shutdown(t.Context()))
+	seen := 0
+	ran.Range(func(path, _ any) bool {
+		seen++
+		return assertNot(t, claimed[path.(string)], path)
+	})
+	require.Greater(t, seen, 1)
+}
+
+func assertNot(t *testing.T, claimed bool, path any) bool {
+	t.Helper()
+	require.False(t, claimed, "%s was called not sent and ran", path)
+	return true
+}
+
+// A connection that went silent under work must not hold up the next request,
+// and must not lose the answer in flight if its packets come through again.
+func TestSilentConnectionIsReplacedWhileItsWorkGoesOn(t *testing.T) {
+	socket := listen(t, "127.0.0.1:0")
+	finish := make(chan struct{})
+	started := make(chan string, 1)
+	startServer(t, socket, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			started <- r.RemoteAddr
+			<-finish
+		}
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	})
+	const silenceAfter = 400 * time.Millisecond
+	c := newClient(t, peer.ClientConfig{SilenceAfter: silenceAfter})
+	type result struct {
+		body string
+		err  error
+	}
+	answer := make(chan result, 1)
+	go func() {
+		body, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/long")
+		answer <- result{body, err}
+	}()
+	old := <-started
+	socket.blocked.Store(old, true)
+	begin := time.Now()
+	for port := old; port == old; {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		if body, err := do(ctx, c, addrOf(socket), http.MethodPost, "/short"); err == nil {
+			port = body
+		}
+		cancel()
+		require.Less(t, time.Since(begin), 2*silenceAfter)
+	}
+	socket.blocked.Delete(old)
+	close(finish)
+	require.Equal(t, result{body: old}, <-answer)
+}
+
+// A working connection must not be taken for silent while its handler thinks.
+func TestQuietWorkIsNotSilent(t *testing.T) {
+	socket := listen(t, "127.0.0.1:0")
+	ports := make(chan string, 2)
+	startServer(t, socket, func(_ http.ResponseWriter, r *http.Request) {
+		ports <- r.RemoteAddr
+		if r.URL.Path == "/long" {
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	c := newClient(t, peer.ClientConfig{SilenceAfter: 100 * time.Millisecond, KeepAlive: -1})
+	_, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/long")
+	require.NoError(t, err)
+	_, err = do(t.Context(), c, addrOf(socket), http.MethodPost, "/")
+	require.NoError(t, err)
+	require.Equal(t, <-ports, <-ports)
+}
+
+// A shutdown must finish what is in flight, and a request it doesn't take must
+// be called not sent, so that the sender can choose another peer.
+func TestShutdownCutsNothing(t *testing.T) {
+	socket := listen(t, "127.0.0.1:0")
+	var ran atomic.Int64
+	s, _ := startServer(t, socket, func(w http.ResponseWriter, _ *http.Request) {
+		ran.Add(1)
+		time.Sleep(time.Millisecond)
+		_, _ = w.Write(make([]byte, 20000))
+	})
+	c := newClient(t, peer.ClientConfig{ConnectTimeout: 50 * time.Millisecond})
+	var answered atomic.Int64
+	var senders sync.WaitGroup
+	for range 20 {
+		senders.Go(func() {
+			for {
+				body, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/")
+				if err != nil {
+					require.ErrorIs(t, err, peer.ErrNotSent)
+					return
+				}
+				require.Len(t, body, 20000)
+				answered.Add(1)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return answered.Load() > 100 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, s.Shutdown(t.Context()))
+	senders.Wait()
+	require.Equal(t, ran.Load(), answered.Load())
+}
+
+// A restarted process must reset the connections of the former one: otherwise
+// its peers wait for answers until the connection counts as silent.
+func TestRestartIsToldAtOnce(t *testing.T) {
+	socket := listen(t, "127.0.0.1:0")
+	addr := addrOf(socket)
+	started := make(chan string, 1)
+	stuck := make(chan struct{})
+	defer close(stuck)
+	crashing, err := peer.NewServer(peer.ServerConfig{
+		Ring:   newRing(t, 1),
+		IP:     loopback,
+		Socket: socket,
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			started <- r.RemoteAddr
+			<-stuck
+		}),
+	})
+	require.NoError(t, err)
+	crashed := crashing.Run(t.Context())
+	c := newClient(t, peer.ClientConfig{SilenceAfter: 2 * time.Second})
+	failed := make(chan error, 1)
+	go func() {
+		_, err := do(t.Context(), c, addr, http.MethodPost, "/")
+		failed <- err
+	}()
+	socket.blocked.Store(<-started, true)
+	require.NoError(t, socket.Close())
+	require.Error(t, <-crashed)
+	startServer(t, listen(t, addr.String()), func(http.ResponseWriter, *http.Request) {})
+	begin := time.Now()
+	_, err = do(t.Context(), c, addr, http.MethodPost, "/")
+	require.Error(t, err)
+	require.NotErrorIs(t, err, peer.ErrNotSent)
+	require.Error(t, <-failed)
+	require.Less(t, time.Since(begin), time.Second)
+	_, err = do(t.Context(), c, addr, http.MethodPost, "/")
+	require.NoError(t, err)
+}
+
+// Work for a sender that gave up must end.
+func TestCancellationReachesThePeer(t *testing.T) {
+	socket := listen(t, "127.0.0.1:0")
+	started, ended := make(chan struct{}), make(chan struct{})
+	startServer(t, socket, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	c := newClient(t, peer.ClientConfig{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := do(ctx, c, addrOf(socket), http.MethodPost, "/")
+	require.ErrorIs(t, err, context.Canceled)
+	<-ended
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,9 @@
 // close. Most clients close their connection themselves before that.
 const answerLinger = 500 * time.Millisecond
 
+// closeTimeout bounds the wait for handlers of closed connections.
+const closeTimeout = 2 * time.Second
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	// Ring issues the certificate and verifies peers.
@@ -130,8 +133,7 @@
 		_ = s.http.Shutdown(ctx)
 	}()
 	cut := s.waitIdle(ctx, graceful)
-	_ = s.http.Close()
-	<-graceful
+	s.closeConnections(graceful)
 	_ = s.transport.Close()
 	if cut > 0 {
 		return fmt.Errorf("shutting down peer server: %d requests cut: %w", cut, ctx.Err())
@@ -139,6 +141,21 @@
 	return nil
 }
 
+// closeConnections lets connections send their CONNECTION_CLOSE. A handler
+// that ignores the end of its request's context must not block it for ever.
+func (s *Server) closeConnections(graceful <-chan struct{}) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = s.http.Close()
+		<-graceful
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeTimeout):
+	}
+}
+
 func (s *Server) closeListener() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/upstream/announce_test.go
@@ -0,0 +1,59 @@
+package upstream_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/upstream"
+)
+
+const ready = `{"service":"rota","address":"127.0.0.1:80","slots":4,"state":"ready"}`
+
+// An upstream that died must be gone after three missed announcements, not
+// before and not never.
+func TestAnnouncementsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var seen []upstream.State
+		a := upstream.NewAnnouncements(upstream.AnnouncementsConfig{
+			Service:  "rota",
+			OnChange: func(_, current upstream.Announcement) { seen = append(seen, current.State) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := a.Run(ctx)
+		require.Equal(t, upstream.StateGone, a.Current().State)
+		require.NoError(t, a.Accept([]byte(ready)))
+		time.Sleep(2 * upstream.DefaultInterval)
+		require.NoError(t, a.Accept([]byte(ready)))
+		time.Sleep(3*upstream.DefaultInterval - time.Millisecond)
+		require.Equal(t, []upstream.State{upstream.StateReady}, seen)
+		time.Sleep(upstream.DefaultInterval / 2)
+		require.Equal(t, []upstream.State{upstream.StateReady, upstream.StateGone}, seen)
+		require.NoError(t, a.Accept([]byte(ready)))
+		require.Equal(t, upstream.StateReady, a.Current().State)
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
+
+// A malformed announcement, or one of another service, must not change who serves.
+func TestMalformedAnnouncementsAreRejected(t *testing.T) {
+	a := upstream.NewAnnouncements(upstream.AnnouncementsConfig{Service: "rota"})
+	require.NoError(t, a.Accept([]byte(ready)))
+	for _, body := range []string{
+		``, `{}`, `[]`,
+		`{"service":"draws","address":"127.0.0.1:80","slots":4,"state":"ready"}`,
+		`{"service":"rota","address":"127.0.0.1:0","slots":4,"state":"ready"}`,
+		`{"service":"rota","address":"127.0.0.1:80","slots":0,"state":"ready"}`,
+		`{"service":"rota","address":"127.0.0.1:80","slots":70000,"state":"ready"}`,
+		`{"service":"rota","address":"127.0.0.1:80","slots":4,"state":"gone"}`,
+		`{"service":"rota","address":"127.0.0.1:80","slots":4,"state":"ready","extra":1}`,
+	} {
+		require.ErrorIs(t, a.Accept([]byte(body)), errors.NotValid, body)
+	}
+	require.Equal(t, upstream.StateReady, a.Current().State)
+}
--- /dev/null
+++ b/upstream/client_test.go
@@ -0,0 +1,316 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/standin"
+	"endiveflow.example/endiveflow/upstream"
+)
+
+func startUpstream(t *testing.T, cfg standin.UpstreamConfig) *standin.Upstream {
+	t.Helper()
+	cfg.Service = "rota"
+	u, err := standin.NewUpstream(cfg)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := u.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return u
+}
+
+func newClient(t *testing.T, addr netip.AddrPort, cfg upstream.Config) *upstream.Client {
+	t.Helper()
+	cfg.Address = func() netip.AddrPort { return addr }
+	c, err := upstream.New(cfg)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(ctx context.Context, method, path, id string) *http.Request {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("lawn 7")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://upstream"+path, body)
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set(standin.RequestIDHeader, id)
+	return req
+}
+
+// do returns the answer's body.
+func do(c *upstream.Client, req *http.Request) (string, error) {
+	resp, err := c.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// A refused or cut request must be called not sent exactly when the upstream
+// got no byte: otherwise a caller is told "not run" for a request that ran.
+func TestClaimsAtCutPoints(t *testing.T) {
+	cuts := []struct {
+		name    string
+		serve   func(net.Conn)
+		notSent bool
+	}{
+		{"closed before reading", func(net.Conn) {}, false},
+		{"closed after one byte", func(c net.Conn) { _, _ = io.ReadFull(c, make([]byte, 1)) }, false},
+		{"closed after the request", func(c net.Conn) { _, _ = c.Read(make([]byte, 4096)) }, false},
+		{"closed in the answer's header", answerWith("HTTP/1.1 200 OK\r\nContent-Le"), false},
+		{"answer truncated", answerWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), false},
+		{"chunked answer truncated", answerWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), false},
+		{"not HTTP", answerWith("\x00\x01garbage\r\n\r\n"), false},
+	}
+	for _, cut := range cuts {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(cut.name+" "+method, func(t *testing.T) {
+				accepted := 0
+				addr := rawServer(t, func(c net.Conn) { accepted++; cut.serve(c) })
+				_, err := do(newClient(t, addr, upstream.Config{}), request(t.Context(), method, "/", "1"))
+				require.Error(t, err)
+				require.Equal(t, cut.notSent, errors.Is(err, upstream.ErrNotSent), "%v", err)
+				require.Equal(t, 1, accepted, "the client must not try again by itself")
+			})
+		}
+	}
+	t.Run("refused", func(t *testing.T) {
+		addr := closedPort(t)
+		_, err := do(newClient(t, addr, upstream.Config{}), request(t.Context(), http.MethodPost, "/", "1"))
+		require.ErrorIs(t, err, upstream.ErrNotSent)
+	})
+}
+
+func answerWith(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+// rawServer handles one connection after the other and closes each.
+func rawServer(t *testing.T, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serve(c)
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-ended
+	})
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func closedPort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// A cancellation at any moment must not be called not sent when the upstream
+// runs the request all the same: the writer of net/http goes on after
+// RoundTrip has returned.
+func TestCancelledRequestIsNeverFalselyNotSent(t *testing.T) {
+	u := startUpstream(t, standin.UpstreamConfig{Slots: 64})
+	c := newClient(t, u.Address(), upstream.Config{})
+	claimed := make(map[string]bool)
+	for i := range 2000 {
+		ctx, cancel := context.WithCancel(t.Context())
+		// Half of the cancellations meet the writer as it starts.
+		traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+			if i%2 == 0 {
+				cancel()
+			}
+		}})
+		timer := time.AfterFunc(time.Duration(i%200)*time.Microsecond, cancel)
+		id := fmt.Sprint(i)
+		_, err := do(c, request(traced, http.MethodPost, "/", id))
+		claimed[id] = errors.Is(err, upstream.ErrNotSent)
+		timer.Stop()
+		cancel()
+	}
+	require.NoError(t, u.Shutdown(t.Context()))
+	require.NotEmpty(t, u.Executed())
+	for id, n := range u.Executed() {
+		require.False(t, claimed[id], "request %s was called not sent and ran", id)
+		require.Equal(t, 1, n)
+	}
+}
+
+// net/http replays requests on reused connections that the server closes: GETs,
+// and others that carry an Idempotency-Key. A replay would run a request twice.
+func TestNoReplayOnReusedConnection(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut} {
+		u := startUpstream(t, standin.UpstreamConfig{})
+		c := newClient(t, u.Address(), upstream.Config{})
+		_, err := do(c, request(t.Context(), method, "/", "first"))
+		require.NoError(t, err)
+		u.SetBreak(standin.BreakAfter)
+		req := request(t.Context(), method, "/", "second")
+		req.Header.Set("Idempotency-Key", "k")
+		_, err = do(c, req)
+		require.Error(t, err)
+		require.NotErrorIs(t, err, upstream.ErrNotSent)
+		require.Equal(t, map[string]int{"first": 1, "second": 1}, u.Executed(), method)
+	}
+}
+
+// An upstream that closed idle connections, as after a restart, must not fail the next request.
+func TestStaleIdleConnectionIsReplaced(t *testing.T) {
+	dropped := make(chan struct{})
+	addr := rawServer(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_ = c.(*net.TCPConn).CloseWrite()
+		// The end of input shows that the client saw the close.
+		_, _ = io.Copy(io.Discard, c)
+		dropped <- struct{}{}
+	})
+	c := newClient(t, addr, upstream.Config{})
+	for range 20 {
+		body, err := do(c, request(t.Context(), http.MethodPost, "/", "1"))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+		<-dropped
+	}
+}
+
+// A connection that the upstream closes at the moment of its reuse must not
+// fail a request of which no byte was written.
+func TestConnectionClosedOnReuseIsReplaced(t *testing.T) {
+	reuse, dropped := make(chan struct{}), make(chan struct{})
+	addr := rawServer(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		<-reuse
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+		dropped <- struct{}{}
+	})
+	c := newClient(t, addr, upstream.Config{})
+	_, err := do(c, request(t.Context(), http.MethodPost, "/", "1"))
+	require.NoError(t, err)
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if info.Reused {
+			reuse <- struct{}{}
+			<-dropped
+		}
+	}})
+	body, err := do(c, request(ctx, http.MethodPost, "/", "2"))
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	reuse <- struct{}{}
+	c.Close()
+	<-dropped
+}
+
+// A silent connection must cost a repeatable request no more than SilenceAfter,
+// and the next request must go out from a new local port.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	u := startUpstream(t, standin.UpstreamConfig{Work: map[string]time.Duration{"/long": 600 * time.Millisecond}})
+	silent := make(chan net.Addr, 8)
+	c := newClient(t, u.Address(), upstream.Config{
+		SilenceAfter: 200 * time.Millisecond,
+		OnSilent:     func(a net.Addr) { silent <- a },
+	})
+	repeatable := upstream.WithOptions(t.Context(), upstream.Options{Repeatable: true})
+	_, err := do(c, request(repeatable, http.MethodGet, "/", "warm"))
+	require.NoError(t, err)
+
+	require.Equal(t, 1, u.SilenceOpen())
+	start := time.Now()
+	_, err = do(c, request(repeatable, http.MethodGet, "/", "a"))
+	require.ErrorIs(t, err, upstream.ErrSilent)
+	require.NotErrorIs(t, err, upstream.ErrNotSent)
+	require.Less(t, time.Since(start), 400*time.Millisecond)
+	old := <-silent
+	var next net.Addr
+	traced := httptrace.WithClientTrace(repeatable, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { next = info.Conn.LocalAddr() },
+	})
+	_, err = do(c, request(traced, http.MethodGet, "/", "b"))
+	require.NoError(t, err)
+	require.NotEqual(t, old.String(), next.String())
+
+	t.Run("slow work that can't be repeated is answered", func(t *testing.T) {
+		body, err := do(c, request(t.Context(), http.MethodPost, "/long", "c"))
+		require.NoError(t, err)
+		require.Contains(t, body, `"id":"c"`)
+		<-silent
+	})
+	t.Run("long work is not silent", func(t *testing.T) {
+		long := upstream.WithOptions(t.Context(), upstream.Options{Repeatable: true, Long: true})
+		_, err := do(c, request(long, http.MethodGet, "/long", "d"))
+		require.NoError(t, err)
+		require.Empty(t, silent)
+	})
+}
+
+// An upstream that goes on working for a caller that left wastes its slot, and
+// one that doesn't know the deadline works in vain.
+func TestCancellationAndDeadlineReachTheUpstream(t *testing.T) {
+	u := startUpstream(t, standin.UpstreamConfig{Work: map[string]time.Duration{"/long": time.Minute}})
+	c := newClient(t, u.Address(), upstream.Config{})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	body, err := do(c, request(ctx, http.MethodGet, "/", "a"))
+	require.NoError(t, err)
+	require.Regexp(t, `"deadlineMs":(4\d\d\d|5000)`, body)
+
+	ended := make(chan error, 1)
+	go func() {
+		_, err := do(c, request(ctx, http.MethodGet, "/long", "b"))
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return u.Running() == 1 }, 5*time.Second, time.Millisecond)
+	cancel()
+	require.ErrorIs(t, <-ended, context.Canceled)
+	require.Eventually(t, func() bool { return len(u.Cancelled()) == 1 }, 5*time.Second, time.Millisecond)
+}
+
+// Shedding is the only answer of an upstream that proves that it did not run the request.
+func TestShedding(t *testing.T) {
+	u := startUpstream(t, standin.UpstreamConfig{})
+	c := newClient(t, u.Address(), upstream.Config{})
+	u.SetShedding(true)
+	resp, err := c.Do(request(t.Context(), http.MethodPost, "/", "a"))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.True(t, upstream.IsShed(resp))
+	require.Empty(t, u.Executed())
+	resp.Header.Del("Endiveflow-Shed")
+	require.False(t, upstream.IsShed(resp), "a plain 503 says nothing about execution")
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// classify seals the connection first: the transport's writer could still
-// write the request after RoundTrip has returned.
+// classify seals the connection first, so that the count of written bytes is
+// final. RoundTrip waits for its writer, but doesn't promise to.
 func (x *exchange) classify(err error) error {
 	x.mu.Lock()
 	c, before := x.conn, x.before
