--- a/cmd/endiveflow/apply.go
+++ b/cmd/endiveflow/apply.go
@@ -11,11 +11,15 @@
 
 type applyCommand struct {
 	writeFlags
+	waitFlags
 	Files []string `name:"file" short:"f" required:"" type:"existingfile" help:"File of documents with kind, name and spec; may be repeated."`
 }
 
 // Run writes the objects of the files that differ from those in force.
 func (c applyCommand) Run(ctx context.Context, out io.Writer) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	a, err := c.writer()
 	if err != nil {
 		return err
@@ -33,5 +37,8 @@
 		return fmt.Errorf("nothing was applied: %w", err)
 	}
 	report, err := a.Run(ctx, steps, c.Why)
-	return printReport(out, report, err)
+	if err := printReport(out, report, err); err != nil {
+		return err
+	}
+	return c.await(ctx, out, report)
 }
--- a/cmd/endiveflow/main.go
+++ b/cmd/endiveflow/main.go
@@ -23,6 +23,7 @@
 	Delete  deleteCommand  `cmd:"" help:"Delete objects of the configuration."`
 	Diff    diffCommand    `cmd:"" help:"Show what apply would change."`
 	Drain   drainCommand   `cmd:"" help:"Keep new work away from a host."`
+	Explain explainCommand `cmd:"" help:"Print which agents get new flows and why, and where settings come from."`
 	Get     getCommand     `cmd:"" help:"Print objects of the configuration."`
 	History historyCommand `cmd:"" help:"Print the newest changes of an object."`
 	Status  statusCommand  `cmd:"" help:"Print what is in effect in each availability zone."`
--- a/cmd/endiveflow/main_test.go
+++ b/cmd/endiveflow/main_test.go
@@ -49,7 +49,12 @@
 	ts.Value(storeKey{}).(*standin.Platform).Set(s)
 }
 
+// serveStatus stands for the admin endpoint of an entry.
 func serveStatus(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/explain" {
+		serveExplain(w, r)
+		return
+	}
 	if r.URL.Path != status.Path {
 		http.NotFound(w, r)
 		return
@@ -65,3 +70,11 @@
 		Upstreams: []status.Upstream{{Service: "rota", Address: netip.MustParseAddrPort("10.0.0.7:7000"), Zone: "okn-a", State: "draining", Slots: 4, Note: "drained by the operator: disk swap"}},
 	})
 }
+
+func serveExplain(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("service") != "rota" {
+		http.Error(w, `service "chess" not found`, http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write([]byte(`{"service":"rota"}`))
+}
