entry: new entries learn former addresses of services

Cause: an entry that starts after an address was changed or deleted never bound it and lost the packets that the fabric sent to it. Besides, a service can only be deleted together with its Upstreams, after which no host is allowed and the forwarder dropped each packet of its flows.

An address that was given up is not taken again.

Result: flows over 3 forwarders survive the deletion of their service followed by the replacement of all forwarders (TestFlowsSurviveNewEntriesAfterDeletion). A property test moves 3 services over 4 addresses and checks each pair of service and socket in both directions.

Conclusion: the package documentation lists the cases that are left.

--- a/entry/address_test.go
+++ b/entry/address_test.go
@@ -29,16 +29,23 @@
 		s.agents = append(s.agents, startAgent(t, newRing(t, 1, 2), serviceB, 3+number, s.entries))
 	}
 	for range 3 {
-		v := newView(s.records()...)
-		f := newForwarder(t, newRing(t, 1, 2), v)
-		ended := f.Run(t.Context())
-		t.Cleanup(func() { require.NoError(t, <-ended) })
-		s.views, s.forwarders = append(s.views, v), append(s.forwarders, f)
+		s.start(t, newView(s.records()...), nil)
 	}
 	s.useEntries(s.forwarders...)
 	return s
 }
 
+// start starts one more forwarder.
+func (s *addressSite) start(t *testing.T, v *view, change func(*ForwarderConfig)) {
+	f := newForwarder(t, newRing(t, 1, 2), v)
+	if change != nil {
+		change(&f.cfg)
+	}
+	ended := f.Run(t.Context())
+	t.Cleanup(func() { require.NoError(t, <-ended) })
+	s.views, s.forwarders = append(s.views, v), append(s.forwarders, f)
+}
+
 // fabricTo returns a fabric to the address that a service has now.
 func (s *addressSite) fabricTo(t *testing.T, tag config.ServiceTag) *fabric {
 	fabric := newFabric(t)
@@ -94,6 +101,34 @@
 	requireFlows(t, agentOf)
 }
 
+// Entries that start after a service was deleted together with its Upstreams
+// must carry the flows that it still has.
+func TestFlowsSurviveNewEntriesAfterDeletion(t *testing.T) {
+	s := newAddressSite(t)
+	toA := s.fabricTo(t, serviceA)
+	agentOf := make(map[*quic.Conn]byte)
+	dialFlows(t, toA, 6, agentOf)
+	s.forwarders = nil
+	for range 3 {
+		v := newView()
+		v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceB: anyPort(2)})
+		s.start(t, v, func(cfg *ForwarderConfig) {
+			cfg.AllowsHost = func(tag config.ServiceTag, _ netip.Addr) bool { return tag == serviceB }
+			cfg.Former = func() []FormerAddress {
+				networks := []netip.Prefix{netip.PrefixFrom(loopback, 8)}
+				return []FormerAddress{{Service: serviceA, Address: anyPort(1), Until: time.Now().Add(-time.Minute), Networks: networks}}
+			}
+		})
+	}
+	s.useEntries(s.forwarders...)
+	var fronts []netip.AddrPort
+	for _, f := range s.forwarders {
+		fronts = append(fronts, addrOf((*f.sockets.Load())[binding{serviceA, anyPort(1)}].conn))
+	}
+	toA.use(fronts...)
+	requireFlows(t, agentOf)
+}
+
 // Two services that swap their addresses at once must keep their flows, and no
 // packet of one may reach an agent of the other.
 func TestSwapOfAddressesDoesNotMixServices(t *testing.T) {
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -11,17 +11,26 @@
 // the address now; without one they are dropped. Answers leave from the address
 // that the caller uses, which the tunnel header carries in both directions.
 //
-// Flows on a former address are lost in part in these cases:
+// An entry that starts after the change learns the former address from the
+// audit entries of the Service object, and, when the service was deleted with its
+// Upstreams, the networks of its agents from them. An answer through an entry
+// that does not have the address is dropped and counted; the agent takes
+// another entry after a second.
 //
-//   - An entry that starts after the change never binds the former address.
-//     Packets that the fabric sends to it are lost, and so are answers that an
-//     agent sends through it because another entry was silent; the agent moves
-//     on to the next entry after a second.
-//   - The operator deletes the Upstream objects of the service as well, so that
-//     no network is allowed to serve it any more.
+// Flows on a former address are lost, some or in part, in these cases:
+//
+//   - The Service object was written 20 times since the change, which drops the
+//     audit entry, and an entry starts after that.
+//   - The address was removed from the VM of an entry that starts after the
+//     change, which then cannot bind it.
+//   - The entries give it up at different times, since each sees other packets.
+//     The last few flows, with a packet per hour and entry or less, lose the
+//     packets that the fabric sends to an entry that gave it up.
 //   - A caller has two flows from one port to one agent, on the former and on the
 //     present address: the agent answers both from the one last used.
 //   - A flow had no answer yet when the address changed.
+//   - The Upstreams are deleted well before the service; until then no network
+//     may serve it.
 //
 // While a service is deleted, its drainFor is the one that the Policy function
 // returns for an unknown service.
--- a/entry/former.go
+++ b/entry/former.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,14 +27,18 @@
 	// descriptors when addresses change all the time. At the target a region
 	// has 980 changes of all kinds per day.
 	maxFormer = 1024
+	// rememberGivenUp is how long the configuration does not bring back an
+	// address that was given up: the longest drainFor.
+	rememberGivenUp = 24 * time.Hour
 )
 
 var (
-	formerAddresses = metrics.GetOrCreateGauge("endiveflow_entry_former_addresses", nil)
+	formerGauge = metrics.GetOrCreateGauge("endiveflow_entry_former_addresses", nil)
 
 	formerUnused  = formerCounter("unused")
 	formerExpired = formerCounter("expired")
 	formerExcess  = formerCounter("too many")
+	formerFailed  = formerCounter("not bound")
 )
 
 func formerCounter(reason string) *metrics.Counter {
@@ -49,6 +56,25 @@
 	heard time.Time
 	// active says that packets arrived after heard.
 	active atomic.Bool
+	// networks are those of FormerAddress. They are never changed.
+	networks []netip.Prefix
+}
+
+// allows says whether the host had a place in a service that is deleted now.
+func (a *formerAddress) allows(host netip.Addr) bool {
+	for _, n := range a.networks {
+		if n.Contains(host) {
+			return true
+		}
+	}
+	return false
+}
+
+// withNetworks returns a copy with other networks.
+func (a *formerAddress) withNetworks(networks []netip.Prefix) *formerAddress {
+	b := &formerAddress{binding: a.binding, since: a.since, heard: a.heard, networks: networks}
+	b.active.Store(a.active.Load())
+	return b
 }
 
 // note notes a packet. It writes only once per check, since the readers of all
@@ -83,7 +109,38 @@
 		}
 	}
 	f.limitFormer()
-	formerAddresses.Set(float64(len(f.former)))
+	for _, known := range f.cfg.Former() {
+		f.learnFormer(known, now)
+	}
+	formerGauge.Set(float64(len(f.former)))
+}
+
+// learnFormer takes over a former address from the configuration, unless the
+// forwarder keeps it already or has given it up.
+func (f *Forwarder) learnFormer(known FormerAddress, now time.Time) {
+	b := binding{known.Service, known.Address}
+	if f.services[b.service] == b.address {
+		return
+	}
+	if a := f.former[b]; a != nil {
+		if !slices.Equal(a.networks, known.Networks) {
+			f.former[b] = a.withNetworks(known.Networks)
+		}
+		return
+	}
+	a := &formerAddress{binding: b, since: earlier(known.Until, now), heard: now, networks: known.Networks}
+	givenUp, ok := f.givenUp[b]
+	if ok && !known.Until.After(givenUp) || len(f.former) >= maxFormer || a.expired(f.cfg.Policy(b.service).DrainFor, now) != nil {
+		return
+	}
+	f.former[b] = a
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // limitFormer gives up the oldest former addresses past maxFormer.
@@ -102,6 +159,7 @@
 // expireFormer gives up former addresses whose time has passed. It says
 // whether there were any.
 func (f *Forwarder) expireFormer(now time.Time) bool {
+	maps.DeleteFunc(f.givenUp, func(_ binding, when time.Time) bool { return now.Sub(when) > rememberGivenUp })
 	before := len(f.former)
 	for b, a := range f.former {
 		if a.active.Swap(false) {
@@ -111,12 +169,13 @@
 			f.giveUp(a, reason)
 		}
 	}
-	formerAddresses.Set(float64(len(f.former)))
+	formerGauge.Set(float64(len(f.former)))
 	return len(f.former) != before
 }
 
 func (f *Forwarder) giveUp(a *formerAddress, reason *metrics.Counter) {
 	delete(f.former, a.binding)
+	f.givenUp[a.binding] = f.cfg.Now()
 	reason.Inc()
 	f.cfg.Log.Info("former address given up", "service", uint32(a.service), "address", a.address.String(), "held", f.cfg.Now().Sub(a.since).String())
 }
--- /dev/null
+++ b/entry/former_test.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/tunnel"
+)
+
+// setNow replaces the clock of a forwarder that has no loop.
+func setNow(f *Forwarder) *time.Time {
+	now := start
+	f.cfg.Now = func() time.Time { return now }
+	return &now
+}
+
+// addressModel checks a forwarder against the addresses that services had.
+type addressModel struct {
+	f      *Forwarder
+	caller *net.UDPConn
+	agents []*sink
+	had    map[binding]bool
+}
+
+// check sends a packet of each service and an answer through each open socket.
+func (m *addressModel) check(t *rapid.T) {
+	for local, s := range m.f.bound {
+		for _, agent := range m.agents {
+			b := binding{agent.place.Service, local}
+			answer := agent.codec.Append(nil, tunnel.Header{Kind: tunnel.KindReturn, Service: b.service, Caller: addrOf(m.caller), ServiceAddress: local}, []byte("answer"))
+			packet := agent.packet(t, 1)
+			if !m.had[b] {
+				refusedPackets, refusedAnswers := dropService.Get(), dropNoSocket.Get()
+				sendTo(t, m.caller, addrOf(s.conn), packet)
+				sendTo(t, agent.UDPConn, addrOf(m.f.cfg.Tunnel), answer)
+				require.Eventually(t, func() bool {
+					return dropService.Get() == refusedPackets+1 && dropNoSocket.Get() == refusedAnswers+1
+				}, 5*time.Second, 100*time.Microsecond)
+				continue
+			}
+			sendTo(t, m.caller, addrOf(s.conn), packet)
+			require.Equal(t, local, agent.requirePacket(t, packet).ServiceAddress)
+			sendTo(t, agent.UDPConn, addrOf(m.f.cfg.Tunnel), answer)
+			require.NoError(t, m.caller.SetReadDeadline(time.Now().Add(5*time.Second)))
+			_, from, err := m.caller.ReadFromUDPAddrPort(make([]byte, 1500))
+			require.NoError(t, err)
+			require.Equal(t, addrOf(s.conn), from)
+		}
+	}
+}
+
+// However addresses pass between services, a packet must reach only the agent
+// that its ID names, through an address that the service has or had, and the
+// answer must leave from that address.
+func TestSharedAddressesDoNotMixServices(t *testing.T) {
+	ring, v := newRing(t, 1), newView()
+	tags := []config.ServiceTag{serviceA, serviceB, 0xc}
+	m := &addressModel{f: newForwarder(t, ring, v), caller: listen(t)}
+	for _, tag := range tags {
+		m.agents = append(m.agents, newSink(t, ring, tag))
+	}
+	now := setNow(m.f)
+	bind(t, m.f)
+	configure := func(services map[config.ServiceTag]netip.AddrPort) {
+		v.services.Store(&services)
+		m.f.refresh(context.Background())
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		configure(nil)
+		*now = now.Add(formerBound)
+		m.f.check(context.Background())
+		require.Empty(t, m.f.bound)
+		m.had = make(map[binding]bool)
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			services := make(map[config.ServiceTag]netip.AddrPort)
+			for i, number := range rapid.Permutation([]byte{1, 2, 3, 4}).Draw(t, "addresses")[:len(tags)] {
+				if rapid.IntRange(0, 3).Draw(t, "deleted") > 0 {
+					services[tags[i]] = anyPort(number)
+					m.had[binding{tags[i], anyPort(number)}] = true
+				}
+			}
+			configure(services)
+			m.check(t)
+		}
+	})
+}
+
+// An address that is given up too early breaks flows; one that is never given
+// up cannot be used for anything else.
+func TestFormerAddressIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		drainFor, held, silent time.Duration
+		want                   interface{ Get() uint64 }
+	}{
+		"new":             {30 * time.Second, time.Minute, time.Minute, nil},
+		"silent":          {30 * time.Second, time.Hour, time.Hour, formerUnused},
+		"in use":          {30 * time.Second, 11 * time.Hour, time.Minute, nil},
+		"past the bound":  {30 * time.Second, 12 * time.Hour, time.Minute, formerExpired},
+		"longer drainFor": {20 * time.Hour, 19 * time.Hour, 19 * time.Hour, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := &formerAddress{since: start, heard: start.Add(c.held - c.silent)}
+			reason := a.expired(c.drainFor, start.Add(c.held))
+			if c.want == nil {
+				require.Nil(t, reason)
+				return
+			}
+			require.Same(t, c.want, reason)
+		})
+	}
+}
+
+// Packets must keep a former address open, addresses past the limit must go,
+// and the configuration must not bring back what was given up.
+func TestFormerAddressesAreBounded(t *testing.T) {
+	ring, v, caller := newRing(t, 1), newView(), listen(t)
+	agent, f := newSink(t, ring, serviceA), newForwarder(t, ring, v)
+	now := setNow(f)
+	f.cfg.Former = func() []FormerAddress {
+		return []FormerAddress{{Service: serviceA, Address: anyPort(1), Until: start}}
+	}
+	bind(t, f)
+	to := f.Bound()[serviceA]
+	v.services.Store(&map[config.ServiceTag]netip.AddrPort{})
+	f.refresh(t.Context())
+	*now = now.Add(formerIdle - time.Second)
+	packet := agent.packet(t, 1)
+	sendTo(t, caller, to, packet)
+	agent.requirePacket(t, packet)
+	for range 2 {
+		f.check(t.Context())
+		*now = now.Add(formerIdle - time.Second)
+	}
+	require.Len(t, f.bound, 1)
+	*now = now.Add(time.Second)
+	f.check(t.Context())
+	require.Empty(t, f.bound)
+	f.refresh(t.Context())
+	require.Empty(t, f.bound)
+
+	for i := range maxFormer + 1 {
+		b := binding{serviceB, netip.AddrPortFrom(loopback, uint16(i))}
+		f.former[b] = &formerAddress{binding: b, since: start.Add(time.Duration(i))}
+	}
+	f.limitFormer()
+	require.Len(t, f.former, maxFormer)
+	require.NotContains(t, f.former, binding{serviceB, netip.AddrPortFrom(loopback, 0)})
+}
+
+// An entry whose sockets do not have the services' addresses cannot tell a
+// former address from the present one, but must carry the flows of both.
+func TestChangeOfAddressWithBindIP(t *testing.T) {
+	ring, v, caller := newRing(t, 1), newView(), listen(t)
+	agent, f := newSink(t, ring, serviceA), newForwarder(t, ring, v)
+	f.cfg.BindIP = loopback
+	v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceA: anyPort(1)})
+	bind(t, f)
+	to := f.Bound()[serviceA]
+	v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceA: anyPort(2)})
+	f.refresh(t.Context())
+	require.Equal(t, map[config.ServiceTag]netip.AddrPort{serviceA: to}, f.Bound())
+	packet := agent.packet(t, 1)
+	sendTo(t, caller, to, packet)
+	require.Equal(t, anyPort(2), agent.requirePacket(t, packet).ServiceAddress)
+	for _, address := range []netip.AddrPort{anyPort(1), anyPort(2), {}} {
+		require.NotNil(t, (*f.sockets.Load())[binding{serviceA, address}])
+	}
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -145,12 +145,13 @@
 // whatever the members are, unless that agent is known to be gone. The agent
 // must be one of a service that has or had the socket's address.
 func (f *Forwarder) forwardFlow(s *serviceSocket, head quicheader.Header, place flowid.Place, datagram []byte, caller netip.AddrPort) {
-	address, ok := s.use.Load().addressOf(place.Service)
-	if !ok {
+	address, former := s.use.Load().addressOf(place.Service)
+	if !address.IsValid() {
 		dropService.Inc()
 		return
 	}
-	if !f.cfg.AllowsHost(place.Service, place.Agent.Addr()) {
+	host := place.Agent.Addr()
+	if !f.cfg.AllowsHost(place.Service, host) && (former == nil || !former.allows(host)) {
 		dropHost.Inc()
 		return
 	}
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -59,6 +59,9 @@
 	Suspect func(member.ID) bool
 	// Policy returns the settings of a service; nil means config.BuiltinPolicy.
 	Policy func(config.ServiceTag) config.Policy
+	// Former returns the former addresses of services that the configuration
+	// knows; nil means none. The slice is not changed later.
+	Former func() []FormerAddress
 	// Changed receives a value after a change of services, members, suspects
 	// or policies.
 	Changed <-chan struct{}
@@ -97,6 +100,8 @@
 	bound map[netip.AddrPort]*serviceSocket
 	// former are the former addresses of services.
 	former map[binding]*formerAddress
+	// givenUp is when former addresses were given up.
+	givenUp map[binding]time.Time
 	// bindFailed says that a socket is missing.
 	bindFailed bool
 	// records are those that the tables and the observer were last made from.
@@ -128,6 +133,7 @@
 		stop:     make(chan struct{}),
 		bound:    make(map[netip.AddrPort]*serviceSocket),
 		former:   make(map[binding]*formerAddress),
+		givenUp:  make(map[binding]time.Time),
 		records:  make(map[config.ServiceTag][]member.Record),
 		observer: newObserver(),
 	}
@@ -144,6 +150,9 @@
 		builtin := config.BuiltinPolicy()
 		cfg.Policy = func(config.ServiceTag) config.Policy { return builtin }
 	}
+	if cfg.Former == nil {
+		cfg.Former = func() []FormerAddress { return nil }
+	}
 	if cfg.Readers <= 0 {
 		cfg.Readers = DefaultReaders
 	}
--- a/entry/forwarder_test.go
+++ b/entry/forwarder_test.go
@@ -118,7 +118,7 @@
 	return append(append([]byte{0x40}, id.Bytes()...), bytes.Repeat([]byte{mark}, 30)...)
 }
 
-func (s *sink) requirePacket(t require.TestingT, want []byte) {
+func (s *sink) requirePacket(t require.TestingT, want []byte) tunnel.Header {
 	require.NoError(t, s.SetReadDeadline(time.Now().Add(5*time.Second)))
 	buf := make([]byte, 1500)
 	n, err := s.Read(buf)
@@ -128,6 +128,7 @@
 	require.Equal(t, s.place.Service, h.Service)
 	require.Equal(t, s.place.Incarnation, h.Incarnation)
 	require.Equal(t, want, packet)
+	return h
 }
 
 func sendTo(t require.TestingT, from *net.UDPConn, to netip.AddrPort, packet []byte) {
--- /dev/null
+++ b/entry/history_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/config"
+)
+
+// An entry that starts after a change must find the former addresses in the
+// audit entries, also of a service that was deleted with its Upstreams.
+func TestFormerAddressesOfAuditEntries(t *testing.T) {
+	networks := []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}
+	first, second, third := netip.MustParseAddrPort("192.0.2.1:1"), netip.MustParseAddrPort("192.0.2.2:1"), netip.MustParseAddrPort("192.0.2.3:1")
+	rota := config.Object{Key: config.Key{Kind: config.KindService, Name: "rota"}, Service: &config.Service{Address: third}}
+	at := func(minutes int) time.Time { return start.Add(time.Duration(minutes) * time.Minute) }
+	for i, diff := range [][]string{
+		{"address: - -> 192.0.2.1:1", "long: - -> /a"},
+		{"address: 192.0.2.1:1 -> 192.0.2.2:1"},
+		{"long: /a -> address: x -> y"},
+		{"deleted: false -> true"},
+		{"address: - -> 192.0.2.3:1"},
+	} {
+		rota.Changes = append(rota.Changes, config.Change{When: at(i), Diff: diff})
+	}
+	upstream := config.Object{Key: config.Key{Kind: config.KindUpstream, Name: "rota"}, Deleted: true, Upstream: &config.Upstream{Service: "rota", Networks: networks}}
+	tag := config.TagOf("rota")
+	want := []FormerAddress{{Service: tag, Address: first, Until: at(1)}, {Service: tag, Address: second, Until: at(3)}}
+	v := config.NewView()
+	former := FormerAddresses(v)
+	require.Empty(t, former())
+	rota.Version, upstream.Version = 1, 1
+	v.Apply(rota)
+	v.Apply(upstream)
+	require.Equal(t, want, former())
+
+	rota.Deleted = true
+	rota.Version++
+	rota.Changes = []config.Change{{When: at(5), Diff: []string{"deleted: false -> true"}}}
+	want = []FormerAddress{{Service: tag, Address: third, Until: at(5), Networks: networks}}
+	v.Apply(rota)
+	require.Equal(t, want, former())
+}
--- a/entry/sockets.go
+++ b/entry/sockets.go
@@ -51,19 +51,20 @@
 	former []*formerAddress
 }
 
-// addressOf returns the address that a service's flows use on the socket, and
-// whether the socket takes their packets.
-func (u *socketUse) addressOf(tag config.ServiceTag) (netip.AddrPort, bool) {
+// addressOf returns the address that a service's flows use on the socket. It is
+// not valid when the socket takes no packets of the service. The second result
+// is set when the address is a former one.
+func (u *socketUse) addressOf(tag config.ServiceTag) (netip.AddrPort, *formerAddress) {
 	if u.current.service == tag && u.current.address.IsValid() {
-		return u.current.address, true
+		return u.current.address, nil
 	}
 	for _, former := range u.former {
 		if former.service == tag {
 			former.note()
-			return former.address, true
+			return former.address, former
 		}
 	}
-	return netip.AddrPort{}, false
+	return netip.AddrPort{}, nil
 }
 
 // current says whether the socket accepts first flights for the binding.
@@ -90,7 +91,7 @@
 		if s == nil {
 			conn, err := open(local)
 			if err != nil {
-				f.failBind(use.current, err)
+				f.failUse(use, err)
 				continue
 			}
 			s = &serviceSocket{local: local, conn: conn}
@@ -146,6 +147,19 @@
 	f.cfg.Log.Error("service not bound", "service", uint32(b.service), "address", b.address.String(), "err", err)
 }
 
+// failUse notes that a socket could not be opened. Without a service that has
+// the address now, the address may have left the entry for good.
+func (f *Forwarder) failUse(use *socketUse, err error) {
+	if use.current.address.IsValid() {
+		f.failBind(use.current, err)
+		return
+	}
+	for _, former := range use.former {
+		f.cfg.Log.Warn("former address not bound", "address", former.address.String(), "err", err)
+		f.giveUp(former, formerFailed)
+	}
+}
+
 // closeUnused closes the sockets without a use. Answers stop using them before.
 func (f *Forwarder) closeUnused(uses map[netip.AddrPort]*socketUse) {
 	var unused []*serviceSocket
