upstream: make a cut-point test deterministic

The server closed at accept, and the client met the close before it had written a byte, so its claim 'not sent' was right and the expectation was not. Ruled out: a fault of the claim; the error text shows that no byte was written. Change: the server waits until a byte has arrived and closes without reading. Conclusion: the case now always tests what its name says.

--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"endiveflow.example/endiveflow/standin"
 	"endiveflow.example/endiveflow/upstream"
@@ -74,7 +75,7 @@
 		serve   func(net.Conn)
 		notSent bool
 	}{
-		{"closed before reading", func(net.Conn) {}, false},
+		{"closed before reading", awaitByte, false},
 		{"closed after one byte", func(c net.Conn) { _, _ = io.ReadFull(c, make([]byte, 1)) }, false},
 		{"closed after the request", func(c net.Conn) { _, _ = c.Read(make([]byte, 4096)) }, false},
 		{"closed in the answer's header", answerWith("HTTP/1.1 200 OK\r\nContent-Le"), false},
@@ -101,6 +102,20 @@
 	})
 }
 
+// awaitByte waits until a byte has arrived and leaves it unread. Without the
+// wait the client may meet the close before it has written anything, and then
+// rightly says that nothing was sent.
+func awaitByte(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return n > 0 || err != nil && !errors.Is(err, unix.EAGAIN)
+	})
+}
+
 func answerWith(text string) func(net.Conn) {
 	return func(c net.Conn) {
 		_, _ = c.Read(make([]byte, 4096))
