--- a/agent/role.go
+++ b/agent/role.go
@@ -159,9 +159,12 @@
 
 func provideAdmin(cfg RoleConfig, b *node.Board, announced *upstream.Announcements) (*admin.Server, error) {
 	server, err := admin.New(admin.Config{
-		Address:  cfg.Settings.AdminAddress,
-		Ready:    func() []string { return notReady(cfg.Settings.Service, b) },
-		Audit:    b.Trail,
+		Address: cfg.Settings.AdminAddress,
+		Ready:   func() []string { return notReady(cfg.Settings.Service, b) },
+		Audit:   b.Trail,
+		Explain: func(context.Context, map[string]string) (any, error) {
+			return b.Config.Explain(cfg.Settings.Service, b.Host()), nil
+		},
 		Announce: announced.Accept,
 		Log:      cfg.Log,
 	})
--- a/cmd/endiveflow/demo.go
+++ b/cmd/endiveflow/demo.go
@@ -4,10 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
@@ -31,9 +30,7 @@
 const errDemoFailed = errors.ConstError("the demo broke a promise, see the report")
 
 // Run runs the demo and fails unless every promise was kept.
-func (c demoCommand) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+func (c demoCommand) Run(ctx context.Context, out io.Writer) error {
 	log := slog.New(slog.DiscardHandler)
 	if c.Verbose {
 		log = slog.Default()
@@ -45,7 +42,7 @@
 	if c.Verbose {
 		metrics.WritePrometheus(os.Stderr, false)
 	}
-	if err := c.print(report); err != nil {
+	if err := c.print(out, report); err != nil {
 		return err
 	}
 	if !report.Passed() {
@@ -60,11 +57,11 @@
 	}
 }
 
-func (c demoCommand) print(r demo.Report) error {
+func (c demoCommand) print(out io.Writer, r demo.Report) error {
 	if !c.JSON {
-		return r.WriteTable(os.Stdout)
+		return r.WriteTable(out)
 	}
-	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+	if err := json.NewEncoder(out).Encode(r); err != nil {
 		return fmt.Errorf("printing report: %w", err)
 	}
 	return nil
--- a/entry/role.go
+++ b/entry/role.go
@@ -12,6 +12,7 @@
 
 	"endiveflow.example/endiveflow/admin"
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/confsync"
 	"endiveflow.example/endiveflow/control"
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/member"
@@ -57,7 +58,10 @@
 	r.app = fx.New(
 		fx.WithLogger(node.FxLogger(cfg.Log)),
 		fx.Supply(cfg, cfg.Log),
-		fx.Provide(provideRing, provideSockets, provideBoard, providePeerClient, provideControl, provideForwarder, provideAdmin, providePeerServer),
+		fx.Provide(
+			provideRing, provideSockets, provideBoard, providePeerClient, newStatusCollector,
+			provideSync, provideControl, provideForwarder, provideAdmin, providePeerServer,
+		),
 		fx.Invoke(register),
 		fx.Populate(&r.board, &r.admin),
 		fx.StopTimeout(cfg.Settings.ShutdownGrace+fabricGrace),
@@ -113,8 +117,11 @@
 	return client, nil
 }
 
-func providePeerServer(cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, c *control.Entry) (*peer.Server, error) {
+func providePeerServer(cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, c *control.Entry,
+	collector *statusCollector,
+) (*peer.Server, error) {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+observedPath, collector.serve)
 	mux.Handle(control.StatePath, c.StateHandler())
 	mux.Handle(control.StatePath+"/", c.StateHandler())
 	server, err := peer.NewServer(peer.ServerConfig{
@@ -177,12 +184,14 @@
 	}
 }
 
-func provideAdmin(cfg RoleConfig, b *node.Board) (*admin.Server, error) {
+func provideAdmin(cfg RoleConfig, b *node.Board, collector *statusCollector) (*admin.Server, error) {
 	ready := &readiness{board: b, now: time.Now}
 	server, err := admin.New(admin.Config{
 		Address: cfg.Settings.AdminAddress,
 		Ready:   ready.reasons,
 		Audit:   b.Trail,
+		Status:  collector.report,
+		Explain: collector.explain,
 		Log:     cfg.Log,
 	})
 	if err != nil {
@@ -199,6 +208,7 @@
 	Sockets    node.Sockets
 	Forwarder  *Forwarder
 	Control    *control.Entry
+	Sync       *confsync.Sync
 	PeerClient *peer.Client
 	PeerServer *peer.Server
 	Admin      *admin.Server
@@ -214,6 +224,7 @@
 		{Name: "peer server", Run: c.PeerServer.Run, Stop: c.PeerServer.Shutdown},
 		{Name: "control", Run: c.Control.Run, Stop: c.leave},
 		{Name: "forwarder", Run: c.Forwarder.Run, Stop: c.stopForwarding},
+		{Name: "store", Run: c.Sync.Run},
 		{Name: "join", Run: c.join},
 	} {
 		node.Append(lc, shutdown, log, ctl)
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/peer"
+	"endiveflow.example/endiveflow/status"
+)
+
+const (
+	// observedPath is the path at which an entry tells what it observes.
+	observedPath = "/entry/observed"
+	// observedTimeout bounds the question to one entry.
+	observedTimeout = 2 * time.Second
+	// observedParallel bounds the questions in flight: a region has 1,400
+	// entries at the target size.
+	observedParallel = 32
+	// maxObservedBytes bounds the answer of one entry.
+	maxObservedBytes = 4 << 20
+)
+
+// observation is a configuration digest from a heartbeat.
+type observation struct {
+	ID     member.ID `cbor:"1,keyasint"`
+	Digest uint64    `cbor:"2,keyasint"`
+}
+
+// statusCollector answers operators. Only the observers of a member know its
+// configuration digest, so the collector asks every entry of the region. That
+// costs a message for each entry and question of an operator, where gossip of
+// the digests would cost every node at each change.
+type statusCollector struct {
+	board  *node.Board
+	client *http.Client
+}
+
+func newStatusCollector(b *node.Board, peers *peer.Client) *statusCollector {
+	return &statusCollector{board: b, client: node.HTTPClient(peers, observedTimeout)}
+}
+
+// report returns what is in force in the region.
+func (c *statusCollector) report(ctx context.Context) (any, error) {
+	records := c.board.Members.Records()
+	digests := c.collect(ctx, records)
+	for i, r := range records {
+		if d, ok := digests[r.ID]; ok {
+			records[i].ConfigDigest = d
+		}
+	}
+	return status.Build(c.board.Config, records), nil
+}
+
+// observed returns the digests that this entry knows at first hand, its own included.
+func (c *statusCollector) observed() []observation {
+	out := []observation{{ID: c.board.Self.Record().ID, Digest: c.board.Config.Digest()}}
+	for _, r := range c.board.Members.Records() {
+		if r.ConfigDigest != 0 && r.ID != out[0].ID {
+			out = append(out, observation{ID: r.ID, Digest: r.ConfigDigest})
+		}
+	}
+	return out
+}
+
+// collect asks all live entries. One that does not answer leaves the digests
+// of its members as this entry knows them.
+func (c *statusCollector) collect(ctx context.Context, records []member.Record) map[member.ID]uint64 {
+	digests := make(map[member.ID]uint64)
+	var mu sync.Mutex
+	merge := func(list []observation) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, o := range list {
+			digests[o.ID] = o.Digest
+		}
+	}
+	slots := make(chan struct{}, observedParallel)
+	var wg sync.WaitGroup
+	self := c.board.Self.Record().ID
+	for _, r := range records {
+		if r.Role != member.RoleEntry || !r.Alive() || r.ID == self {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			list, err := c.ask(ctx, r.Peer)
+			if err != nil {
+				c.board.Log.Info("an entry did not tell what it observes", "entry", r.Peer, "error", err)
+				return
+			}
+			merge(list)
+		})
+	}
+	wg.Wait()
+	// What this entry observes itself is as fresh as any other answer, and its own digest is certain.
+	merge(c.observed())
+	return digests
+}
+
+func (c *statusCollector) ask(ctx context.Context, addr netip.AddrPort) ([]observation, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+addr.String()+observedPath, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("making request: %w", err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("asking: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.NotValidf("answer with status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxObservedBytes))
+	if err != nil {
+		return nil, fmt.Errorf("reading answer: %w", err)
+	}
+	var list []observation
+	if err := cbor.Unmarshal(body, &list); err != nil {
+		return nil, fmt.Errorf("decoding answer: %w", err)
+	}
+	return list, nil
+}
+
+// serve answers the question of another entry.
+func (c *statusCollector) serve(w http.ResponseWriter, _ *http.Request) {
+	body, err := cbor.Marshal(c.observed())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+// explanation says why new flows of a service go where they go.
+type explanation struct {
+	Service string               `json:"service"`
+	Agents  []agentExplanation   `json:"agents"`
+	Policy  []config.Explanation `json:"policy"`
+}
+
+// agentExplanation says how the entry treats one agent.
+type agentExplanation struct {
+	Address  netip.AddrPort `json:"address"`
+	Zone     string         `json:"zone"`
+	State    string         `json:"state"`
+	Weight   uint8          `json:"weight"`
+	NewFlows bool           `json:"newFlows"`
+	Reason   string         `json:"reason"`
+}
+
+// explain answers "explain": for a service, which agents get new flows and why,
+// and where each setting comes from.
+func (c *statusCollector) explain(_ context.Context, query map[string]string) (any, error) {
+	name := query["service"]
+	tag := config.TagOf(name)
+	if _, _, ok := c.board.Config.Service(tag); !ok {
+		return nil, errors.NotFoundf("service %q", name)
+	}
+	host, _ := netip.ParseAddr(query["host"])
+	out := explanation{Service: name, Policy: c.board.Config.Explain(name, host)}
+	for _, r := range c.board.Members.OfService(tag) {
+		newFlows, reason := c.newFlows(r)
+		out.Agents = append(out.Agents, agentExplanation{
+			Address: r.Tunnel, Zone: r.Zone, State: r.State.String(), Weight: r.Weight, NewFlows: newFlows, Reason: reason,
+		})
+	}
+	return out, nil
+}
+
+// newFlows says whether an agent gets new flows from this entry, and why.
+func (c *statusCollector) newFlows(r member.Record) (bool, string) {
+	switch {
+	case !c.board.Config.AllowsHost(r.Service, r.Tunnel.Addr()):
+		return false, "no Upstream of the service allows the host"
+	case c.board.Members.Suspect(r.ID):
+		return false, "this entry misses its heartbeats"
+	case r.State != member.StateReady:
+		return false, "state is " + r.State.String()
+	case r.Weight == 0:
+		return false, "weight is 0"
+	case r.Weight < member.FullWeight:
+		return true, fmt.Sprintf("slow start at %d%%", r.Weight)
+	}
+	return true, "ready"
+}
