cmd/endiveflow: test a paused and a killed agent as processes

Cause: at most once and the recovery of flows were proved over packages only. Ruled out: asserting that no flow breaks, since a killed agent takes its flows with it; what must hold is that callers learn it and nothing runs twice. Change: two end-to-end tests over eleven processes each: SIGSTOP of an agent for 6 s and SIGCONT, SIGKILL of an agent and its restart.

--- /dev/null
+++ b/cmd/endiveflow/e2e_faults_test.go
@@ -0,0 +1,80 @@
+package main_test
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pauseFor is longer than the time after which observers declare a silent
+// agent of a small fleet dead.
+const pauseFor = 6 * time.Second
+
+// requireAtMostOnce checks that no request that may not be repeated ran twice,
+// and that callers got every answer but those whose outcome is honestly unknown.
+func requireAtMostOnce(t *testing.T, f *fleet, c *traffic) {
+	t.Helper()
+	for id, n := range f.executed() {
+		if strings.Contains(id, "POST") {
+			require.Equal(t, 1, n, "request %s", id)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.Logf("%d answers, %d faults", c.answered.Load(), len(c.faults))
+	for _, fault := range c.faults {
+		lostFlow := strings.HasPrefix(fault, "flow broke")
+		unknownPost := strings.Contains(fault, "POST") && strings.Contains(fault, "unknown")
+		require.True(t, lostFlow || unknownPost, fault)
+	}
+}
+
+// A paused agent still believes that it holds its keys when it resumes. Neither
+// its old requests nor their repeats elsewhere may run twice.
+func TestPausedAgentRunsNothingTwice(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts eleven processes")
+	}
+	t.Parallel()
+	f := newFleet(t)
+	processes := f.startAll()
+	rota, end := f.startTraffic("rota", 8441)
+	rota.progress(t)
+
+	agent := processes["agent-rota-1"].Process
+	require.NoError(t, agent.Signal(syscall.SIGSTOP))
+	time.Sleep(pauseFor)
+	rota.progress(t)
+	require.NoError(t, agent.Signal(syscall.SIGCONT))
+	rota.progress(t)
+	f.awaitReady("21")
+
+	end()
+	requireAtMostOnce(t, f, rota)
+}
+
+// Callers of a killed agent must not wait for their timeouts: its next
+// incarnation ends their flows, they open new ones and go on.
+func TestKilledAgentIsReplaced(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts eleven processes")
+	}
+	t.Parallel()
+	f := newFleet(t)
+	processes := f.startAll()
+	rota, end := f.startTraffic("rota", 8441)
+	rota.progress(t)
+
+	require.NoError(t, processes["agent-rota-1"].Process.Kill())
+	_ = processes["agent-rota-1"].Wait()
+	f.start("agent-rota-1", "agent")
+	f.awaitReady("21")
+	rota.progress(t)
+
+	end()
+	requireAtMostOnce(t, f, rota)
+	require.Contains(t, strings.Join(rota.faults, "\n"), "stateless reset", "no flow was ended by the next incarnation")
+}
--- a/cmd/endiveflow/e2e_test.go
+++ b/cmd/endiveflow/e2e_test.go
@@ -250,6 +250,7 @@
 	if testing.Short() {
 		t.Skip("starts eleven processes")
 	}
+	t.Parallel()
 	f := newFleet(t)
 	processes := f.startAll()
 	rota, endRota := f.startTraffic("rota", 8441)
