--- a/entry/address_test.go
+++ b/entry/address_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/testkit"
 )
 
 // keptFor is how long flows must work after a change of addresses.
@@ -26,7 +27,7 @@
 func newAddressSite(t *testing.T) *addressSite {
 	s := &addressSite{site: newSite(t, 2)}
 	for number := range byte(2) {
-		s.agents = append(s.agents, startAgent(t, newRing(t, 1, 2), serviceB, 3+number, s.entries))
+		s.agents = append(s.agents, startAgent(t, testkit.Ring(t, 1, 2), serviceB, 3+number, s.entries))
 	}
 	for range 3 {
 		s.start(t, newView(s.records()...), nil)
@@ -37,7 +38,7 @@
 
 // start starts one more forwarder.
 func (s *addressSite) start(t *testing.T, v *view, change func(*ForwarderConfig)) {
-	f := newForwarder(t, newRing(t, 1, 2), v)
+	f := newForwarder(t, testkit.Ring(t, 1, 2), v)
 	if change != nil {
 		change(&f.cfg)
 	}
@@ -115,7 +116,7 @@
 		s.start(t, v, func(cfg *ForwarderConfig) {
 			cfg.AllowsHost = func(tag config.ServiceTag, _ netip.Addr) bool { return tag == serviceB }
 			cfg.Former = func() []FormerAddress {
-				networks := []netip.Prefix{netip.PrefixFrom(loopback, 8)}
+				networks := []netip.Prefix{netip.PrefixFrom(testkit.Loopback, 8)}
 				return []FormerAddress{{Service: serviceA, Address: anyPort(1), Until: time.Now().Add(-time.Minute), Networks: networks}}
 			}
 		})
@@ -123,7 +124,7 @@
 	s.useEntries(s.forwarders...)
 	var fronts []netip.AddrPort
 	for _, f := range s.forwarders {
-		fronts = append(fronts, addrOf((*f.sockets.Load())[binding{serviceA, anyPort(1)}].conn))
+		fronts = append(fronts, testkit.AddrOf((*f.sockets.Load())[binding{serviceA, anyPort(1)}].conn))
 	}
 	toA.use(fronts...)
 	requireFlows(t, agentOf)
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -11,6 +11,7 @@
 
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/testkit"
 	"endiveflow.example/endiveflow/tunnel"
 )
 
@@ -31,13 +32,13 @@
 }
 
 func newBenchPath(t testing.TB) *benchPath {
-	ring := newRing(t, 1)
+	ring := testkit.Ring(t, 1)
 	agent := newSink(t, ring, serviceA)
 	r := record(1, serviceA, member.Incarnation(agent.place.Incarnation), member.StateReady)
 	r.Tunnel = agent.place.Agent
 	f := newForwarder(t, ring, newView(r))
 	bind(t, f)
-	p := &benchPath{f: f, s: (*f.sockets.Load())[binding{service: serviceA}], agent: agent, caller: addrOf(listen(t))}
+	p := &benchPath{f: f, s: (*f.sockets.Load())[binding{service: serviceA}], agent: agent, caller: testkit.AddrOf(testkit.Listen(t))}
 	p.inFlow = append(agent.packet(t, 1), make([]byte, benchPacketBytes)...)[:benchPacketBytes]
 	p.opening = append([]byte{0xc0, 0, 0, 0, 1, 8}, make([]byte, benchPacketBytes-6)...)
 	h := tunnel.Header{Kind: tunnel.KindReturn, Service: serviceA, Incarnation: 5, Caller: p.caller, ServiceAddress: anyPort(1)}
@@ -76,12 +77,12 @@
 	const senders = 4
 	p := newBenchPath(b)
 	p.f.readers.Go(func() { p.f.readService(b.Context(), p.s) })
-	to := addrOf(p.s.conn)
+	to := testkit.AddrOf(p.s.conn)
 	require.NoError(b, p.agent.SetReadBuffer(socketBuffer))
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	for range senders {
-		from := listen(b)
+		from := testkit.Listen(b)
 		running.Go(func() { flood(from, to, p.inFlow, stop) })
 	}
 	buf := make([]byte, 1500)
@@ -122,7 +123,7 @@
 	for _, r := range records {
 		byService[r.Service] = append(byService[r.Service], r)
 	}
-	f := newForwarder(b, newRing(b, 1), newView())
+	f := newForwarder(b, testkit.Ring(b, 1), newView())
 	f.cfg.Members = func(tag config.ServiceTag) []member.Record { return byService[tag] }
 	services := make(map[config.ServiceTag]netip.AddrPort)
 	for tag := range byService {
--- a/entry/flows_test.go
+++ b/entry/flows_test.go
@@ -18,6 +18,7 @@
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/flowid"
 	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/testkit"
 	"endiveflow.example/endiveflow/tunnel"
 )
 
@@ -37,7 +38,7 @@
 }
 
 func newFabric(t *testing.T) *fabric {
-	f := &fabric{front: listen(t), used: make(map[netip.AddrPort]bool), backs: make(map[netip.AddrPort]*net.UDPConn)}
+	f := &fabric{front: testkit.Listen(t), used: make(map[netip.AddrPort]bool), backs: make(map[netip.AddrPort]*net.UDPConn)}
 	var readers sync.WaitGroup
 	t.Cleanup(func() {
 		f.front.Close()
@@ -66,7 +67,7 @@
 	defer f.mu.Unlock()
 	back := f.backs[caller]
 	if back == nil {
-		back, _ = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, 0)))
+		back, _ = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(testkit.Loopback, 0)))
 		f.backs[caller] = back
 		readers.Go(func() {
 			buf := make([]byte, 1500)
@@ -110,9 +111,9 @@
 }
 
 func startAgent(t *testing.T, ring *fleetkey.Ring, service config.ServiceTag, number byte, entries func() []netip.AddrPort) *echoAgent {
-	socket := listen(t)
+	socket := testkit.Listen(t)
 	r := record(int(number), service, member.Incarnation(number)*1000, member.StateReady)
-	r.Tunnel = addrOf(socket)
+	r.Tunnel = testkit.AddrOf(socket)
 	place := Observation{Record: r}.place()
 	codec, err := tunnel.NewCodec(ring)
 	require.NoError(t, err)
@@ -155,15 +156,15 @@
 }
 
 func serverTLS(t *testing.T) *tls.Config {
-	config, err := newRing(t, 9).PeerTLS(loopback, protocol)
+	config, err := testkit.Ring(t, 9).PeerTLS(testkit.Loopback, protocol)
 	require.NoError(t, err)
 	return config
 }
 
 func dial(t *testing.T, f *fabric) *quic.Conn {
 	config := serverTLS(t)
-	config.ServerName = loopback.String()
-	transport := &quic.Transport{Conn: listen(t)}
+	config.ServerName = testkit.Loopback.String()
+	transport := &quic.Transport{Conn: testkit.Listen(t)}
 	t.Cleanup(func() { transport.Close() })
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -202,7 +203,7 @@
 func newSite(t *testing.T, agents int) *site {
 	s := &site{fabric: newFabric(t)}
 	for n := range agents {
-		s.agents = append(s.agents, startAgent(t, newRing(t, 1, 2), serviceA, byte(n+1), s.entries))
+		s.agents = append(s.agents, startAgent(t, testkit.Ring(t, 1, 2), serviceA, byte(n+1), s.entries))
 	}
 	return s
 }
@@ -226,7 +227,7 @@
 	var fronts, tunnels []netip.AddrPort
 	for _, f := range forwarders {
 		fronts = append(fronts, f.Bound()[serviceA])
-		tunnels = append(tunnels, addrOf(f.cfg.Tunnel))
+		tunnels = append(tunnels, testkit.AddrOf(f.cfg.Tunnel))
 	}
 	s.mu.Lock()
 	s.live = tunnels
@@ -257,7 +258,7 @@
 		forwarders, cancels = append(forwarders, f), append(cancels, cancel)
 	}
 	for range 3 {
-		run(newRing(t, 1, 2), s.records()...)
+		run(testkit.Ring(t, 1, 2), s.records()...)
 	}
 	s.useEntries(forwarders...)
 	agentOf := make(map[*quic.Conn]byte)
@@ -265,7 +266,7 @@
 		conn := dial(t, s.fabric)
 		agentOf[conn] = requireEcho(t, conn)
 	}
-	rotated := newRing(t, 2, 1)
+	rotated := testkit.Ring(t, 2, 1)
 	for i, records := range [][]member.Record{nil, stale, ahead} {
 		run(rotated, records...)
 		s.useEntries(forwarders[i+1:]...)
@@ -287,7 +288,7 @@
 // which its end would cut, and flows that it has must stay.
 func TestNewFlowsLeaveDrainingAgent(t *testing.T) {
 	s := newSite(t, 3)
-	f := newForwarder(t, newRing(t, 1, 2), newView(s.records()...))
+	f := newForwarder(t, testkit.Ring(t, 1, 2), newView(s.records()...))
 	bind(t, f)
 	s.useEntries(f)
 	var kept *quic.Conn
@@ -308,7 +309,7 @@
 func TestResetEndsFlowsOfGoneAgent(t *testing.T) {
 	s := newSite(t, 3)
 	v := newView(s.records()...)
-	f := newForwarder(t, newRing(t, 1, 2), v)
+	f := newForwarder(t, testkit.Ring(t, 1, 2), v)
 	bind(t, f)
 	s.useEntries(f)
 	conn := dial(t, s.fabric)
--- a/entry/former_test.go
+++ b/entry/former_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/testkit"
 	"endiveflow.example/endiveflow/tunnel"
 )
 
@@ -34,24 +35,24 @@
 	for local, s := range m.f.bound {
 		for _, agent := range m.agents {
 			b := binding{agent.place.Service, local}
-			answer := agent.codec.Append(nil, tunnel.Header{Kind: tunnel.KindReturn, Service: b.service, Caller: addrOf(m.caller), ServiceAddress: local}, []byte("answer"))
+			answer := agent.codec.Append(nil, tunnel.Header{Kind: tunnel.KindReturn, Service: b.service, Caller: testkit.AddrOf(m.caller), ServiceAddress: local}, []byte("answer"))
 			packet := agent.packet(t, 1)
 			if !m.had[b] {
 				refusedPackets, refusedAnswers := dropService.Get(), dropNoSocket.Get()
-				sendTo(t, m.caller, addrOf(s.conn), packet)
-				sendTo(t, agent.UDPConn, addrOf(m.f.cfg.Tunnel), answer)
+				sendTo(t, m.caller, testkit.AddrOf(s.conn), packet)
+				sendTo(t, agent.UDPConn, testkit.AddrOf(m.f.cfg.Tunnel), answer)
 				require.Eventually(t, func() bool {
 					return dropService.Get() == refusedPackets+1 && dropNoSocket.Get() == refusedAnswers+1
 				}, 5*time.Second, 100*time.Microsecond)
 				continue
 			}
-			sendTo(t, m.caller, addrOf(s.conn), packet)
+			sendTo(t, m.caller, testkit.AddrOf(s.conn), packet)
 			require.Equal(t, local, agent.requirePacket(t, packet).ServiceAddress)
-			sendTo(t, agent.UDPConn, addrOf(m.f.cfg.Tunnel), answer)
+			sendTo(t, agent.UDPConn, testkit.AddrOf(m.f.cfg.Tunnel), answer)
 			require.NoError(t, m.caller.SetReadDeadline(time.Now().Add(5*time.Second)))
 			_, from, err := m.caller.ReadFromUDPAddrPort(make([]byte, 1500))
 			require.NoError(t, err)
-			require.Equal(t, addrOf(s.conn), from)
+			require.Equal(t, testkit.AddrOf(s.conn), from)
 		}
 	}
 }
@@ -60,9 +61,9 @@
 // that its ID names, through an address that the service has or had, and the
 // answer must leave from that address.
 func TestSharedAddressesDoNotMixServices(t *testing.T) {
-	ring, v := newRing(t, 1), newView()
+	ring, v := testkit.Ring(t, 1), newView()
 	tags := []config.ServiceTag{serviceA, serviceB, 0xc}
-	m := &addressModel{f: newForwarder(t, ring, v), caller: listen(t)}
+	m := &addressModel{f: newForwarder(t, ring, v), caller: testkit.Listen(t)}
 	for _, tag := range tags {
 		m.agents = append(m.agents, newSink(t, ring, tag))
 	}
@@ -120,7 +121,7 @@
 // Packets must keep a former address open, addresses past the limit must go,
 // and the configuration must not bring back what was given up.
 func TestFormerAddressesAreBounded(t *testing.T) {
-	ring, v, caller := newRing(t, 1), newView(), listen(t)
+	ring, v, caller := testkit.Ring(t, 1), newView(), testkit.Listen(t)
 	agent, f := newSink(t, ring, serviceA), newForwarder(t, ring, v)
 	now := setNow(f)
 	f.cfg.Former = func() []FormerAddress {
@@ -146,20 +147,20 @@
 	require.Empty(t, f.bound)
 
 	for i := range maxFormer + 1 {
-		b := binding{serviceB, netip.AddrPortFrom(loopback, uint16(i))}
+		b := binding{serviceB, netip.AddrPortFrom(testkit.Loopback, uint16(i))}
 		f.former[b] = &formerAddress{binding: b, since: start.Add(time.Duration(i))}
 	}
 	f.limitFormer()
 	require.Len(t, f.former, maxFormer)
-	require.NotContains(t, f.former, binding{serviceB, netip.AddrPortFrom(loopback, 0)})
+	require.NotContains(t, f.former, binding{serviceB, netip.AddrPortFrom(testkit.Loopback, 0)})
 }
 
 // An entry whose sockets do not have the services' addresses cannot tell a
 // former address from the present one, but must carry the flows of both.
 func TestChangeOfAddressWithBindIP(t *testing.T) {
-	ring, v, caller := newRing(t, 1), newView(), listen(t)
+	ring, v, caller := testkit.Ring(t, 1), newView(), testkit.Listen(t)
 	agent, f := newSink(t, ring, serviceA), newForwarder(t, ring, v)
-	f.cfg.BindIP = loopback
+	f.cfg.BindIP = testkit.Loopback
 	v.services.Store(&map[config.ServiceTag]netip.AddrPort{serviceA: anyPort(1)})
 	bind(t, f)
 	to := f.Bound()[serviceA]
--- a/entry/forwarder_test.go
+++ b/entry/forwarder_test.go
@@ -16,32 +16,11 @@
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/flowid"
 	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/testkit"
+	_ "endiveflow.example/endiveflow/testseed"
 	"endiveflow.example/endiveflow/tunnel"
 )
 
-var loopback = netip.MustParseAddr("127.0.0.1")
-
-func newRing(t testing.TB, ids ...uint8) *fleetkey.Ring {
-	var cfg fleetkey.Config
-	for _, id := range ids {
-		cfg.Keys = append(cfg.Keys, fleetkey.Key{ID: id, Secret: bytes.Repeat([]byte{id}, fleetkey.MinSecretBytes)})
-	}
-	ring, err := fleetkey.New(cfg)
-	require.NoError(t, err)
-	return ring
-}
-
-func listen(t testing.TB) *net.UDPConn {
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, 0)))
-	require.NoError(t, err)
-	t.Cleanup(func() { socket.Close() })
-	return socket
-}
-
-func addrOf(c interface{ LocalAddr() net.Addr }) netip.AddrPort {
-	return c.LocalAddr().(*net.UDPAddr).AddrPort()
-}
-
 // anyPort is the address of a service at a port that the kernel chooses. Each
 // number is another address.
 func anyPort(number byte) netip.AddrPort {
@@ -75,7 +54,7 @@
 func newForwarder(t testing.TB, ring *fleetkey.Ring, v *view) *Forwarder {
 	f, err := NewForwarder(ForwarderConfig{
 		Ring:       ring,
-		Tunnel:     listen(t),
+		Tunnel:     testkit.Listen(t),
 		Services:   func() map[config.ServiceTag]netip.AddrPort { return *v.services.Load() },
 		Members:    v.of,
 		AllowsHost: func(_ config.ServiceTag, ip netip.Addr) bool { return ip.IsLoopback() },
@@ -107,8 +86,8 @@
 	require.NoError(t, err)
 	ids, err := flowid.New(flowid.Config{Ring: ring})
 	require.NoError(t, err)
-	socket := listen(t)
-	return &sink{socket, codec, flowid.Place{Agent: addrOf(socket), Service: service, Incarnation: 5}, ids}
+	socket := testkit.Listen(t)
+	return &sink{socket, codec, flowid.Place{Agent: testkit.AddrOf(socket), Service: service, Incarnation: 5}, ids}
 }
 
 // packet returns a packet of a flow at the sink, recognizable by its mark.
@@ -139,8 +118,8 @@
 // An entry whose view of the members is empty, stale or ahead must still send
 // each packet of an open flow to the flow's agent.
 func TestFlowStaysWhateverTheView(t *testing.T) {
-	ring := newRing(t, 1)
-	agent, v, caller := newSink(t, ring, serviceA), newView(), listen(t)
+	ring := testkit.Ring(t, 1)
+	agent, v, caller := newSink(t, ring, serviceA), newView(), testkit.Listen(t)
 	f := newForwarder(t, ring, v)
 	bind(t, f)
 	rapid.Check(t, func(t *rapid.T) {
@@ -166,9 +145,9 @@
 // A packet must never reach an agent of another service, also while and after
 // another service shares the address, nor a host that the service does not allow.
 func TestServicesDoNotMix(t *testing.T) {
-	ring := newRing(t, 1)
+	ring := testkit.Ring(t, 1)
 	a, b := newSink(t, ring, serviceA), newSink(t, ring, serviceB)
-	v, caller := newView(), listen(t)
+	v, caller := newView(), testkit.Listen(t)
 	f := newForwarder(t, ring, v)
 	bind(t, f)
 	foreign := newSink(t, ring, serviceA)
@@ -222,8 +201,8 @@
 
 // An entry that stops at once cuts off callers that the fabric still sends to it.
 func TestStopForwardsThroughGrace(t *testing.T) {
-	ring := newRing(t, 1)
-	agent, v, caller := newSink(t, ring, serviceA), newView(), listen(t)
+	ring := testkit.Ring(t, 1)
+	agent, v, caller := newSink(t, ring, serviceA), newView(), testkit.Listen(t)
 	f := newForwarder(t, ring, v)
 	ended := f.Run(t.Context())
 	to := f.Bound()[serviceA]
--- a/entry/gone_test.go
+++ b/entry/gone_test.go
@@ -69,9 +69,9 @@
 	at := func(r member.Record) []member.Record { return append(slices.Clone(others), r) }
 	ready, left := record(1, serviceA, 5, member.StateReady), record(1, serviceA, 5, member.StateLeft)
 	dead, successor := record(1, serviceA, 5, member.StateDead), record(1, serviceA, 6, member.StateReady)
-	tenant := record(1, serviceB, 6, member.StateReady)
+	otherService := record(1, serviceB, 6, member.StateReady)
 	// A successor whose tag, the part of its incarnation in packets, is that of its predecessor.
-	twin := record(1, serviceA, 5<<16, member.StateReady)
+	sameTag := record(1, serviceA, 5<<16, member.StateReady)
 	for name, c := range map[string]struct {
 		steps []member.Record
 		age   time.Duration
@@ -84,10 +84,10 @@
 		"death seen again":       {[]member.Record{dead, dead.WithWeight(1)}, 10 * time.Second, map[flowid.Place]GoneReason{placeOf(dead): GoneDead}},
 		"refuted death":          {[]member.Record{dead, ready}, time.Hour, nil},
 		"replaced":               {[]member.Record{ready, successor}, 0, map[flowid.Place]GoneReason{placeOf(ready): GoneReplaced}},
-		"replaced, same tag":     {[]member.Record{ready, twin}, time.Hour, nil},
+		"replaced, same tag":     {[]member.Record{ready, sameTag}, time.Hour, nil},
 		"late old record":        {[]member.Record{successor, ready}, 0, map[flowid.Place]GoneReason{placeOf(ready): GoneReplaced}},
 		"successor not yet seen": {[]member.Record{dead}, time.Hour, map[flowid.Place]GoneReason{placeOf(dead): GoneDead}},
-		"other service":          {[]member.Record{ready, tenant}, 0, map[flowid.Place]GoneReason{placeOf(ready): GoneReplaced}},
+		"other service":          {[]member.Record{ready, otherService}, 0, map[flowid.Place]GoneReason{placeOf(ready): GoneReplaced}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o := newObserver()
@@ -116,7 +116,7 @@
 		o.update(before, records, start)
 		before = records
 	}
-	require.Len(t, o.seats[before[0].Tunnel].replaced, maxReplaced)
+	require.Len(t, o.histories[before[0].Tunnel].replaced, maxReplaced)
 	o.update(before, nil, start)
-	require.Empty(t, o.seats)
+	require.Empty(t, o.histories)
 }
--- a/entry/observer.go
+++ b/entry/observer.go
@@ -17,18 +17,19 @@
 // observer turns successive member records into observations. It is not safe
 // for concurrent use.
 type observer struct {
-	// seats holds what was seen at each tunnel address that the records name.
-	seats map[netip.AddrPort]*seat
+	// histories holds what was seen at each tunnel address that the records name.
+	histories map[netip.AddrPort]*agentHistory
 }
 
-type seat struct {
+// agentHistory holds the incarnations seen at one tunnel address.
+type agentHistory struct {
 	current Observation
 	// replaced are earlier incarnations at the address, newest last, none
 	// with the tag of the current one.
 	replaced []Observation
 }
 
-func newObserver() *observer { return &observer{seats: make(map[netip.AddrPort]*seat)} }
+func newObserver() *observer { return &observer{histories: make(map[netip.AddrPort]*agentHistory)} }
 
 // update takes the records of one service in place of those it had before.
 func (o *observer) update(before, records []member.Record, now time.Time) {
@@ -38,46 +39,46 @@
 		o.see(r, now)
 	}
 	for _, r := range before {
-		s := o.seats[r.Tunnel]
-		if !listed[r.Tunnel] && s != nil && s.current.Record.Service == r.Service {
-			delete(o.seats, r.Tunnel)
+		h := o.histories[r.Tunnel]
+		if !listed[r.Tunnel] && h != nil && h.current.Record.Service == r.Service {
+			delete(o.histories, r.Tunnel)
 		}
 	}
 }
 
 func (o *observer) see(r member.Record, now time.Time) {
-	s := o.seats[r.Tunnel]
-	if s == nil {
-		o.seats[r.Tunnel] = &seat{current: Observation{Record: r, Since: now}}
+	h := o.histories[r.Tunnel]
+	if h == nil {
+		o.histories[r.Tunnel] = &agentHistory{current: Observation{Record: r, Since: now}}
 		return
 	}
-	known := s.current
+	known := h.current
 	switch {
 	case r.Incarnation < known.Record.Incarnation:
-		s.replace(Observation{Record: r, Since: now})
+		h.replace(Observation{Record: r, Since: now})
 	case r.Incarnation > known.Record.Incarnation:
-		s.current = Observation{Record: r, Since: now}
-		s.replace(known)
+		h.current = Observation{Record: r, Since: now}
+		h.replace(known)
 	default:
-		s.current.Record = r
+		h.current.Record = r
 		if r.State != known.Record.State {
-			s.current.Since = now
+			h.current.Since = now
 		}
 	}
 }
 
 // replace remembers a replaced incarnation. Packets carry only the tag of an
 // incarnation, so one with the tag of the current incarnation is left out.
-func (s *seat) replace(o Observation) {
+func (h *agentHistory) replace(o Observation) {
 	o.Replaced = true
-	current := s.current.place()
+	current := h.current.place()
 	same := func(r Observation) bool { return r.place() == o.place() }
-	if !slices.ContainsFunc(s.replaced, same) {
-		s.replaced = append(s.replaced, o)
+	if !slices.ContainsFunc(h.replaced, same) {
+		h.replaced = append(h.replaced, o)
 	}
-	s.replaced = slices.DeleteFunc(s.replaced, func(r Observation) bool { return r.place() == current })
-	if extra := len(s.replaced) - maxReplaced; extra > 0 {
-		s.replaced = slices.Delete(s.replaced, 0, extra)
+	h.replaced = slices.DeleteFunc(h.replaced, func(r Observation) bool { return r.place() == current })
+	if extra := len(h.replaced) - maxReplaced; extra > 0 {
+		h.replaced = slices.Delete(h.replaced, 0, extra)
 	}
 }
 
@@ -85,9 +86,9 @@
 // whether a death is not yet old enough to count.
 func (o *observer) gone(policy func(config.ServiceTag) config.Policy, now time.Time) (map[flowid.Place]GoneReason, bool) {
 	services, pending := o.affected()
-	for _, s := range o.seats {
-		services.add(s.current)
-		for _, r := range s.replaced {
+	for _, h := range o.histories {
+		services.add(h.current)
+		for _, r := range h.replaced {
 			services.add(r)
 		}
 	}
@@ -106,12 +107,12 @@
 func (o *observer) affected() (affected, bool) {
 	services := make(affected)
 	dead := false
-	for _, s := range o.seats {
-		dead = dead || s.current.Record.State == member.StateDead
-		if !s.current.Record.Alive() {
-			services[s.current.Record.Service] = nil
+	for _, h := range o.histories {
+		dead = dead || h.current.Record.State == member.StateDead
+		if !h.current.Record.Alive() {
+			services[h.current.Record.Service] = nil
 		}
-		for _, r := range s.replaced {
+		for _, r := range h.replaced {
 			services[r.Record.Service] = nil
 		}
 	}
--- a/flowid/codec_test.go
+++ b/flowid/codec_test.go
@@ -13,20 +13,12 @@
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/testkit"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
-func newRing(t require.TestingT, ids ...uint8) *fleetkey.Ring {
-	var cfg fleetkey.Config
-	for _, id := range ids {
-		cfg.Keys = append(cfg.Keys, fleetkey.Key{ID: id, Secret: bytes.Repeat([]byte{id}, fleetkey.MinSecretBytes)})
-	}
-	ring, err := fleetkey.New(cfg)
-	require.NoError(t, err)
-	return ring
-}
-
 func newCodec(t require.TestingT, ids ...uint8) *flowid.Codec {
-	codec, err := flowid.New(flowid.Config{Ring: newRing(t, ids...)})
+	codec, err := flowid.New(flowid.Config{Ring: testkit.Ring(t, ids...)})
 	require.NoError(t, err)
 	return codec
 }
@@ -84,7 +76,7 @@
 
 // craft returns an ID that is right but for its check byte.
 func craft(t *testing.T, keyID, check byte) []byte {
-	key, err := newRing(t, keyID).Derive(keyID, fleetkey.PurposeConnectionID, "", 32)
+	key, err := testkit.Ring(t, keyID).Derive(keyID, fleetkey.PurposeConnectionID, "", 32)
 	require.NoError(t, err)
 	block, err := aes.NewCipher(key)
 	require.NoError(t, err)
--- a/flowid/requestkey_test.go
+++ b/flowid/requestkey_test.go
@@ -10,10 +10,11 @@
 
 	"endiveflow.example/endiveflow/flowid"
 	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/testkit"
 )
 
 func newKeyCodec(t require.TestingT, ids ...uint8) *flowid.KeyCodec {
-	codec, err := flowid.NewKeyCodec(flowid.Config{Ring: newRing(t, ids...)})
+	codec, err := flowid.NewKeyCodec(flowid.Config{Ring: testkit.Ring(t, ids...)})
 	require.NoError(t, err)
 	return codec
 }
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -14,6 +14,7 @@
 
 	"endiveflow.example/endiveflow/member"
 	"endiveflow.example/endiveflow/route"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func candidate(n int, weight uint8) route.Candidate {
--- /dev/null
+++ b/testkit/doc.go
@@ -0,0 +1,2 @@
+// Package testkit holds what the tests of several packages need.
+package testkit
--- a/tunnel/alloc_test.go
+++ b/tunnel/alloc_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/testkit"
 	"endiveflow.example/endiveflow/tunnel"
 )
 
@@ -32,7 +33,7 @@
 	packet, buf := make([]byte, 1200), make([]byte, 0, 1500)
 	require.Zero(t, testing.AllocsPerRun(1000, func() {
 		buf = codec.Append(buf[:0], h, packet)
-		_, _ = entry.WriteToUDPAddrPort(buf, addrOf(conn))
+		_, _ = entry.WriteToUDPAddrPort(buf, testkit.AddrOf(conn))
 		_, addr, _ := conn.ReadFrom(packet)
 		_, _ = conn.WriteTo(packet, addr)
 	}))
--- a/tunnel/codec.go
+++ b/tunnel/codec.go
@@ -44,8 +44,8 @@
 	keyBytes      = 32
 )
 
-// flagHandedOn marks a packet that one agent passed to another.
-const flagHandedOn = 1
+// flagForwarded marks a packet that one agent forwarded to another.
+const flagForwarded = 1
 
 // Kind says what a datagram carries.
 type Kind uint8
@@ -63,15 +63,15 @@
 // Header is the immutable header of a datagram.
 type Header struct {
 	Kind Kind
-	// HandedOn says that an agent passed the packet on. It happens at most once per packet.
-	HandedOn bool
-	Service  config.ServiceTag
+	// Forwarded says that an agent forwarded the packet to another. It happens at most once per packet.
+	Forwarded bool
+	Service   config.ServiceTag
 	// Incarnation is the tag of the agent's incarnation: of the receiver when
 	// an entry sends, of the sender when an agent sends.
 	Incarnation uint16
 	// Caller is the caller's address. It is IPv4.
 	Caller netip.AddrPort
-	// Second is the second candidate of a first flight or, when HandedOn is
+	// Second is the second candidate of a first flight or, when Forwarded is
 	// set, the tunnel address of the entry that the answers go through. The
 	// zero value means none; otherwise it is IPv4.
 	Second netip.AddrPort
@@ -160,8 +160,8 @@
 	head[kindAt] = byte(h.Kind)
 	head[keyIDAt] = c.active
 	head[flagsAt] = 0
-	if h.HandedOn {
-		head[flagsAt] = flagHandedOn
+	if h.Forwarded {
+		head[flagsAt] = flagForwarded
 	}
 	binary.BigEndian.PutUint32(head[serviceAt:], uint32(h.Service))
 	binary.BigEndian.PutUint16(head[incarnationAt:], h.Incarnation)
@@ -208,7 +208,7 @@
 	}
 	return Header{
 		Kind:           kind,
-		HandedOn:       head[flagsAt]&flagHandedOn != 0,
+		Forwarded:      head[flagsAt]&flagForwarded != 0,
 		Service:        config.ServiceTag(binary.BigEndian.Uint32(head[serviceAt:])),
 		Incarnation:    binary.BigEndian.Uint16(head[incarnationAt:]),
 		Caller:         getAddrPort(head[callerAt:]),
--- a/tunnel/codec_test.go
+++ b/tunnel/codec_test.go
@@ -10,22 +10,13 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/config"
-	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/testkit"
+	_ "endiveflow.example/endiveflow/testseed"
 	"endiveflow.example/endiveflow/tunnel"
 )
 
-func newRing(t require.TestingT, ids ...uint8) *fleetkey.Ring {
-	var cfg fleetkey.Config
-	for _, id := range ids {
-		cfg.Keys = append(cfg.Keys, fleetkey.Key{ID: id, Secret: bytes.Repeat([]byte{id}, fleetkey.MinSecretBytes)})
-	}
-	ring, err := fleetkey.New(cfg)
-	require.NoError(t, err)
-	return ring
-}
-
 func newCodec(t require.TestingT, ids ...uint8) *tunnel.Codec {
-	codec, err := tunnel.NewCodec(newRing(t, ids...))
+	codec, err := tunnel.NewCodec(testkit.Ring(t, ids...))
 	require.NoError(t, err)
 	return codec
 }
@@ -47,7 +38,7 @@
 	}
 	h := tunnel.Header{
 		Kind:        rapid.SampledFrom([]tunnel.Kind{tunnel.KindFlow, tunnel.KindFirstFlight, tunnel.KindReturn}).Draw(t, "kind"),
-		HandedOn:    rapid.Bool().Draw(t, "handed on"),
+		Forwarded:   rapid.Bool().Draw(t, "forwarded"),
 		Service:     config.ServiceTag(rapid.Uint32().Draw(t, "service")),
 		Incarnation: rapid.Uint16().Draw(t, "incarnation"),
 		Caller:      addr("caller"),
--- a/tunnel/conn.go
+++ b/tunnel/conn.go
@@ -103,8 +103,8 @@
 	dropNoEntry     = dropCounter("no entry")
 	dropWrite       = dropCounter("write")
 
-	handedOn = metrics.GetOrCreateCounter("endiveflow_tunnel_handed_on_total")
-	resets   = metrics.GetOrCreateCounter("endiveflow_tunnel_resets_total")
+	forwarded = metrics.GetOrCreateCounter("endiveflow_tunnel_forwarded_total")
+	resets    = metrics.GetOrCreateCounter("endiveflow_tunnel_resets_total")
 )
 
 func dropCounter(reason string) *metrics.Counter {
@@ -148,8 +148,8 @@
 		dropService.Inc()
 		return nil, nil
 	}
-	if h.HandedOn {
-		// The agent that passed the packet on knows neither this agent's
+	if h.Forwarded {
+		// The agent that forwarded the packet knows neither this agent's
 		// incarnation nor a path to the caller; it names the entry instead.
 		from = h.Second
 	} else if h.Incarnation != c.cfg.Incarnation {
@@ -158,7 +158,7 @@
 		return nil, nil
 	}
 	if h.Kind == KindFirstFlight && !c.takes(h, packet) {
-		c.handOn(h, datagram, from)
+		c.forward(h, datagram, from)
 		return nil, nil
 	}
 	return packet, c.heard(h, from)
@@ -168,11 +168,11 @@
 // that it has opened, and for any packet that no other agent can take.
 func (c *Conn) takes(h Header, packet []byte) bool {
 	key := recentKey{caller: h.Caller, number: flightNumber(packet)}
-	canHandOn := !h.HandedOn && h.Second.IsValid()
+	canForward := !h.Forwarded && h.Second.IsValid()
 	// A short datagram opens no flow, so an agent that has not opened it
 	// leaves it to the one that may have.
 	opens := len(packet) >= minOpeningPacket && c.cfg.AcceptsFlows()
-	if opens || !canHandOn {
+	if opens || !canForward {
 		c.opened.with(key, true, func(*struct{}) {})
 		return true
 	}
@@ -188,17 +188,17 @@
 	return xxhash.Sum64(head.Destination)
 }
 
-// handOn passes a first flight to the second candidate.
-func (c *Conn) handOn(h Header, datagram []byte, entry netip.AddrPort) {
+// forward passes a first flight to the second candidate.
+func (c *Conn) forward(h Header, datagram []byte, entry netip.AddrPort) {
 	second := h.Second
-	h.HandedOn = true
+	h.Forwarded = true
 	h.Second = entry
 	c.cfg.Codec.Encapsulate(datagram, h)
 	if _, err := c.cfg.Socket.WriteToUDPAddrPort(datagram, second); err != nil {
 		dropWrite.Inc()
 		return
 	}
-	handedOn.Inc()
+	forwarded.Inc()
 }
 
 // heard notes the entry and the service's address that a caller's packet came
--- a/tunnel/conn_test.go
+++ b/tunnel/conn_test.go
@@ -11,6 +11,7 @@
 
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/testkit"
 	"endiveflow.example/endiveflow/tunnel"
 )
 
@@ -27,18 +28,13 @@
 	address = netip.MustParseAddrPort("198.51.100.1:443")
 )
 
+// listen returns a socket on which no read waits for longer than patience.
 func listen(t testing.TB) *net.UDPConn {
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	require.NoError(t, err)
-	t.Cleanup(func() { socket.Close() })
+	socket := testkit.Listen(t)
 	require.NoError(t, socket.SetReadDeadline(time.Now().Add(patience)))
 	return socket
 }
 
-func addrOf(c interface{ LocalAddr() net.Addr }) netip.AddrPort {
-	return c.LocalAddr().(*net.UDPAddr).AddrPort()
-}
-
 func newConn(t testing.TB, change func(*tunnel.ConnConfig)) *tunnel.Conn {
 	cfg := tunnel.ConnConfig{
 		Socket:      listen(t),
@@ -63,7 +59,7 @@
 
 func deliver(t *testing.T, from *net.UDPConn, to *tunnel.Conn, h tunnel.Header, packet []byte) {
 	t.Helper()
-	_, err := from.WriteToUDPAddrPort(newCodec(t, 1).Append(nil, h, packet), addrOf(to))
+	_, err := from.WriteToUDPAddrPort(newCodec(t, 1).Append(nil, h, packet), testkit.AddrOf(to))
 	require.NoError(t, err)
 }
 
@@ -94,7 +90,7 @@
 
 // A first flight that a draining agent keeps is a flow that its end cuts; one
 // that two agents pass to and fro reaches nobody.
-func TestFirstFlightIsHandedOnOnce(t *testing.T) {
+func TestFirstFlightIsForwardedOnce(t *testing.T) {
 	accepts := true
 	draining := newConn(t, func(c *tunnel.ConnConfig) { c.AcceptsFlows = func() bool { return accepts } })
 	second := newConn(t, func(c *tunnel.ConnConfig) {
@@ -102,7 +98,7 @@
 		c.AcceptsFlows = func() bool { return false }
 	})
 	entry := listen(t)
-	h := tunnel.Header{Kind: tunnel.KindFirstFlight, Service: service, Incarnation: incarnation, Caller: caller, Second: addrOf(second), ServiceAddress: address}
+	h := tunnel.Header{Kind: tunnel.KindFirstFlight, Service: service, Incarnation: incarnation, Caller: caller, Second: testkit.AddrOf(second), ServiceAddress: address}
 	opened, later, last := firstFlight(1, 1200), firstFlight(2, 1200), firstFlight(3, 1200)
 	rest := firstFlight(4, 100)
 
@@ -131,7 +127,7 @@
 // now has the address; one of a former incarnation is answered with the reset
 // that ends its flow at the caller.
 func TestOnlyOwnPacketsAreRead(t *testing.T) {
-	tokens := flowid.NewResetTokens(newRing(t, 1))
+	tokens := flowid.NewResetTokens(testkit.Ring(t, 1))
 	conn := newConn(t, func(c *tunnel.ConnConfig) { c.ResetToken = tokens.Token })
 	entry := listen(t)
 	id := bytes.Repeat([]byte{1}, flowid.Length)
@@ -144,7 +140,7 @@
 	returned := own
 	returned.Kind = tunnel.KindReturn
 	deliver(t, entry, conn, returned, packet)
-	_, err := entry.WriteToUDPAddrPort(make([]byte, 100), addrOf(conn))
+	_, err := entry.WriteToUDPAddrPort(make([]byte, 100), testkit.AddrOf(conn))
 	require.NoError(t, err)
 	deliver(t, entry, conn, own, make([]byte, tunnel.MaxInnerPacket+1))
 	former := own
@@ -165,7 +161,7 @@
 func TestAnswersFollowServiceAddress(t *testing.T) {
 	entry := listen(t)
 	conn := newConn(t, func(c *tunnel.ConnConfig) {
-		c.Entries = func() []netip.AddrPort { return []netip.AddrPort{addrOf(entry)} }
+		c.Entries = func() []netip.AddrPort { return []netip.AddrPort{testkit.AddrOf(entry)} }
 	})
 	answer := func() {
 		_, err := conn.WriteTo([]byte("answer"), net.UDPAddrFromAddrPort(caller))
