--- a/entry/former.go
+++ b/entry/former.go
@@ -27,9 +27,9 @@
 	// descriptors when addresses change all the time. At the target a region
 	// has 980 changes of all kinds per day.
 	maxFormer = 1024
-	// rememberGivenUp is how long the configuration does not bring back an
-	// address that was given up: the longest drainFor.
-	rememberGivenUp = 24 * time.Hour
+	// longestFormer is the longest drainFor, after which no former address is
+	// kept and none that was given up need be remembered.
+	longestFormer = 24 * time.Hour
 )
 
 var (
@@ -119,7 +119,8 @@
 // forwarder keeps it already or has given it up.
 func (f *Forwarder) learnFormer(known FormerAddress, now time.Time) {
 	b := binding{known.Service, known.Address}
-	if f.services[b.service] == b.address {
+	// Most audit entries are old, and asking for the policy of each takes long.
+	if f.services[b.service] == b.address || now.Sub(known.Until) > longestFormer {
 		return
 	}
 	if a := f.former[b]; a != nil {
@@ -128,12 +129,13 @@
 		}
 		return
 	}
-	a := &formerAddress{binding: b, since: earlier(known.Until, now), heard: now, networks: known.Networks}
-	givenUp, ok := f.givenUp[b]
-	if ok && !known.Until.After(givenUp) || len(f.former) >= maxFormer || a.expired(f.cfg.Policy(b.service).DrainFor, now) != nil {
+	if givenUp, ok := f.givenUp[b]; ok && !known.Until.After(givenUp) || len(f.former) >= maxFormer {
 		return
 	}
-	f.former[b] = a
+	a := &formerAddress{binding: b, since: earlier(known.Until, now), heard: now, networks: known.Networks}
+	if a.expired(f.cfg.Policy(b.service).DrainFor, now) == nil {
+		f.former[b] = a
+	}
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -159,7 +161,7 @@
 // expireFormer gives up former addresses whose time has passed. It says
 // whether there were any.
 func (f *Forwarder) expireFormer(now time.Time) bool {
-	maps.DeleteFunc(f.givenUp, func(_ binding, when time.Time) bool { return now.Sub(when) > rememberGivenUp })
+	maps.DeleteFunc(f.givenUp, func(_ binding, when time.Time) bool { return now.Sub(when) > longestFormer })
 	before := len(f.former)
 	for b, a := range f.former {
 		if a.active.Swap(false) {
