dispatch, ledger: bind a key to the content of its request

Cause: a caller that used one key for two requests got the answer of the first for the second.

Change: the ledger keeps a hash of method, URI and body with each record; another content gets 422 and the outcome unknown, since a repeat that was only encoded differently may have run. TestCutPoints had a race in the test itself, between the test and its server; it now uses atomics.

Ruled out: comparing saved requests, since a hash of 8 bytes guards against mistakes, and keys are secret to their caller.

--- a/admit/swing_test.go
+++ b/admit/swing_test.go
@@ -70,8 +70,9 @@
 	queue  events
 	agents []*agent
 	nextID uint64
-	// response holds the response times of short work by phase, wait its queue times at the crest, in microseconds.
-	response [2]*hdrhistogram.Histogram
+	// response holds the response times of short work that arrived at half load, at the crest and in the
+	// rise; wait holds its queue times at the crest. All are in microseconds.
+	response [3]*hdrhistogram.Histogram
 	wait     *hdrhistogram.Histogram
 	useful   time.Duration
 	offered  [3]int
@@ -251,16 +252,22 @@
 	if s.now.Before(s.start.Add(riseAt)) {
 		a.busy[0] += w.run
 	}
-	inCrest, inHalf := !w.arrived.Before(s.start.Add(crestAt)), s.now.Before(s.start.Add(riseAt))
-	switch {
-	case w.class == admit.Short && inCrest:
-		_ = s.response[1].RecordValue(took.Microseconds())
-	case w.class == admit.Short && inHalf:
-		_ = s.response[0].RecordValue(took.Microseconds())
+	if w.class == admit.Short {
+		_ = s.response[phaseOf(w.arrived.Sub(s.start))].RecordValue(took.Microseconds())
 	}
 	s.apply(a, a.scheduler.Done(id, s.now))
 }
 
+func phaseOf(t time.Duration) int {
+	switch {
+	case t < riseAt:
+		return 0
+	case t < crestAt:
+		return 2
+	}
+	return 1
+}
+
 func (s *swing) apply(a *agent, decisions []admit.Decision) {
 	for _, d := range decisions {
 		if d.Verdict == admit.Run {
@@ -336,6 +343,7 @@
 				b.ReportMetric(float64(half.ValueAtQuantile(q.at))*ms, "half-"+q.name+"-ms")
 				b.ReportMetric(float64(crest.ValueAtQuantile(q.at))*ms, "crest-"+q.name+"-ms")
 			}
+			b.ReportMetric(float64(s.response[2].ValueAtQuantile(99))*ms, "rise-p99-ms")
 			b.ReportMetric(float64(crest.ValueAtQuantile(99))/float64(half.ValueAtQuantile(99)), "p99-ratio")
 			b.ReportMetric(float64(s.wait.ValueAtQuantile(99))*ms, "short-wait-p99-ms")
 			b.ReportMetric(s.goodput(), "goodput")
--- a/dispatch/cut_test.go
+++ b/dispatch/cut_test.go
@@ -89,31 +89,33 @@
 // of the request and of the answer.
 func TestCutPoints(t *testing.T) {
 	const answerText = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nclaim"
-	var inRequest, inAnswer int
+	var inRequest, inAnswer atomic.Int64
 	u := newRawUpstream(t, func(u *rawUpstream, c net.Conn) {
-		if inRequest >= 0 {
-			n, _ := io.CopyN(io.Discard, c, int64(inRequest))
+		if cut := inRequest.Load(); cut >= 0 {
+			n, _ := io.CopyN(io.Discard, c, cut)
 			u.started.Add(min(n, 1))
 			return
 		}
 		if u.readRequest(bufio.NewReader(c)) {
-			_, _ = io.WriteString(c, answerText[:inAnswer])
+			_, _ = io.WriteString(c, answerText[:inAnswer.Load()])
 		}
 	})
 	h := dispatch.New(agentConfig(u.send(transport(t))))
-	for inRequest = range 120 {
-		require.Equal(t, "unknown", outcome(post(h, nil)), "request cut after %d bytes", inRequest)
+	for cut := range 120 {
+		inRequest.Store(int64(cut))
+		require.Equal(t, "unknown", outcome(post(h, nil)), "request cut after %d bytes", cut)
 	}
 	require.Zero(t, u.runs.Load())
 	require.GreaterOrEqual(t, u.started.Load(), int64(100), "the cuts lie within the request")
 
-	inRequest = -1
-	for inAnswer = range len(answerText) + 1 {
+	inRequest.Store(-1)
+	for cut := range len(answerText) + 1 {
+		inAnswer.Store(int64(cut))
 		before := u.runs.Load()
 		resp := post(h, nil)
-		require.Equal(t, before+1, u.runs.Load(), "answer cut after %d bytes", inAnswer)
-		if inAnswer < len(answerText) {
-			require.Equal(t, "unknown", outcome(resp), "answer cut after %d bytes", inAnswer)
+		require.Equal(t, before+1, u.runs.Load(), "answer cut after %d bytes", cut)
+		if cut < len(answerText) {
+			require.Equal(t, "unknown", outcome(resp), "answer cut after %d bytes", cut)
 			continue
 		}
 		body, _ := io.ReadAll(resp.Body)
--- a/dispatch/handler.go
+++ b/dispatch/handler.go
@@ -99,7 +99,7 @@
 // Load returns the load of the local upstream.
 func (h *Handler) Load() admit.Load { return h.slots.load() }
 
-// Shutdown waits until the runs with a key have ended. When ctx ends first, it cancels
+// Shutdown waits until the runs with a key have ended. Call it when no more requests are served. When ctx ends first, it cancels
 // them and returns the error of ctx.
 func (h *Handler) Shutdown(ctx context.Context) error {
 	ended := make(chan struct{})
--- a/dispatch/handler_test.go
+++ b/dispatch/handler_test.go
@@ -76,6 +76,8 @@
 			require.Equal(t, "answered", outcome(resp))
 			require.Equal(t, http.StatusCreated, resp.StatusCode)
 		}
+		other := call(h, http.MethodPost, "/swaps", header)
+		require.Equal(t, "unknown 422", outcome(other)+" "+strconv.Itoa(other.StatusCode), "the key of another request")
 		require.Equal(t, 1, runs)
 		require.NoError(t, h.Shutdown(t.Context()))
 	})
@@ -187,6 +189,12 @@
 				require.LessOrEqual(t, lying, 25)
 				good := call(handlers[0], http.MethodGet, "/", nil)
 				require.Equal(t, http.StatusOK, good.StatusCode)
+				for _, h := range handlers[1:] {
+					h.SetSlots(0)
+				}
+				lying = 0
+				require.Equal(t, "not-run", outcome(call(handlers[0], http.MethodGet, "/", nil)))
+				require.Zero(t, lying, "without a free peer the bad upstream is not used either")
 			})
 		})
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endiveflow.example/endiveflow/admit"
 	"endiveflow.example/endiveflow/retry"
 )
@@ -99,6 +101,16 @@
 	return out
 }
 
+// content is a hash of what the request asks for.
+func (j *job) content() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{j.method, j.url.RequestURI(), string(j.body)} {
+		// The length keeps parts apart that only together are the same text.
+		_, _ = d.WriteString(strconv.Itoa(len(part)) + ":" + part)
+	}
+	return d.Sum64()
+}
+
 // request returns a request for one attempt.
 //
 // http.Transport repeats a request by itself when the body is nil or http.NoBody or when
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -19,6 +19,7 @@
 	reasonBadKey      = "key is not valid"
 	reasonKeyUnknown  = "request may have run"
 	reasonKeyNeverRun = "key has been refused and will not run"
+	reasonKeyReused   = "key was used for another request"
 	reasonHomeGone    = "home of the key does not answer"
 	reasonHandedOver  = "no new keys after the hand-over"
 )
@@ -82,7 +83,7 @@
 	if l == nil {
 		return unknown(reasonHomeGone)
 	}
-	state, entry := l.Begin(ledger.Key{Sequence: key.Sequence, Issued: key.Issued}, h.cfg.Now())
+	state, entry := l.Begin(ledger.Key{Sequence: key.Sequence, Issued: key.Issued, Content: j.content()}, h.cfg.Now())
 	switch state {
 	case ledger.Run:
 		h.startKeyed(j, entry)
@@ -90,6 +91,8 @@
 		return result{outcome: retry.NotRun, status: http.StatusPreconditionRequired, reason: reasonKeyNeverRun}
 	case ledger.Unknown:
 		return unknown(reasonKeyUnknown)
+	case ledger.Mismatch:
+		return result{outcome: retry.Unknown, status: http.StatusUnprocessableEntity, reason: reasonKeyReused}
 	}
 	return h.awaitKeyed(ctx, entry)
 }
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -12,6 +12,7 @@
 	Issued   time.Time `cbor:"2,keyasint"`
 	Answer   *Answer   `cbor:"3,keyasint,omitempty"`
 	NotRun   bool      `cbor:"4,keyasint,omitempty"`
+	Content  uint64    `cbor:"5,keyasint"`
 }
 
 // Export is what a successor needs to answer repeats for an incarnation.
@@ -50,7 +51,7 @@
 	s.sealed = true
 	out.Marks = append(out.Marks, s.mark)
 	for q, r := range s.records {
-		saved := Saved{Sequence: q, Issued: r.key.Issued, NotRun: r.notRun}
+		saved := Saved{Sequence: q, Issued: r.key.Issued, NotRun: r.notRun, Content: r.key.Content}
 		if r.entry != nil && r.entry.ended {
 			saved.Answer = r.entry.answer
 		}
@@ -83,7 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
-	key := Key{Sequence: r.Sequence, Issued: r.Issued}
+	key := Key{Sequence: r.Sequence, Issued: r.Issued, Content: r.Content}
 	rec := &record{key: key, notRun: r.NotRun}
 	s.records[r.Sequence] = rec
 	s.used += recordBytes
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -35,6 +35,8 @@
 	NeverRun
 	// Unknown: the request may have run; its key will never run again.
 	Unknown
+	// Mismatch: the key was used for a request of another content.
+	Mismatch
 )
 
 // String returns the name of the state.
@@ -48,6 +50,8 @@
 		return "done"
 	case NeverRun:
 		return "never-run"
+	case Mismatch:
+		return "mismatch"
 	}
 	return "unknown"
 }
@@ -75,6 +79,9 @@
 	Sequence uint64
 	// Issued is the time at which the ledger issued the sequence.
 	Issued time.Time
+	// Content is a hash of the request. A key that comes back with another content does not
+	// get the answer to the first.
+	Content uint64
 }
 
 // Config configures a Ledger.
@@ -133,7 +140,7 @@
 }
 
 // Begin decides about a request with a key of this ledger. The entry is nil for
-// NeverRun and Unknown.
+// NeverRun, Unknown and Mismatch.
 func (l *Ledger) Begin(key Key, now time.Time) (State, *Entry) {
 	if !l.imported && key.Sequence >= l.next.Load() {
 		return Unknown, nil
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -156,6 +156,10 @@
 	for _, l := range []*ledger.Ledger{l, successor} {
 		state, _ := l.Begin(key, start)
 		require.Equal(t, ledger.NeverRun, state)
+		other := key
+		other.Content++
+		state, _ = l.Begin(other, start)
+		require.Equal(t, ledger.Mismatch, state, "a key used for another request")
 	}
 }
 
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -105,6 +105,9 @@
 	defer s.mu.Unlock()
 	s.advance(now)
 	if r, ok := s.records[key.Sequence]; ok {
+		if r.key.Content != key.Content {
+			return Mismatch, nil
+		}
 		return r.state()
 	}
 	switch {
