admit: read loads strictly, with a fuzz target

Cause: the reader of the header endiveflow-load accepted text after the last number and negative numbers.

Change: exactly six numbers of 16 bits without sign; anything else is an error of kind NotValid. FuzzLoad guards the reader. A test in ledger sends an export through CBOR.

--- a/admit/peer_test.go
+++ b/admit/peer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"endiveflow.example/endiveflow/admit"
@@ -53,7 +54,25 @@
 	var got admit.Load
 	require.NoError(t, got.UnmarshalText(text))
 	require.Equal(t, want, got)
-	require.Error(t, got.UnmarshalText([]byte("7,1")))
+	for _, text := range []string{"", "7,1", "7,1,2,3,4,5,6", "7,1,2,3,4,-5", "7,1,2,3,4,5x", "7,1,2,3,4,99999"} {
+		require.ErrorIs(t, got.UnmarshalText([]byte(text)), errors.NotValid, text)
+	}
+}
+
+// Guards against a panic or a silent change by a load header that another process wrote.
+func FuzzLoad(f *testing.F) {
+	f.Add("7,1,2,3,4,5")
+	f.Fuzz(func(t *testing.T, text string) {
+		var l, again admit.Load
+		if l.UnmarshalText([]byte(text)) != nil {
+			return
+		}
+		l.HasRoom(admit.Long)
+		written, err := l.MarshalText()
+		require.NoError(t, err)
+		require.NoError(t, again.UnmarshalText(written))
+		require.Equal(t, l, again)
+	})
 }
 
 // Guards against one slow lookup that turns a path into long work, against long paths
--- a/admit/types.go
+++ b/admit/types.go
@@ -1,8 +1,11 @@
 package admit
 
 import (
-	"fmt"
+	"strconv"
+	"strings"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Class is a class of work.
@@ -127,21 +130,37 @@
 	return l
 }
 
-const loadFormat = "%d,%d,%d,%d,%d,%d"
+// loadNumbers is the number of numbers in the text of a load.
+const loadNumbers = 6
 
 // MarshalText returns the value of the header endiveflow-load: slots, reserved, short in
 // use, long in use, short queued, long queued.
 func (l Load) MarshalText() ([]byte, error) {
-	return fmt.Appendf(nil, loadFormat, l.Slots, l.Reserved, l.ShortInUse, l.LongInUse, l.ShortQueued, l.LongQueued), nil
+	numbers := []int{l.Slots, l.Reserved, l.ShortInUse, l.LongInUse, l.ShortQueued, l.LongQueued}
+	var text []byte
+	for i, n := range numbers {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendInt(text, int64(n), 10)
+	}
+	return text, nil
 }
 
-// UnmarshalText reads what MarshalText wrote.
+// UnmarshalText reads what MarshalText wrote. Any other text is an error of kind NotValid.
 func (l *Load) UnmarshalText(text []byte) error {
-	var v Load
-	_, err := fmt.Sscanf(string(text), loadFormat, &v.Slots, &v.Reserved, &v.ShortInUse, &v.LongInUse, &v.ShortQueued, &v.LongQueued)
-	if err != nil {
-		return fmt.Errorf("read load %q: %w", text, err)
+	parts := strings.Split(string(text), ",")
+	if len(parts) != loadNumbers {
+		return errors.NotValidf("load with %d numbers", len(parts))
+	}
+	var v [loadNumbers]int
+	for i, part := range parts {
+		n, err := strconv.ParseUint(part, 10, 16)
+		if err != nil {
+			return errors.NewNotValid(err, "load")
+		}
+		v[i] = int(n)
 	}
-	*l = v
+	*l = Load{Slots: v[0], Reserved: v[1], ShortInUse: v[2], LongInUse: v[3], ShortQueued: v[4], LongQueued: v[5]}
 	return nil
 }
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -223,12 +223,15 @@
 	}
 	w := httptest.NewRecorder()
 	defer func() {
-		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if aborted, ok := cause.(error); !ok || !errors.Is(aborted, http.ErrAbortHandler) {
 			panic(cause)
-		} else if cause != nil {
-			resp, err = w.Result(), nil
-			resp.Body = io.NopCloser(io.MultiReader(resp.Body, failingReader{}))
 		}
+		resp, err = w.Result(), nil
+		resp.Body = io.NopCloser(io.MultiReader(resp.Body, failingReader{}))
 	}()
 	h.ServeHTTP(w, r)
 	if !n.alive() {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -1,10 +1,12 @@
 package ledger_test
 
 import (
+	"net/http"
 	"runtime"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -185,6 +187,25 @@
 	return m.HeapAlloc
 }
 
+// Guards against an export that loses an answer, a content or a mark in its encoding.
+func TestExportSurvivesItsEncoding(t *testing.T) {
+	l := ledger.New(ledger.Config{})
+	key := l.Issue(start)
+	key.Content = 1 << 63
+	_, entry := l.Begin(key, start)
+	want := ledger.Answer{Status: 201, Header: http.Header{"X-Rota": {"a", "b"}}, Body: []byte("claim")}
+	entry.Finish(want, start)
+	text, err := cbor.Marshal(l.Export())
+	require.NoError(t, err)
+	var export ledger.Export
+	require.NoError(t, cbor.Unmarshal(text, &export))
+	successor, err := ledger.Import(ledger.Config{}, export, start)
+	require.NoError(t, err)
+	state, saved := successor.Begin(key, start)
+	require.Equal(t, ledger.Done, state)
+	require.Equal(t, want, *saved.Answer())
+}
+
 // Guards against an export that lost records on the way: the missing keys would pass for never run.
 func TestIncompleteExportIsRejected(t *testing.T) {
 	l := ledger.New(ledger.Config{})
