--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -224,12 +224,14 @@
 	w := httptest.NewRecorder()
 	defer func() {
 		cause := recover()
-		if abort, ok := cause.(error); cause != nil && (!ok || !errors.Is(abort, http.ErrAbortHandler)) {
+		if cause == nil {
+			return
+		}
+		if aborted, ok := cause.(error); !ok || !errors.Is(aborted, http.ErrAbortHandler) {
 			panic(cause)
-		} else if cause != nil {
-			resp, err = w.Result(), nil
-			resp.Body = io.NopCloser(io.MultiReader(resp.Body, failingReader{}))
 		}
+		resp, err = w.Result(), nil
+		resp.Body = io.NopCloser(io.MultiReader(resp.Body, failingReader{}))
 	}()
 	h.ServeHTTP(w, r)
 	if !n.alive() {
