--- a/config/view_test.go
+++ b/config/view_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// Guards against a deleted exception that stays in force, and against nodes
+// that disagree on which of two exceptions of one setting is in force.
+func TestExceptionsThatEndOrCollide(t *testing.T) {
+	newer := exception("a", "service/rota", config.SettingDrainFor, "3s", 2)
+	older := exception("b", "service/rota", config.SettingDrainFor, "4s", 1)
+	for _, order := range [][]config.Object{{newer, older}, {older, newer}} {
+		v := config.NewView()
+		for _, o := range order {
+			v.Apply(o)
+		}
+		require.Equal(t, "3s", v.Policy("rota", netip.Addr{}).Value(config.SettingDrainFor))
+		v.Apply(deleted(newer, 3))
+		require.Equal(t, "4s", v.Policy("rota", netip.Addr{}).Value(config.SettingDrainFor))
+		v.Apply(deleted(older, 4))
+		require.Equal(t, config.BuiltinPolicy(), v.Policy("rota", netip.Addr{}))
+	}
+}
+
 // Guards against an agent that gets a change of another service or misses one of its own.
 func TestObjectsFor(t *testing.T) {
 	v := config.NewView()
