config, apply, cmd/endiveflow: collisions between operators' objects

Cause: two operators who write different objects at the same time can each pass the checks and still collide, and deleting an upstream could leave the drain of one of its hosts without a host.

Ruled out: a lock over the whole configuration, which the store's conditional writes of single objects cannot give.

Change: apply checks what is in force once more after it wrote, and check does so without files; the later of two colliding writers is told.

--- a/apply/applier.go
+++ b/apply/applier.go
@@ -220,9 +220,9 @@
 		steps = append(steps, Step{Key: k, Action: ActionDelete, Base: old.Version, Diff: []string{"deleted: false -> true"}, old: old, object: next})
 		delete(current, k)
 	}
-	for _, k := range keys {
-		for _, o := range users(current, k) {
-			problems = append(problems, errors.NotValidf("deleting %s, which %s refers to", k, o))
+	for _, s := range steps {
+		for _, user := range users(current, s.old) {
+			problems = append(problems, errors.NotValidf("deleting %s, which %s refers to,", s.Key, user))
 		}
 	}
 	if len(problems) > 0 {
@@ -232,14 +232,12 @@
 	return steps, nil
 }
 
-// users returns the keys of live objects that refer to a service.
-func users(current map[config.Key]config.Object, k config.Key) []config.Key {
-	if k.Kind != config.KindService {
-		return nil
-	}
+// users returns the keys of live objects that refer to a deleted service, or to
+// a host that was only in the networks of a deleted upstream.
+func users(current map[config.Key]config.Object, deleted config.Object) []config.Key {
 	var out []config.Key
 	for _, o := range current {
-		if !o.Deleted && owner(o) == config.ServiceTarget(k.Name) {
+		if !o.Deleted && refers(current, o, deleted) {
 			out = append(out, o.Key)
 		}
 	}
@@ -247,6 +245,25 @@
 	return out
 }
 
+func refers(current map[config.Key]config.Object, o, deleted config.Object) bool {
+	switch {
+	case deleted.Kind == config.KindService:
+		return owner(o) == config.ServiceTarget(deleted.Name)
+	case deleted.Upstream == nil || o.Exception == nil:
+		return false
+	}
+	target, err := config.ParseTarget(o.Exception.Target)
+	if err != nil || !target.Host.IsValid() || !deleted.Upstream.Contains(target.Host) {
+		return false
+	}
+	for _, other := range current {
+		if !other.Deleted && other.Upstream != nil && other.Upstream.Contains(target.Host) {
+			return false
+		}
+	}
+	return true
+}
+
 // Apply brings a set into force. See Run for the errors.
 func (a *Applier) Apply(ctx context.Context, set config.Set, why string) (Report, error) {
 	steps, err := a.Plan(ctx, set)
--- a/apply/applier_test.go
+++ b/apply/applier_test.go
@@ -270,12 +270,27 @@
 		_, err = a.Apply(t.Context(), config.NewSet(moved), "test")
 		require.ErrorContains(t, err, "cannot move")
 
+		hosts := config.Object{
+			Key:      config.Key{Kind: config.KindUpstream, Name: "hosts"},
+			Upstream: &config.Upstream{Service: "rota", Networks: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/24")}, Slots: 1},
+		}
+		drain := config.Object{
+			Key:       config.Key{Kind: config.KindException, Name: "drain"},
+			Exception: &config.Exception{Target: "host/10.0.0.7", Setting: config.SettingDrain, Value: "true", Reason: "x"},
+		}
+		_, err = a.Apply(t.Context(), config.NewSet(hosts, drain), "test")
+		require.NoError(t, err)
+		_, err = a.Delete(t.Context(), "test", hosts.Key)
+		require.ErrorContains(t, err, "Exception/drain refers to")
+		_, err = a.Delete(t.Context(), "test", hosts.Key, drain.Key)
+		require.NoError(t, err)
+
 		_, err = a.Delete(t.Context(), "test", service(1).Key, exception.Key)
 		require.NoError(t, err)
 		_, err = a.Delete(t.Context(), "test", service(1).Key)
 		require.ErrorIs(t, err, jujuerrors.NotFound)
 		r := requireApplied(t, a, 1)
 		require.Equal(t, apply.ActionCreate, r.Action)
-		require.EqualValues(t, 5, r.Version, "versions grow over a deletion")
+		require.EqualValues(t, 9, r.Version, "versions grow over a deletion")
 	})
 }
--- a/cmd/endiveflow/apply.go
+++ b/cmd/endiveflow/apply.go
@@ -33,5 +33,21 @@
 		return fmt.Errorf("nothing was applied: %w", err)
 	}
 	report, err := a.Run(ctx, steps, c.Why)
-	return printReport(out, report, err)
+	if err := printReport(out, report, err); err != nil {
+		return err
+	}
+	return checkInForce(ctx, a)
+}
+
+// checkInForce finds collisions with objects that another operator wrote
+// meanwhile. Of two operators whose writes collide, the one who wrote last finds it.
+func checkInForce(ctx context.Context, a *apply.Applier) error {
+	objects, err := a.Objects(ctx)
+	if err != nil {
+		return fmt.Errorf("checking what is in force: %w", err)
+	}
+	if err := config.CheckObjects(objects); err != nil {
+		return fmt.Errorf("what is in force has problems:\n%w", err)
+	}
+	return nil
 }
--- a/cmd/endiveflow/check.go
+++ b/cmd/endiveflow/check.go
@@ -11,10 +11,10 @@
 type checkCommand struct {
 	Platform string   `env:"ENDIVEFLOW_PLATFORM" placeholder:"URL" help:"Base URL of the object API, to check together with what is in force."`
 	Offline  bool     `help:"Check the files alone."`
-	Files    []string `arg:"" help:"Files of documents with kind, name and spec."`
+	Files    []string `arg:"" optional:"" help:"Files of documents with kind, name and spec; without any, what is in force is checked."`
 }
 
-// Run reports all problems of the files.
+// Run reports all problems of the files, or of what is in force.
 func (c checkCommand) Run(ctx context.Context, out io.Writer) error {
 	var known []config.Object
 	if c.Platform != "" && !c.Offline {
@@ -22,6 +22,9 @@
 		if err != nil {
 			return err
 		}
+		if len(c.Files) == 0 {
+			return checkInForce(ctx, a)
+		}
 		if known, err = a.Objects(ctx); err != nil {
 			return fmt.Errorf("checking, see --offline: %w", err)
 		}
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -16,7 +16,9 @@
 	for i := range targetAddresses {
 		name := fmt.Sprintf("service-%d", i)
 		network := fmt.Sprintf("10.%d.%d.0/26", i>>8, i&255)
-		out = append(out, service(name, uint64(2*i+1)), upstream(name, name, network, uint64(2*i+2)))
+		s := service(name, uint64(2*i+1))
+		s.Service.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(i >> 8), byte(i)}), 443)
+		out = append(out, s, upstream(name, name, network, uint64(2*i+2)))
 	}
 	for i := range 100 {
 		out = append(out, exception(fmt.Sprintf("x-%d", i), fmt.Sprintf("host/10.0.%d.1", i), config.SettingDrain, "true", uint64(30000+i)))
@@ -60,4 +62,11 @@
 			}
 		}
 	})
+	b.Run("CheckObjects", func(b *testing.B) {
+		for b.Loop() {
+			if err := config.CheckObjects(objects); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
 }
--- a/config/check.go
+++ b/config/check.go
@@ -274,7 +274,7 @@
 		return
 	}
 	for _, u := range c.all {
-		if u.Upstream != nil && u.Upstream.contains(target.Host) {
+		if u.Upstream != nil && u.Upstream.Contains(target.Host) {
 			return
 		}
 	}
--- a/config/load.go
+++ b/config/load.go
@@ -96,6 +96,31 @@
 	return NewSet(out...), nil
 }
 
+// CheckObjects checks the live ones of the objects in force against each other,
+// as Load checks files. Problems name the object in place of the file. Writes of
+// different objects by two operators can collide although each was valid.
+func CheckObjects(objects []Object) error {
+	var docs []*strictyaml.Document
+	var problems strictyaml.FileErrors
+	for _, o := range objects {
+		if o.Deleted {
+			continue
+		}
+		spec, err := specJSON(o)
+		if err != nil {
+			return err
+		}
+		found, bad := strictyaml.Read("in force: "+o.String(), document(o, spec))
+		docs = append(docs, found...)
+		problems = append(problems, bad...)
+	}
+	if len(docs) == 0 {
+		return problems.Err()
+	}
+	_, err := load(nil, "in force", docs, problems)
+	return err
+}
+
 // loadObject reads a document. Where problems were reported, parts are missing.
 func loadObject(doc *strictyaml.Document) loaded {
 	var e envelope
--- a/config/load_test.go
+++ b/config/load_test.go
@@ -120,6 +120,16 @@
 	require.ErrorIs(t, err, errors.NotValid)
 }
 
+// Guards against a collision of two operators' objects that nobody is told of.
+func TestCheckObjects(t *testing.T) {
+	draws := service("draws", 2)
+	require.NoError(t, config.CheckObjects([]config.Object{service("rota", 1), deleted(draws, 3)}))
+	require.NoError(t, config.CheckObjects(nil))
+	err := config.CheckObjects([]config.Object{service("rota", 1), draws})
+	require.ErrorContains(t, err, "in force: Service/draws")
+	require.ErrorContains(t, err, "overlaps with 192.0.2.1:443 of service")
+}
+
 // Guards against a panic from malformed files, and against an accepted object
 // that a node cannot use or that get cannot print.
 func FuzzLoad(f *testing.F) {
--- a/config/view.go
+++ b/config/view.go
@@ -126,14 +126,15 @@
 func (v *View) AllowsHost(tag ServiceTag, host netip.Addr) bool {
 	ix, _ := v.index.Get(tag)
 	for _, o := range ix.upstreams {
-		if !o.Deleted && o.Upstream.contains(host) {
+		if !o.Deleted && o.Upstream.Contains(host) {
 			return true
 		}
 	}
 	return false
 }
 
-func (u *Upstream) contains(host netip.Addr) bool {
+// Contains says whether the host is in one of the networks.
+func (u *Upstream) Contains(host netip.Addr) bool {
 	for _, n := range u.Networks {
 		if n.Contains(host) {
 			return true
@@ -153,7 +154,7 @@
 		out = append(out, o)
 	}
 	for host, exceptions := range v.hosts.Snapshot() {
-		if slices.ContainsFunc(ix.upstreams, func(o Object) bool { return o.Upstream.contains(host) }) {
+		if slices.ContainsFunc(ix.upstreams, func(o Object) bool { return o.Upstream.Contains(host) }) {
 			out = append(out, exceptions...)
 		}
 	}
--- a/confsync/sync.go
+++ b/confsync/sync.go
@@ -143,7 +143,10 @@
 	pages := start(ctx, s.runPages)
 	defer pages.stop()
 	var watch *duty
-	defer func() { watch.stop() }()
+	defer func() {
+		watch.stop()
+		s.watching.Store(false)
+	}()
 	ticker := time.NewTicker(s.cfg.DutyInterval)
 	defer ticker.Stop()
 	for {
