--- a/config/view_test.go
+++ b/config/view_test.go
@@ -153,3 +153,43 @@
 	}
 	require.Equal(t, []string{"Exception/mine", "Exception/service", "Service/rota", "Upstream/rota-hosts"}, names)
 }
+
+// Guards against an agent that stays behind for ever: whatever the changes, one
+// exchange of ObjectsFor gives it the digest that its entry expects.
+func TestAgentReachesTheDigestOfItsEntry(t *testing.T) {
+	tag := config.TagOf("rota")
+	rapid.Check(t, func(t *rapid.T) {
+		entry, agent := config.NewView(), config.NewView()
+		for version := uint64(1); version <= 15; version++ {
+			network := rapid.SampledFrom([]string{"10.0.0.0/24", "10.0.1.0/24", "10.0.0.0/16"}).Draw(t, "network")
+			o := rapid.SampledFrom([]config.Object{
+				service("rota", version),
+				service("draws", version),
+				upstream("rota-hosts", "rota", network, version),
+				upstream("draws-hosts", "draws", network, version),
+				exception("a", "host/10.0.0.7", config.SettingDrain, "true", version),
+				exception("b", "host/10.0.1.7", config.SettingDrain, "true", version),
+				exception("c", "service/rota", config.SettingSlowStart, "1s", version),
+			}).Draw(t, "object")
+			o.Deleted = rapid.Bool().Draw(t, "deleted")
+			entry.Apply(o)
+			if rapid.Bool().Draw(t, "exchange") {
+				exchange(entry, agent, tag)
+			}
+		}
+		exchange(entry, agent, tag)
+		require.Equal(t, entry.ObjectsFor(tag), agent.ObjectsFor(tag))
+		require.Equal(t, entry.DigestFor(tag), agent.DigestFor(tag))
+		host := netip.MustParseAddr("10.0.0.7")
+		require.Equal(t, entry.AllowsHost(tag, host), agent.AllowsHost(tag, host))
+		if entry.AllowsHost(tag, host) {
+			require.Equal(t, entry.Explain("rota", host), agent.Explain("rota", host))
+		}
+	})
+}
+
+func exchange(from, to *config.View, tag config.ServiceTag) {
+	for _, o := range from.ObjectsFor(tag) {
+		to.Apply(o)
+	}
+}
