--- a/caller/client.go
+++ b/caller/client.go
@@ -70,6 +70,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Key is the key of an earlier operation with this request, whose saved
+	// answer is wanted; empty for a new request.
+	Key string
 }
 
 // Answer is a complete answer.
@@ -81,6 +84,8 @@
 	Outcome string
 	// Attempts is the number of times that the request was sent.
 	Attempts int
+	// Key is the key under which the request ran; empty when it needed none.
+	Key string
 }
 
 // OutcomeError is the error of a request without answer.
--- a/caller/do.go
+++ b/caller/do.go
@@ -65,6 +65,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	op := &operation{client: c, request: r, results: make(chan result, 2*c.cfg.Attempts)}
+	// What an earlier operation with the key did is not known here.
+	op.key, op.maybeRun = r.Key, r.Key != ""
 	return op.run(ctx)
 }
 
@@ -75,7 +77,7 @@
 		res := <-op.results
 		v := op.judge(res)
 		if v.final {
-			res.answer.Attempts = op.attempts
+			res.answer.Attempts, res.answer.Key = op.attempts, op.key
 			return res.answer, v.err
 		}
 		if op.pending > 0 && !res.silent {
