--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,309 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/caller"
+	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/flowserver"
+	"endiveflow.example/endiveflow/header"
+)
+
+// lossy drops all packets from and to the blocked addresses.
+type lossy struct {
+	net.PacketConn
+	blocked sync.Map
+}
+
+func (l *lossy) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		n, addr, err := l.PacketConn.ReadFrom(p)
+		if err != nil {
+			return n, addr, err
+		}
+		if _, ok := l.blocked.Load(addr.String()); !ok {
+			return n, addr, nil
+		}
+	}
+}
+
+func (l *lossy) WriteTo(p []byte, addr net.Addr) (int, error) {
+	if _, ok := l.blocked.Load(addr.String()); ok {
+		return len(p), nil
+	}
+	return l.PacketConn.WriteTo(p, addr)
+}
+
+// service is a stand-in for an agent: it issues keys, keeps a ledger and
+// breaks attempts as told.
+type service struct {
+	mu sync.Mutex
+	// keys counts issued keys. Guarded by mu.
+	keys int
+	// ran counts executions by path. Guarded by mu.
+	ran map[string]int
+	// saved holds finished answers by key. Guarded by mu.
+	saved map[string]string
+	// faults are taken one per attempt that would run or return an answer. Guarded by mu.
+	faults []string
+	// during is called while a request runs.
+	during func(*http.Request)
+}
+
+func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get(header.Key)
+	if r.Method == http.MethodPost && key == "" {
+		s.mu.Lock()
+		s.keys++
+		w.Header().Set(header.Key, fmt.Sprint("key ", s.keys))
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusPreconditionRequired)
+		return
+	}
+	fault := s.nextFault()
+	if fault == "refuse" {
+		refuse(w, "0")
+		return
+	}
+	if fault == "cut before" {
+		panic(http.ErrAbortHandler)
+	}
+	body := s.run(key, r)
+	switch fault {
+	case "cut after":
+		panic(http.ErrAbortHandler)
+	case "truncate":
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+	default:
+		w.Header().Set(header.Outcome, header.OutcomeAnswered)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func refuse(w http.ResponseWriter, after string) {
+	w.Header().Set(header.Outcome, header.OutcomeNotRun)
+	w.Header().Set("Retry-After", after)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (s *service) nextFault() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults) == 0 {
+		return ""
+	}
+	fault := s.faults[0]
+	s.faults = s.faults[1:]
+	return fault
+}
+
+// run executes a request, or returns the saved answer of its key.
+func (s *service) run(key string, r *http.Request) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if body, ok := s.saved[key]; ok {
+		return body
+	}
+	s.ran[r.URL.Path]++
+	if s.during != nil {
+		s.during(r)
+	}
+	body := "answer to " + r.URL.Path
+	if key != "" {
+		s.saved[key] = body
+	}
+	return body
+}
+
+func (s *service) executions(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[path]
+}
+
+func (s *service) setFaults(faults ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func startService(t *testing.T, handler http.Handler) (*lossy, *flowserver.Server, *tls.Config) {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	ring, err := fleetkey.New(fleetkey.Config{Keys: []fleetkey.Key{{ID: 1, Secret: bytes.Repeat([]byte{1}, 32)}}})
+	require.NoError(t, err)
+	both, err := ring.PeerTLS(netip.MustParseAddr("127.0.0.1"))
+	require.NoError(t, err)
+	packets := &lossy{PacketConn: socket}
+	s, err := flowserver.New(flowserver.Config{
+		Packets: packets,
+		TLS:     &tls.Config{Certificates: both.Certificates},
+		Handler: handler,
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := s.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return packets, s, &tls.Config{RootCAs: both.RootCAs}
+}
+
+func newService() *service {
+	return &service{ran: make(map[string]int), saved: make(map[string]string)}
+}
+
+func newCaller(t *testing.T, packets *lossy, cfg caller.Config) *caller.Client {
+	t.Helper()
+	cfg.Address = packets.LocalAddr().(*net.UDPAddr).AddrPort()
+	c, err := caller.New(cfg)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Under any sequence of faults, a request that may run once runs at most once,
+// an answer is whole and the request's own, and "not run" is only said of a
+// request that did not run.
+func TestOutcomesUnderFaults(t *testing.T) {
+	s := newService()
+	packets, _, clientTLS := startService(t, s)
+	c := newCaller(t, packets, caller.Config{TLS: clientTLS, Attempts: 4})
+	n := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n++
+		path := fmt.Sprint("/", n)
+		method := rapid.SampledFrom([]string{http.MethodGet, http.MethodPost}).Draw(t, "method")
+		faults := rapid.SliceOfN(rapid.SampledFrom([]string{"refuse", "cut before", "cut after", "truncate", ""}), 0, 4)
+		s.setFaults(faults.Draw(t, "faults")...)
+		answer, err := c.Do(context.Background(), caller.Request{Method: method, Path: path, Body: []byte("lawn 7")})
+		ran := s.executions(path)
+		if method == http.MethodPost {
+			require.LessOrEqual(t, ran, 1)
+		}
+		if err == nil {
+			require.Equal(t, "answer to "+path, string(answer.Body))
+			require.Positive(t, ran)
+		}
+		if caller.NotRun(err) {
+			require.Zero(t, ran)
+		}
+	})
+}
+
+// The saved answer must reach a caller whose connection broke after the run.
+func TestBrokenConnectionGetsTheSavedAnswer(t *testing.T) {
+	for _, fault := range []string{"cut after", "truncate"} {
+		s := newService()
+		s.setFaults(fault)
+		packets, _, clientTLS := startService(t, s)
+		answer, err := newCaller(t, packets, caller.Config{TLS: clientTLS}).
+			Do(t.Context(), caller.Request{Method: http.MethodPost, Path: "/claim"})
+		require.NoError(t, err)
+		require.Equal(t, "answer to /claim", string(answer.Body))
+		require.Equal(t, 3, answer.Attempts, "one for the key, one broken, one with the saved answer")
+		require.Equal(t, 1, s.executions("/claim"))
+	}
+}
+
+// A refusal must be waited out within the deadline, and reported at once as
+// not run when the deadline leaves no time for it.
+func TestRefusals(t *testing.T) {
+	refusals := 2
+	packets, _, clientTLS := startService(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/full" {
+			refuse(w, "30")
+			return
+		}
+		if refusals > 0 {
+			refusals--
+			refuse(w, "0")
+		}
+	}))
+	c := newCaller(t, packets, caller.Config{TLS: clientTLS})
+	answer, err := c.Do(t.Context(), caller.Request{Method: http.MethodGet, Path: "/"})
+	require.NoError(t, err)
+	require.Equal(t, 3, answer.Attempts)
+
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	answer, err = c.Do(ctx, caller.Request{Method: http.MethodGet, Path: "/full"})
+	require.True(t, caller.NotRun(err), "%v", err)
+	require.Equal(t, http.StatusServiceUnavailable, answer.Status)
+	require.Less(t, time.Since(begin), 5*time.Second)
+}
+
+// A silent connection must not lose a request that may run only once: the
+// repeat on the next connection gets the saved answer.
+func TestSilentConnectionDuringKeyedRequest(t *testing.T) {
+	s := newService()
+	packets, _, clientTLS := startService(t, s)
+	s.during = func(r *http.Request) { packets.blocked.Store(r.RemoteAddr, true) }
+	const silenceAfter = 300 * time.Millisecond
+	c := newCaller(t, packets, caller.Config{TLS: clientTLS, SilenceAfter: silenceAfter})
+	begin := time.Now()
+	answer, err := c.Do(t.Context(), caller.Request{Method: http.MethodPost, Path: "/claim"})
+	require.NoError(t, err)
+	require.Equal(t, "answer to /claim", string(answer.Body))
+	require.Equal(t, 1, s.executions("/claim"))
+	require.Less(t, time.Since(begin), 2*silenceAfter)
+}
+
+// A draining agent must not break the request in flight, and the caller's next
+// request must go out beside it.
+func TestGoAwayOpensTheNextConnectionBesideTheOldOne(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	packets, server, clientTLS := startService(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(started)
+			<-release
+		}
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	}))
+	c := newCaller(t, packets, caller.Config{TLS: clientTLS, KeepOpen: true})
+	long := make(chan caller.Answer, 1)
+	go func() {
+		answer, err := c.Do(t.Context(), caller.Request{Method: http.MethodGet, Path: "/long"})
+		if err == nil {
+			long <- answer
+		}
+		close(long)
+	}()
+	<-started
+	server.Drain()
+	short, err := c.Do(t.Context(), caller.Request{Method: http.MethodGet, Path: "/short"})
+	for err == nil && server.Flows() < 2 {
+		short, err = c.Do(t.Context(), caller.Request{Method: http.MethodGet, Path: "/short"})
+	}
+	require.NoError(t, err)
+	close(release)
+	answer := <-long
+	require.Equal(t, http.StatusOK, answer.Status)
+	require.NotEqual(t, string(answer.Body), string(short.Body), "both used one connection")
+
+	t.Run("an idle caller reconnects by itself", func(t *testing.T) {
+		old := c.Conn()
+		old.Retire()
+		<-old.Ended()
+		require.Eventually(t, func() bool { next := c.Conn(); return next != nil && next != old }, 5*time.Second, time.Millisecond)
+	})
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -161,6 +161,14 @@
 	return conn, nil
 }
 
+// Connected says whether there is a usable connection to addr.
+func (c *Client) Connected(addr netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[addr]
+	return l != nil && l.Usable() != nil
+}
+
 func (c *Client) acquire(addr netip.AddrPort) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
