--- a/caller/client.go
+++ b/caller/client.go
@@ -185,20 +185,22 @@
 		return nil, err
 	}
 	connectionsTotal.Inc()
-	context.AfterFunc(c.open, conn.Close)
-	if c.cfg.KeepOpen {
-		go c.keepOpen(conn)
-	}
+	go c.follow(conn, context.AfterFunc(c.open, conn.Close))
 	return conn, nil
 }
 
-// maxReconnectPause bounds the pause between failed connects of keepOpen.
+// maxReconnectPause bounds the pause between failed connects with KeepOpen.
 const maxReconnectPause = 5 * time.Second
 
-// keepOpen opens the next connection when conn ended. It ends with that
-// connection or with the client.
-func (c *Client) keepOpen(conn *h3conn.Conn) {
+// follow waits for the end of conn. With KeepOpen, it then opens the next
+// connection, until one is open or the client is closed. The function stop
+// releases what Close keeps of conn.
+func (c *Client) follow(conn *h3conn.Conn, stop func() bool) {
 	<-conn.Ended()
+	stop()
+	if !c.cfg.KeepOpen {
+		return
+	}
 	for pause := 50 * time.Millisecond; c.open.Err() == nil; pause = min(2*pause, maxReconnectPause) {
 		if _, err := c.connect(c.open); err == nil {
 			return
--- a/flowserver/flows.go
+++ b/flowserver/flows.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
 )
@@ -12,8 +13,7 @@
 type flow struct {
 	// entered tells that the HTTP/3 server knows the connection. Calls after the first do nothing.
 	entered func()
-	// active is guarded by flowSet.mu.
-	active int
+	active  atomic.Int64
 }
 
 // flowSet holds the open flows.
@@ -21,8 +21,8 @@
 	mu sync.Mutex
 	// open is guarded by mu.
 	open map[*quic.Conn]*flow
-	// requests is the number of requests in flight. Guarded by mu.
-	requests int
+	// requests is the number of requests in flight.
+	requests atomic.Int64
 }
 
 type flowKey struct{}
@@ -66,12 +66,10 @@
 	})
 }
 
-func (f *flowSet) change(fl *flow, n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.requests += n
+func (f *flowSet) change(fl *flow, n int64) {
+	f.requests.Add(n)
 	if fl != nil {
-		fl.active += n
+		fl.active.Add(n)
 	}
 }
 
@@ -81,20 +79,16 @@
 	return len(f.open)
 }
 
-func (f *flowSet) inFlight() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.requests
-}
+func (f *flowSet) inFlight() int { return int(f.requests.Load()) }
 
 // busy returns the number of flows with requests in flight, and of these requests.
 func (f *flowSet) busy() (flows, requests int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, fl := range f.open {
-		if fl.active > 0 {
+		if fl.active.Load() > 0 {
 			flows++
 		}
 	}
-	return flows, f.requests
+	return flows, f.inFlight()
 }
--- a/flowserver/server.go
+++ b/flowserver/server.go
@@ -101,7 +101,7 @@
 	// drained is closed by the first Drain, hurry by Shutdown, and drainEnded
 	// when all shards but the last got GOAWAY.
 	drained, hurry, drainEnded chan struct{}
-	drainOnce                  sync.Once
+	drainOnce, hurryOnce       sync.Once
 	// accepted is closed when no more flows are accepted.
 	accepted chan struct{}
 	// closing ends when the flows must close. close ends it.
--- a/flowserver/shutdown.go
+++ b/flowserver/shutdown.go
@@ -63,11 +63,11 @@
 
 // Shutdown sends GOAWAY on all flows, accepts no new ones, waits until no
 // request is in flight and closes the flows. When ctx ends first, it cuts
-// what is left and reports it. It must be called once, after Run.
+// what is left and reports it. It must be called after Run.
 func (s *Server) Shutdown(ctx context.Context) Report {
 	s.closeListener()
 	<-s.accepted
-	close(s.hurry)
+	s.hurryOnce.Do(func() { close(s.hurry) })
 	s.Drain()
 	<-s.drainEnded
 	s.goAway(&s.shards[drainShards])
