upstream: fix the last race of the announcement test

The test read a slice that the expiring goroutine appends to; synctest.Wait orders only one direction. It receives from a channel now.

--- a/upstream/announce_test.go
+++ b/upstream/announce_test.go
@@ -18,10 +18,10 @@
 // before and not never.
 func TestAnnouncementsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var seen []upstream.State
+		seen := make(chan upstream.State, 8)
 		a := upstream.NewAnnouncements(upstream.AnnouncementsConfig{
 			Service:  "rota",
-			OnChange: func(_, current upstream.Announcement) { seen = append(seen, current.State) },
+			OnChange: func(_, current upstream.Announcement) { seen <- current.State },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := a.Run(ctx)
@@ -32,10 +32,12 @@
 		require.NoError(t, a.Accept([]byte(ready)))
 		time.Sleep(3*upstream.DefaultInterval - time.Millisecond)
 		synctest.Wait()
-		require.Equal(t, []upstream.State{upstream.StateReady}, seen)
+		require.Equal(t, upstream.StateReady, <-seen)
+		require.Empty(t, seen)
 		time.Sleep(upstream.DefaultInterval / 2)
 		synctest.Wait()
-		require.Equal(t, []upstream.State{upstream.StateReady, upstream.StateGone}, seen)
+		require.Len(t, seen, 1)
+		require.Equal(t, upstream.StateGone, <-seen)
 		require.NoError(t, a.Accept([]byte(ready)))
 		require.Equal(t, upstream.StateReady, a.Current().State)
 		cancel()
