--- a/caller/do.go
+++ b/caller/do.go
@@ -177,7 +177,8 @@
 // has ended it without a run.
 func (op *operation) takeKey(a Answer) bool {
 	key := a.Header.Get(header.Key)
-	if key == "" || key == op.key || a.Outcome != header.OutcomeNotRun {
+	notRun := a.Outcome == header.OutcomeNotRun || a.Status == http.StatusPreconditionRequired
+	if key == "" || key == op.key || !notRun {
 		return false
 	}
 	keysTotal.Inc()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,5 +1,3 @@
-// Package standin holds small stand-ins for the outside systems: the platform,
-// the fabric and the upstream. They serve trials and tests.
 package standin
 
 import (
