entry: test former addresses against the applier's audit entries

Cause: the entry reads audit entries as text that package apply writes; a change of the form would leave new entries without former addresses, and no test would show it.

Change: a test applies, moves and deletes a service in a stand-in store.

Conclusion: the form is now checked on both sides.

--- a/entry/former_audit_test.go
+++ b/entry/former_audit_test.go
@@ -1,13 +1,18 @@
 package entry
 
 import (
+	"net/http"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/apply"
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/standin"
 )
 
 // An entry that starts after a change must find the former addresses in the
@@ -44,3 +49,44 @@
 	v.Apply(rota)
 	require.Equal(t, want, former())
 }
+
+// A change of how the applier writes audit entries would leave new entries
+// without former addresses.
+func TestFormerAddressesOfApplier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewPlatform(standin.PlatformConfig{})
+		client, err := platform.New(platform.Config{URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}})
+		require.NoError(t, err)
+		a, err := apply.New(apply.Config{Client: client, Who: "ann"})
+		require.NoError(t, err)
+		v := config.NewView()
+		former := FormerAddresses(v)
+		load := func(_ apply.Report, err error) {
+			require.NoError(t, err)
+			objects, err := a.Objects(t.Context())
+			require.NoError(t, err)
+			for _, o := range objects {
+				v.Apply(o)
+			}
+		}
+		networks := []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}
+		upstream := config.Object{Key: config.Key{Kind: config.KindUpstream, Name: "rota"}, Upstream: &config.Upstream{Service: "rota", Networks: networks}}
+		service := config.Object{Key: config.Key{Kind: config.KindService, Name: "rota"}}
+		var want []FormerAddress
+		for port := range uint16(3) {
+			address := netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port+1)
+			service.Service = &config.Service{Address: address}
+			load(a.Apply(t.Context(), config.NewSet(upstream, service), "test"))
+			require.Equal(t, want, former())
+			want = append(want, FormerAddress{Service: config.TagOf("rota"), Address: address})
+			time.Sleep(time.Minute)
+			want[port].Until = time.Now().UTC()
+		}
+		load(a.Delete(t.Context(), "test", service.Key, upstream.Key))
+		for i := range want {
+			want[i].Networks = networks
+		}
+		require.Equal(t, want, former())
+		time.Sleep(time.Minute) // Lets delayed calls end.
+	})
+}
