entry: pass a caller's packet as one value

Cause: forwardFlow and reset took five and six parameters, which were the parts of one packet.

Change: type inbound holds them. No behaviour changes.

Ruled out: batches of reads and writes.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -20,6 +20,18 @@
 // byte more, so that longer packets are recognized.
 type packetBuffer [tunnel.HeaderBytes + tunnel.MaxInnerPacket + 1]byte
 
+// inbound is a packet of a caller.
+type inbound struct {
+	socket *serviceSocket
+	caller netip.AddrPort
+	head   quicheader.Header
+	// datagram is the packet behind room for the tunnel header.
+	datagram []byte
+}
+
+// packetBytes returns the length of the packet.
+func (p inbound) packetBytes() int { return len(p.datagram) - tunnel.HeaderBytes }
+
 // readPause follows an error of reading, so that one that persists does not
 // occupy a core.
 const readPause = 10 * time.Millisecond
@@ -127,25 +139,26 @@
 		dropMalformed.Inc()
 		return
 	}
+	p := inbound{socket: s, caller: caller, head: head, datagram: datagram}
 	place, err := f.ids.Decode(head.Destination)
 	switch {
 	case err == nil:
-		f.forwardFlow(s, head, place, datagram, caller)
+		f.forwardFlow(p, place)
 	case !head.Long:
 		dropID.Inc()
 	case head.Version == 0:
 		// Only servers send version negotiation.
 		dropMalformed.Inc()
 	default:
-		f.forwardFirstFlight(s, head, datagram, caller)
+		f.forwardFirstFlight(p)
 	}
 }
 
 // forwardFlow sends a packet to the agent that its connection ID names,
 // whatever the members are, unless that agent is known to be gone. The agent
 // must be one of a service that has or had the socket's address.
-func (f *Forwarder) forwardFlow(s *serviceSocket, head quicheader.Header, place flowid.Place, datagram []byte, caller netip.AddrPort) {
-	address, former := s.use.Load().addressOf(place.Service)
+func (f *Forwarder) forwardFlow(p inbound, place flowid.Place) {
+	address, former := p.socket.use.Load().addressOf(place.Service)
 	if !address.IsValid() {
 		dropService.Inc()
 		return
@@ -157,15 +170,15 @@
 	}
 	if gone := *f.gone.Load(); len(gone) > 0 {
 		if reason, ok := gone[place]; ok {
-			f.reset(s, head, place.Service, reason, datagram, caller)
+			f.reset(p, place.Service, reason)
 			return
 		}
 	}
-	f.send(datagram, tunnel.Header{
+	f.send(p.datagram, tunnel.Header{
 		Kind:           tunnel.KindFlow,
 		Service:        place.Service,
 		Incarnation:    place.Incarnation,
-		Caller:         caller,
+		Caller:         p.caller,
 		ServiceAddress: address,
 	}, place.Agent)
 	flowPackets.Inc()
@@ -173,22 +186,22 @@
 
 // forwardFirstFlight sends a packet whose connection ID the caller chose. It
 // belongs to the service that has the socket's address now.
-func (f *Forwarder) forwardFirstFlight(s *serviceSocket, head quicheader.Header, datagram []byte, caller netip.AddrPort) {
-	use := s.use.Load()
+func (f *Forwarder) forwardFirstFlight(p inbound) {
+	use := p.socket.use.Load()
 	if !use.current.address.IsValid() {
 		dropFormer.Inc()
 		return
 	}
-	first, second, ok := use.table.Choose(head.Destination)
+	first, second, ok := use.table.Choose(p.head.Destination)
 	if !ok {
 		dropNoAgent.Inc()
 		return
 	}
-	f.send(datagram, tunnel.Header{
+	f.send(p.datagram, tunnel.Header{
 		Kind:           tunnel.KindFirstFlight,
 		Service:        use.current.service,
 		Incarnation:    first.Incarnation,
-		Caller:         caller,
+		Caller:         p.caller,
 		Second:         second.Tunnel,
 		ServiceAddress: use.current.address,
 	}, first.Tunnel)
@@ -204,22 +217,22 @@
 
 // reset ends the caller's flow. Only packets with a short header are answered,
 // since a caller in its handshake has no token yet.
-func (f *Forwarder) reset(s *serviceSocket, head quicheader.Header, tag config.ServiceTag, reason GoneReason, datagram []byte, caller netip.AddrPort) {
-	if head.Long {
+func (f *Forwarder) reset(p inbound, tag config.ServiceTag, reason GoneReason) {
+	if p.head.Long {
 		dropGone.Inc()
 		return
 	}
-	token, err := f.tokens.Token(head.Destination, tag)
+	token, err := f.tokens.Token(p.head.Destination, tag)
 	if err != nil {
 		dropGone.Inc()
 		return
 	}
-	answer, ok := flowid.AppendReset(datagram[:0], token, len(datagram)-tunnel.HeaderBytes)
+	answer, ok := flowid.AppendReset(p.datagram[:0], token, p.packetBytes())
 	if !ok {
 		dropGone.Inc()
 		return
 	}
-	if _, err := s.conn.WriteToUDPAddrPort(answer, caller); err != nil {
+	if _, err := p.socket.conn.WriteToUDPAddrPort(answer, p.caller); err != nil {
 		dropWrite.Inc()
 		return
 	}
