--- a/control/entry_receive.go
+++ b/control/entry_receive.go
@@ -39,9 +39,9 @@
 		return with(d, func(a Ask) { l.asked(d.from, a.Brief.brief(), now) })
 	case KindOpinion:
 		return with(d, func(o OpinionOf) {
-			if fresh {
-				observer := member.IDOf(member.RoleEntry, d.from)
-				l.decide(l.detector.Asked(o.Brief.brief(), observer, o.Opinion, now))
+			observer, known := l.cfg.Members.Get(member.IDOf(member.RoleEntry, d.from))
+			if fresh && known {
+				l.decide(l.detector.Asked(o.Brief.brief(), observer.ID, o.Opinion, now))
 			}
 		})
 	case KindBriefs, KindWant, KindGroups, KindBuckets:
@@ -105,10 +105,7 @@
 	if invalid > 0 {
 		dropped("record")
 	}
-	ended := fromWireBriefs(m.Ended)
-	if len(m.Deaths) > 0 {
-		ended = append(ended, l.cfg.Members.MatchEnded(parseShort(m.Deaths))...)
-	}
+	ended := append(fromWireBriefs(m.Ended), l.deaths.find(l.cfg.Members, m.Deaths, now)...)
 	l.checkSelf(records, ended)
 	records, ended = withoutSelf(l.cfg.Self().ID, records, ended)
 	changed := l.cfg.Members.Merge(records)
@@ -135,7 +132,7 @@
 	for _, b := range changed {
 		r, ok := l.cfg.Members.Get(b.ID)
 		if ok && b.State == member.StateDead && l.detector.Opinion(b.ID, now) == member.OpinionAlive {
-			l.sendRefusal(b, r.Control)
+			l.capped(KindRecords, Records{Ended: []wireBrief{toWireBrief(b)}}, r.Control)
 		}
 	}
 	return changed
@@ -193,7 +190,8 @@
 }
 
 func (l *entryLoop) checkSelf(records []member.Record, ended []member.Brief) {
-	if b, found := newerSelf(l.cfg.Self().Brief(), records, ended); found {
+	if b, found := newerSelf(l.cfg.Self().Brief(), records, ended); found && b != l.refuted {
+		l.refuted = b
 		l.cfg.Trail.Record(audit.Event{Action: "refute", Target: "this entry", Reason: refuteReason(b)})
 		l.cfg.Refute(b)
 	}
@@ -213,7 +211,7 @@
 	}
 	if !l.detector.Watching(b.ID) {
 		l.borrowed[b.ID] = true
-		l.detector.Watch(r, member.MinBeatInterval, now)
+		l.detector.Watch(r, now)
 	}
 	opinion := l.detector.Opinion(b.ID, now)
 	if opinion == member.OpinionNone {
