ledger, dispatch: seal before the export; check that slots are given back

Cause: an export made while requests with keys run hands them over as unknown although their answers follow shortly after.

Change: SealLedger stops the use of keys, Shutdown waits for the runs, and ExportLedger then has their answers. The state machine of the fleet now also checks that no live agent holds a slot or a place in the queue at the end.

--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -368,6 +368,14 @@
 	synctest.Wait()
 }
 
+// checkSlots guards against slots and places in the queue that are never given back.
+func (s *story) checkSlots(t *testing.T) {
+	for _, n := range s.fleet.nodes {
+		load := n.handler.Load()
+		require.Zero(t, load.InUse()+load.Queued())
+	}
+}
+
 // Guards against a request that runs twice, one that runs after its caller was told "not run", and an
 // answer that is incomplete or belongs to another request, over kills, freezes, resumes, drains, hand-overs,
 // repeats on other agents, and requests and answers that are lost, late or duplicated.
@@ -396,6 +404,7 @@
 			})
 			s.settle()
 			s.fleet.check(t)
+			s.checkSlots(t)
 			total.runs += len(s.fleet.runs)
 			total.refused += len(s.fleet.refused)
 			for _, n := range s.fleet.answered {
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -189,6 +189,11 @@
 	return res, res.outcome != retry.Unknown || resp.Header.Get(HeaderOutcome) != ""
 }
 
+// SealLedger ends the issue and the use of keys of this agent. To leave, seal the ledger, wait
+// with Shutdown for the runs with a key, and then export it: runs that have not ended are
+// exported as unknown.
+func (h *Handler) SealLedger() { h.ledger.Seal() }
+
 // ExportLedger seals the ledger and returns what a successor needs. From then on this
 // agent starts no request with a key of its own, whether or not the successor gets the export.
 func (h *Handler) ExportLedger() (Self, ledger.Export) {
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -25,6 +25,19 @@
 	Count int `cbor:"3,keyasint"`
 }
 
+// Seal stops the start of runs. Those that run go on, and their answers are saved.
+func (l *Ledger) Seal() {
+	for _, s := range l.shards {
+		s.seal()
+	}
+}
+
+func (s *shard) seal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sealed = true
+}
+
 // Export seals the ledger and returns its records. A sealed ledger starts no
 // further run, whether or not the successor receives the export. Runs that have not ended
 // are exported as unknown.
@@ -37,7 +50,7 @@
 	return out
 }
 
-// Sealed says whether Export has been called, or the ledger was imported.
+// Sealed says whether Seal or Export has been called, or the ledger was imported.
 func (l *Ledger) Sealed() bool {
 	s := l.shards[0]
 	s.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -193,6 +193,10 @@
 	key := l.Issue(start)
 	key.Content = 1 << 63
 	_, entry := l.Begin(key, start)
+	unused := l.Issue(start)
+	l.Seal()
+	state, _ := l.Begin(unused, start)
+	require.Equal(t, ledger.NeverRun, state, "a sealed ledger starts nothing and still takes the answer of a run")
 	want := ledger.Answer{Status: 201, Header: http.Header{"X-Rota": {"a", "b"}}, Body: []byte("claim")}
 	entry.Finish(want, start)
 	text, err := cbor.Marshal(l.Export())
