entry: take the state over from leaving entries too

All entries had been replaced while the store was away. A new entry asked only ready entries for their state, which were other new ones, took the empty answer for a success, and lost the configuration with the last leaving entry. The demo also stopped the old entries before the new ones were ready. Ruled out: load of the machine alone; the flows had no error of their own, and the same run with the configuration present lost none. Change: an entry asks any live entry, in random order, until it has a configuration; the demo waits for readiness before it stops the old entries. Conclusion: the configuration outlives its holders during an outage.

--- a/demo/faults_test.go
+++ b/demo/faults_test.go
@@ -100,6 +100,24 @@
 	require.Zero(t, seen.brokenFlows, seen.lastError)
 }
 
+// When all entries are replaced at once while the store is away, only the
+// leaving ones hold the configuration. It was lost when the new entries asked
+// each other alone.
+func TestEntriesTakeOverFromLeavingOnes(t *testing.T) {
+	f := newTestFleet(t)
+	f.Platform().Set(standin.Switches{Outage: true})
+	leaving := f.entries
+	for _, e := range leaving {
+		e.stop()
+	}
+	require.NoError(t, f.AddEntries(t.Context(), len(leaving)))
+	for _, e := range leaving {
+		require.NoError(t, <-e.done)
+	}
+	f.entries = f.entries[len(leaving):]
+	require.NoError(t, f.awaitReady(t.Context()))
+}
+
 // A change of a service's address is a planned change: open flows must survive
 // it, and new ones must open at the new address.
 func TestServiceAddressChanges(t *testing.T) {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -381,6 +382,9 @@
 
 func (f *Fleet) notReady() string {
 	for i, e := range f.entries {
+		if reasons := e.part.NotReady(); len(reasons) > 0 {
+			return fmt.Sprintf("entry %d is not ready: %s", i, strings.Join(reasons, ", "))
+		}
 		b := e.part.Board()
 		for name, s := range f.services {
 			ready := 0
--- a/entry/control.go
+++ b/entry/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -76,13 +77,14 @@
 	return s, nil
 }
 
-// join takes over the state of one other entry, so that a new entry need not
-// wait for the exchange of digests. It ends after the first success.
+// join takes over the state of other entries, so that a new entry need not
+// wait for the exchange of digests. It ends when it has taken over the state of
+// one entry and has a configuration: the first one asked may be as new as this one.
 func (c components) join(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		defer func() { done <- nil }()
-		for !c.fetchState(ctx) {
+		for !c.fetchState(ctx) || c.Board.Config.Version() == 0 {
 			if node.Sleep(ctx, joinEvery) != nil {
 				return
 			}
@@ -93,8 +95,10 @@
 
 func (c components) fetchState(ctx context.Context) bool {
 	self := c.Board.Self.Record().ID
-	for _, e := range c.Board.Members.LiveEntries() {
-		if e.ID == self || e.State != member.StateReady {
+	// A draining entry still holds the state. When all entries are replaced at
+	// once while the store is away, only draining ones hold the configuration.
+	for _, e := range shuffled(c.Board.Members.LiveEntries()) {
+		if e.ID == self {
 			continue
 		}
 		url := "https://" + e.Peer.String() + control.StatePath
@@ -106,3 +110,10 @@
 	}
 	return false
 }
+
+// shuffled spreads the first question of many new entries over the others.
+func shuffled(entries []member.Record) []member.Record {
+	out := slices.Clone(entries)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
--- a/entry/role.go
+++ b/entry/role.go
@@ -46,7 +46,7 @@
 	app   *fx.App
 	board *node.Board
 	admin *admin.Server
-	grace time.Duration
+	ready *readiness
 }
 
 // New binds the sockets of an entry and wires its controllers.
@@ -54,16 +54,16 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.Default()
 	}
-	r := &Role{grace: cfg.Settings.ShutdownGrace}
+	r := &Role{}
 	r.app = fx.New(
 		fx.WithLogger(node.FxLogger(cfg.Log)),
 		fx.Supply(cfg, cfg.Log),
 		fx.Provide(
-			provideRing, provideSockets, provideBoard, providePeerClient, newStatusCollector,
+			provideRing, provideSockets, provideBoard, provideReadiness, providePeerClient, newStatusCollector,
 			provideSync, provideControl, provideForwarder, provideAdmin, providePeerServer,
 		),
 		fx.Invoke(register),
-		fx.Populate(&r.board, &r.admin),
+		fx.Populate(&r.board, &r.admin, &r.ready),
 		fx.StopTimeout(cfg.Settings.ShutdownGrace+fabricGrace),
 	)
 	if err := r.app.Err(); err != nil {
@@ -78,6 +78,9 @@
 // AdminAddress returns the address of the admin server.
 func (r *Role) AdminAddress() netip.AddrPort { return r.admin.Address() }
 
+// NotReady returns why the fabric should not send packets here; none means ready.
+func (r *Role) NotReady() []string { return r.ready.reasons() }
+
 // Run runs the entry until ctx ends, which is a planned stop, and reports its end on the channel.
 func (r *Role) Run(ctx context.Context) <-chan error {
 	return node.RunApp(ctx, r.app, r.board)
@@ -184,8 +187,11 @@
 	}
 }
 
-func provideAdmin(cfg RoleConfig, b *node.Board, collector *statusCollector) (*admin.Server, error) {
-	ready := &readiness{board: b, now: time.Now}
+func provideReadiness(b *node.Board) *readiness {
+	return &readiness{board: b, now: time.Now}
+}
+
+func provideAdmin(cfg RoleConfig, b *node.Board, ready *readiness, collector *statusCollector) (*admin.Server, error) {
 	server, err := admin.New(admin.Config{
 		Address: cfg.Settings.AdminAddress,
 		Ready:   ready.reasons,
