--- a/config/view_test.go
+++ b/config/view_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// Guards against a deleted exception that stays in force, and against nodes
+// that disagree on which of two exceptions of one setting is in force.
+func TestExceptionsThatEndOrCollide(t *testing.T) {
+	newer := exception("a", "service/rota", config.SettingDrainFor, "3s", 2)
+	older := exception("b", "service/rota", config.SettingDrainFor, "4s", 1)
+	for _, order := range [][]config.Object{{newer, older}, {older, newer}} {
+		v := config.NewView()
+		for _, o := range order {
+			v.Apply(o)
+		}
+		require.Equal(t, "3s", v.Policy("rota", netip.Addr{}).Value(config.SettingDrainFor))
+		v.Apply(deleted(newer, 3))
+		require.Equal(t, "4s", v.Policy("rota", netip.Addr{}).Value(config.SettingDrainFor))
+		v.Apply(deleted(older, 4))
+		require.Equal(t, config.BuiltinPolicy(), v.Policy("rota", netip.Addr{}))
+	}
+}
+
 // Guards against an agent that gets a change of another service or misses one of its own.
 func TestObjectsFor(t *testing.T) {
 	v := config.NewView()
@@ -135,3 +153,43 @@
 	}
 	require.Equal(t, []string{"Exception/mine", "Exception/service", "Service/rota", "Upstream/rota-hosts"}, names)
 }
+
+// Guards against an agent that stays behind for ever: whatever the changes, one
+// exchange of ObjectsFor gives it the digest that its entry expects.
+func TestAgentReachesTheDigestOfItsEntry(t *testing.T) {
+	tag := config.TagOf("rota")
+	rapid.Check(t, func(t *rapid.T) {
+		entry, agent := config.NewView(), config.NewView()
+		for version := uint64(1); version <= 15; version++ {
+			network := rapid.SampledFrom([]string{"10.0.0.0/24", "10.0.1.0/24", "10.0.0.0/16"}).Draw(t, "network")
+			o := rapid.SampledFrom([]config.Object{
+				service("rota", version),
+				service("draws", version),
+				upstream("rota-hosts", "rota", network, version),
+				upstream("draws-hosts", "draws", network, version),
+				exception("a", "host/10.0.0.7", config.SettingDrain, "true", version),
+				exception("b", "host/10.0.1.7", config.SettingDrain, "true", version),
+				exception("c", "service/rota", config.SettingSlowStart, "1s", version),
+			}).Draw(t, "object")
+			o.Deleted = rapid.Bool().Draw(t, "deleted")
+			entry.Apply(o)
+			if rapid.Bool().Draw(t, "exchange") {
+				exchange(entry, agent, tag)
+			}
+		}
+		exchange(entry, agent, tag)
+		require.Equal(t, entry.ObjectsFor(tag), agent.ObjectsFor(tag))
+		require.Equal(t, entry.DigestFor(tag), agent.DigestFor(tag))
+		host := netip.MustParseAddr("10.0.0.7")
+		require.Equal(t, entry.AllowsHost(tag, host), agent.AllowsHost(tag, host))
+		if entry.AllowsHost(tag, host) {
+			require.Equal(t, entry.Explain("rota", host), agent.Explain("rota", host))
+		}
+	})
+}
+
+func exchange(from, to *config.View, tag config.ServiceTag) {
+	for _, o := range from.ObjectsFor(tag) {
+		to.Apply(o)
+	}
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"endiveflow.example/endiveflow/agent"
@@ -56,7 +57,9 @@
 
 // Fleet is a small fleet in one process. Its methods are called by one goroutine.
 type Fleet struct {
-	cfg      FleetConfig
+	cfg FleetConfig
+	// network is the second byte of the fleet's loopback addresses.
+	network  byte
 	dir      string
 	cert     standin.Certificate
 	secret   []byte
@@ -71,6 +74,8 @@
 	cfg    ServiceConfig
 	fabric *process[*standin.Fabric]
 	hosts  []*Host
+	// stopped are hosts that were stopped; what they executed still counts.
+	stopped []*Host
 }
 
 // Host is an upstream with its agent.
@@ -104,6 +109,7 @@
 func NewFleet(ctx context.Context, cfg FleetConfig) (*Fleet, error) {
 	f := &Fleet{
 		cfg:      cfg,
+		network:  byte(fleets.Add(1)),
 		secret:   bytes.Repeat([]byte{7}, fleetkey.MinSecretBytes),
 		services: make(map[string]*service),
 	}
@@ -216,9 +222,12 @@
 
 func (f *Fleet) platformURL() string { return "http://" + f.platform.part.Addr().String() }
 
-// loopback returns 127.x.y.z with the number in its last bytes.
-func loopback(n int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, 0, byte(n >> 8), byte(n)})
+// fleets counts the fleets of the process, which gives each a loopback network of its own.
+var fleets atomic.Uint32
+
+// loopback returns 127.N.x.y with N for the fleet and the number in its last bytes.
+func (f *Fleet) loopback(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, f.network, byte(n >> 8), byte(n)})
 }
 
 func (f *Fleet) nodeSettings(ip netip.Addr, n int) settings.Node {
@@ -248,7 +257,7 @@
 // AddEntries starts entries and puts them behind the fabric.
 func (f *Fleet) AddEntries(ctx context.Context, n int) error {
 	for range n {
-		ip := loopback(firstEntryIP + f.started + 1)
+		ip := f.loopback(firstEntryIP + f.started + 1)
 		role, err := entry.New(entry.RoleConfig{
 			Settings: settings.Entry{Node: f.nodeSettings(ip, f.started), BindIP: ip},
 			Log:      f.cfg.Log.With("process", fmt.Sprintf("entry-%d", f.started)),
@@ -287,18 +296,24 @@
 	if err := f.awaitReady(ctx); err != nil {
 		return err
 	}
-	ended := make(chan error, len(old))
-	for _, e := range old {
+	failed := endAll(old)
+	f.entries = f.entries[len(old):]
+	f.setFabricEntries(f.entries)
+	return failed
+}
+
+// endAll stops entries at the same time and returns an error of one that failed.
+func endAll(entries []*process[*entry.Role]) error {
+	ended := make(chan error, len(entries))
+	for _, e := range entries {
 		go func() { ended <- e.end() }()
 	}
 	var failed error
-	for range old {
+	for range entries {
 		if err := <-ended; err != nil {
 			failed = fmt.Errorf("stopping an entry: %w", err)
 		}
 	}
-	f.entries = f.entries[len(old):]
-	f.setFabricEntries(f.entries)
 	return failed
 }
 
@@ -316,9 +331,9 @@
 func (f *Fleet) startHost(ctx context.Context, s *service) (*Host, error) {
 	n := 0
 	for _, other := range f.services {
-		n += len(other.hosts)
+		n += len(other.hosts) + len(other.stopped)
 	}
-	ip := loopback(firstHostIP + n + 1)
+	ip := f.loopback(firstHostIP + n + 1)
 	role, err := agent.New(agent.RoleConfig{
 		Settings: settings.Agent{
 			Node:    f.nodeSettings(ip, n),
@@ -395,9 +410,7 @@
 			_ = h.upstream.end()
 		}
 	}
-	for _, e := range f.entries {
-		_ = e.end()
-	}
+	_ = endAll(f.entries)
 	for _, s := range f.services {
 		_ = s.fabric.end()
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -203,7 +204,7 @@
 func doubledRequests(fleet *Fleet) []string {
 	times := make(map[string]int)
 	for _, s := range fleet.services {
-		for _, h := range s.hosts {
+		for _, h := range slices.Concat(s.hosts, s.stopped) {
 			for id, n := range h.Upstream.Executed() {
 				if strings.HasPrefix(id, http.MethodPost) {
 					times[id] += n
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -224,12 +224,14 @@
 	w := httptest.NewRecorder()
 	defer func() {
 		cause := recover()
-		if abort, ok := cause.(error); cause != nil && (!ok || !errors.Is(abort, http.ErrAbortHandler)) {
+		if cause == nil {
+			return
+		}
+		if aborted, ok := cause.(error); !ok || !errors.Is(aborted, http.ErrAbortHandler) {
 			panic(cause)
-		} else if cause != nil {
-			resp, err = w.Result(), nil
-			resp.Body = io.NopCloser(io.MultiReader(resp.Body, failingReader{}))
 		}
+		resp, err = w.Result(), nil
+		resp.Body = io.NopCloser(io.MultiReader(resp.Body, failingReader{}))
 	}()
 	h.ServeHTTP(w, r)
 	if !n.alive() {
@@ -366,6 +368,14 @@
 	synctest.Wait()
 }
 
+// checkSlots guards against slots and places in the queue that are never given back.
+func (s *story) checkSlots(t *testing.T) {
+	for _, n := range s.fleet.nodes {
+		load := n.handler.Load()
+		require.Zero(t, load.InUse()+load.Queued())
+	}
+}
+
 // Guards against a request that runs twice, one that runs after its caller was told "not run", and an
 // answer that is incomplete or belongs to another request, over kills, freezes, resumes, drains, hand-overs,
 // repeats on other agents, and requests and answers that are lost, late or duplicated.
@@ -394,6 +404,7 @@
 			})
 			s.settle()
 			s.fleet.check(t)
+			s.checkSlots(t)
 			total.runs += len(s.fleet.runs)
 			total.refused += len(s.fleet.refused)
 			for _, n := range s.fleet.answered {
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -19,6 +19,7 @@
 	reasonBadKey      = "key is not valid"
 	reasonKeyUnknown  = "request may have run"
 	reasonKeyNeverRun = "key has been refused and will not run"
+	reasonKeyReused   = "key was used for another request"
 	reasonHomeGone    = "home of the key does not answer"
 	reasonHandedOver  = "no new keys after the hand-over"
 )
@@ -82,7 +83,7 @@
 	if l == nil {
 		return unknown(reasonHomeGone)
 	}
-	state, entry := l.Begin(ledger.Key{Sequence: key.Sequence, Issued: key.Issued}, h.cfg.Now())
+	state, entry := l.Begin(ledger.Key{Sequence: key.Sequence, Issued: key.Issued, Content: j.content()}, h.cfg.Now())
 	switch state {
 	case ledger.Run:
 		h.startKeyed(j, entry)
@@ -90,6 +91,8 @@
 		return result{outcome: retry.NotRun, status: http.StatusPreconditionRequired, reason: reasonKeyNeverRun}
 	case ledger.Unknown:
 		return unknown(reasonKeyUnknown)
+	case ledger.Mismatch:
+		return result{outcome: retry.Unknown, status: http.StatusUnprocessableEntity, reason: reasonKeyReused}
 	}
 	return h.awaitKeyed(ctx, entry)
 }
@@ -186,6 +189,11 @@
 	return res, res.outcome != retry.Unknown || resp.Header.Get(HeaderOutcome) != ""
 }
 
+// SealLedger ends the issue and the use of keys of this agent. To leave, seal the ledger, wait
+// with Shutdown for the runs with a key, and then export it: runs that have not ended are
+// exported as unknown.
+func (h *Handler) SealLedger() { h.ledger.Seal() }
+
 // ExportLedger seals the ledger and returns what a successor needs. From then on this
 // agent starts no request with a key of its own, whether or not the successor gets the export.
 func (h *Handler) ExportLedger() (Self, ledger.Export) {
--- a/ledger/handover.go
+++ b/ledger/handover.go
@@ -12,6 +12,7 @@
 	Issued   time.Time `cbor:"2,keyasint"`
 	Answer   *Answer   `cbor:"3,keyasint,omitempty"`
 	NotRun   bool      `cbor:"4,keyasint,omitempty"`
+	Content  uint64    `cbor:"5,keyasint"`
 }
 
 // Export is what a successor needs to answer repeats for an incarnation.
@@ -24,6 +25,19 @@
 	Count int `cbor:"3,keyasint"`
 }
 
+// Seal stops the start of runs. Those that run go on, and their answers are saved.
+func (l *Ledger) Seal() {
+	for _, s := range l.shards {
+		s.seal()
+	}
+}
+
+func (s *shard) seal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sealed = true
+}
+
 // Export seals the ledger and returns its records. A sealed ledger starts no
 // further run, whether or not the successor receives the export. Runs that have not ended
 // are exported as unknown.
@@ -36,7 +50,7 @@
 	return out
 }
 
-// Sealed says whether Export has been called, or the ledger was imported.
+// Sealed says whether Seal or Export has been called, or the ledger was imported.
 func (l *Ledger) Sealed() bool {
 	s := l.shards[0]
 	s.mu.Lock()
@@ -50,7 +64,7 @@
 	s.sealed = true
 	out.Marks = append(out.Marks, s.mark)
 	for q, r := range s.records {
-		saved := Saved{Sequence: q, Issued: r.key.Issued, NotRun: r.notRun}
+		saved := Saved{Sequence: q, Issued: r.key.Issued, NotRun: r.notRun, Content: r.key.Content}
 		if r.entry != nil && r.entry.ended {
 			saved.Answer = r.entry.answer
 		}
@@ -83,7 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
-	key := Key{Sequence: r.Sequence, Issued: r.Issued}
+	key := Key{Sequence: r.Sequence, Issued: r.Issued, Content: r.Content}
 	rec := &record{key: key, notRun: r.NotRun}
 	s.records[r.Sequence] = rec
 	s.used += recordBytes
