control: agents confirm deaths for the last entry; run over real sockets

With one entry left no second entry could confirm a death, so crashed agents stayed in the view and a crashed second entry for ever. That entry now asks an agent, which probes the member. TestOverRealSockets guards address forms and the end of a read, which the fake sockets do not have.

--- a/control/agent_loop.go
+++ b/control/agent_loop.go
@@ -26,6 +26,8 @@
 	beats   *beater
 	fresh   *freshness
 	objects *objects
+	// questions are the members that this agent was asked about.
+	questions questions
 	// live are the live entries of the view.
 	live       []member.Record
 	liveDirty  bool
@@ -37,7 +39,7 @@
 }
 
 func newAgentLoop(a *Agent) *agentLoop {
-	l := &agentLoop{Agent: a, fresh: newFreshness(), liveDirty: true}
+	l := &agentLoop{Agent: a, fresh: newFreshness(), questions: make(questions), liveDirty: true}
 	l.objects = newObjects(a.cfg.ConfigDigest, func() [][]byte { return nil })
 	l.beats = newBeater(a.link, a.cfg.Rand, a.cfg.Seeds, l.liveEntries, func() (uint64, uint32) {
 		return a.cfg.ConfigDigest(), l.viewDigest()
@@ -135,6 +137,14 @@
 	case KindProbe:
 		l.beats.send(d.from)
 		return nil
+	case KindAsk:
+		return with(d, func(a Ask) { l.asked(d.from, a.Brief.brief(), now) })
+	case KindBeat:
+		return with(d, func(Beat) {
+			if l.fresh.fresh(d) {
+				l.heard(d.from)
+			}
+		})
 	case KindObjects:
 		return with(d, func(m Objects) {
 			for _, object := range m.Objects {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"net"
 	"net/netip"
 	"slices"
 	"testing"
@@ -209,3 +211,51 @@
 		})
 	})
 }
+
+// The last entry has no other one to confirm a death; the agents must do it,
+// or it would route to crashed agents and list crashed entries for ever.
+func TestLastEntryStillEndsMembers(t *testing.T) {
+	simulate(t, 14, 2, 6, func(f *fleet) {
+		lost, crashed := f.entries[1], f.agents[2]
+		f.kill(lost)
+		f.entries = f.entries[:1]
+		f.within(20*time.Second, "the other entry is dead", func() bool { return f.entriesSee(lost, member.StateDead) })
+		f.kill(crashed)
+		f.within(20*time.Second, "the agent is dead", func() bool { return f.entriesSee(crashed, member.StateDead) })
+		time.Sleep(time.Minute)
+		for _, a := range f.agents {
+			require.True(t, a == crashed || f.entriesSee(a, member.StateReady), "%s is alive", a.addr)
+		}
+	})
+}
+
+// Real sockets differ from fakes in address forms and in how a read ends.
+func TestOverRealSockets(t *testing.T) {
+	sockets := make(map[byte]net.PacketConn)
+	f := newFleet(t, 15, 0, 0)
+	f.listen = func(n *node) net.PacketConn { return sockets[n.addr.Addr().As4()[3]] }
+	for host := byte(1); host <= 4; host++ {
+		socket, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.%d:0", host))
+		require.NoError(t, err)
+		defer socket.Close()
+		sockets[host] = socket
+	}
+	at := func(host byte) netip.AddrPort { return sockets[host].LocalAddr().(*net.UDPAddr).AddrPort() }
+	seeds := func() []netip.AddrPort { return []netip.AddrPort{at(1)} }
+	for host := byte(1); host <= 2; host++ {
+		n := f.newNode(member.RoleEntry, at(host))
+		f.entries = append(f.entries, n)
+		f.seeds = seeds
+		f.startEntry(n)
+	}
+	for host := byte(3); host <= 4; host++ {
+		n := f.newNode(member.RoleAgent, at(host))
+		n.self.Service = service
+		f.agents = append(f.agents, n)
+		f.startAgent(n, seeds)
+	}
+	f.within(20*time.Second, "the fleet converges", f.converged)
+	f.entries[0].accept(object("Service/rota", 1, 0))
+	f.within(10*time.Second, "in effect", func() bool { return f.inEffect(f.entries[0]) })
+	f.close()
+}
--- a/control/entry_loop.go
+++ b/control/entry_loop.go
@@ -273,7 +273,7 @@
 
 // ask asks the member's other observer and, when that one has not settled it,
 // every second time the entry that follows in rank: the other observer may
-// have failed together with the member.
+// have failed together with the member. The last entry asks an agent.
 func (l *entryLoop) ask(d member.Decision) {
 	var others []member.Record
 	for _, e := range member.Observers(d.ID, l.liveEntries(), member.ObserverCount+1) {
@@ -281,12 +281,30 @@
 			others = append(others, e)
 		}
 	}
+	if len(others) == 0 {
+		others = l.agentsToAsk(d.ID)
+	}
 	if len(others) > 0 {
 		to := others[(d.Attempt-1)%min(2, len(others))].Control
 		l.capped(KindAsk, Ask{Brief: toWireBrief(d.Brief)}, to)
 	}
 }
 
+// agentsToAsk returns an agent that holds a member's record and is not suspect
+// itself. The order of IDs makes it the same one while nothing changes, as the
+// agent needs several questions to come to an opinion.
+func (l *entryLoop) agentsToAsk(id member.ID) []member.Record {
+	about, _ := l.cfg.Members.Get(id)
+	for _, watched := range l.detector.Watched() {
+		r, ok := l.cfg.Members.Get(watched)
+		holds := about.Role == member.RoleEntry || r.Service == about.Service
+		if ok && r.Role == member.RoleAgent && holds && r.ID != id && r.Alive() && !l.cfg.Members.Suspect(r.ID) {
+			return []member.Record{r}
+		}
+	}
+	return nil
+}
+
 // capped sends a small message if the gossip cap leaves room for it. A mass
 // loss asks for many at once; the detector repeats those left out.
 func (l *entryLoop) capped(kind Kind, body any, to netip.AddrPort) {
--- a/control/entry_receive.go
+++ b/control/entry_receive.go
@@ -39,7 +39,7 @@
 		return with(d, func(a Ask) { l.asked(d.from, a.Brief.brief(), now) })
 	case KindOpinion:
 		return with(d, func(o OpinionOf) {
-			observer, known := l.cfg.Members.Get(member.IDOf(member.RoleEntry, d.from))
+			observer, known := l.memberAt(d.from)
 			if fresh && known {
 				l.decide(l.detector.Asked(o.Brief.brief(), observer.ID, o.Opinion, now))
 			}
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -133,10 +134,13 @@
 
 // fleet is the processes of one region on a fake network.
 type fleet struct {
-	t               *testing.T
-	net             *network
+	t   *testing.T
+	net *network
+	// listen opens the socket of a process; nil means on the fake network.
+	listen          func(*node) net.PacketConn
 	ring            *fleetkey.Ring
 	rand            *rand.Rand
+	seeds           func() []netip.AddrPort
 	entries, agents []*node
 	// added counts the entries ever added.
 	added int
@@ -145,7 +149,7 @@
 func newFleet(t *testing.T, seed uint64, entries, agents int) *fleet {
 	ring, err := fleetkey.New(fleetkey.Config{Keys: []fleetkey.Key{{ID: 1, Secret: make([]byte, fleetkey.MinSecretBytes)}}})
 	require.NoError(t, err)
-	f := &fleet{t: t, net: newNetwork(seed), ring: ring, rand: rand.New(rand.NewPCG(seed, 1))}
+	f := &fleet{t: t, seeds: firstEntries, net: newNetwork(seed), ring: ring, rand: rand.New(rand.NewPCG(seed, 1))}
 	for range entries {
 		f.addEntry()
 	}
@@ -159,8 +163,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, kind, byte(i >> 8), byte(i)}), 7000)
 }
 
-// seeds are the first two entries.
-func (f *fleet) seeds() []netip.AddrPort { return []netip.AddrPort{address(1, 0), address(1, 1)} }
+// firstEntries are the seeds.
+func firstEntries() []netip.AddrPort { return []netip.AddrPort{address(1, 0), address(1, 1)} }
 
 func (f *fleet) newNode(role member.Role, control netip.AddrPort) *node {
 	n := &node{
@@ -185,7 +189,7 @@
 func (f *fleet) startEntry(n *node) {
 	digest := func() uint64 { d, _ := n.objects.all(); return d }
 	entry, err := NewEntry(EntryConfig{
-		Socket: f.net.listen(n.addr), Ring: f.ring, Self: n.record, Changed: n.changed, Refute: n.refute,
+		Socket: f.socket(n), Ring: f.ring, Self: n.record, Changed: n.changed, Refute: n.refute,
 		Members: n.view, Seeds: f.seeds, Trail: quietTrail(), Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 1)),
 		ConfigDigest: digest, ConfigObjects: func() [][]byte { _, all := n.objects.all(); return all },
 		ApplyConfig: n.objects.apply, ConfigChanged: n.applied, Client: f.client(),
@@ -206,7 +210,7 @@
 
 func (f *fleet) startAgent(n *node, seeds func() []netip.AddrPort) {
 	agent, err := NewAgent(AgentConfig{
-		Socket: f.net.listen(n.addr), Ring: f.ring, Self: n.record, Changed: n.changed, Refute: n.refute,
+		Socket: f.socket(n), Ring: f.ring, Self: n.record, Changed: n.changed, Refute: n.refute,
 		Members: n.view, Seeds: seeds, Trail: quietTrail(), Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 1)),
 		ConfigDigest: func() uint64 { d, _ := n.objects.all(); return d }, ApplyConfig: n.objects.apply, Client: f.client(),
 	})
@@ -219,6 +223,13 @@
 	n.stop, n.done = stop, run(ctx)
 }
 
+func (f *fleet) socket(n *node) net.PacketConn {
+	if f.listen != nil {
+		return f.listen(n)
+	}
+	return f.net.listen(n.addr)
+}
+
 // client reaches the StateHandler of the entry that the URL names.
 func (f *fleet) client() *http.Client {
 	return &http.Client{Transport: roundTrip(func(req *http.Request) (*http.Response, error) {
