--- a/control/agent.go
+++ b/control/agent.go
@@ -24,7 +24,8 @@
 	Ring   *fleetkey.Ring
 	// Self returns the agent's own current record, with its ID set.
 	Self func() member.Record
-	// Changed is signalled when Self returns another record; the record is pushed at once.
+	// Changed is signalled when Self returns another record; the record is
+	// pushed at once. It is never closed.
 	Changed <-chan struct{}
 	// Refute is EntryConfig.Refute.
 	Refute func(member.Brief)
--- a/control/entry.go
+++ b/control/entry.go
@@ -43,7 +43,8 @@
 	Ring   *fleetkey.Ring
 	// Self returns the entry's own current record, with its ID set.
 	Self func() member.Record
-	// Changed is signalled when Self returns another record; the record is pushed at once.
+	// Changed is signalled when Self returns another record; the record is
+	// pushed at once. It is never closed.
 	Changed <-chan struct{}
 	// Refute is called when others hold a brief of this member that is newer
 	// than Self: the owner raises its version above it and signals Changed. A
