admit, dispatch: hand work to less loaded peers while local slots are free

Cause: the free local slot went first, so at half load each upstream ran what its own flows brought. In the swing the busiest upstream had 1.11 to 1.22 times the mean (even arrivals) and up to 1.43 times (arrivals 2:1).

Reports alone do not suffice either: they are old, so the peer compares its own load with that of the sender.

Change: a load carries the recent mean of slots in use as a seventh number. An agent with some slots in use asks a peer that is less loaded by in use + 16 x mean of 10 s, per slot; short work asks one peer, long work up to four, since a question costs about 1 ms. The request carries the sender's load. The tests of the header's text have one more number each; their checks are otherwise the same.

Limit: a handed-over request has one more process that can fail under it, also when it is not repeatable; that was so for busy agents only.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -34,6 +35,7 @@
 	ReasonNoPeers    = "no peers"
 	ReasonPeersBusy  = "sampled peers are busy"
 	ReasonLesserLoad = "lesser load of two"
+	ReasonLocal      = "local upstream is not more loaded"
 )
 
 // ChoosePeer picks two random peers and returns the one with the lesser load that is expected to
@@ -41,12 +43,7 @@
 // than ReportExpires counts as half load, so that a peer without a report is tried again.
 // random returns a number from 0 to n-1.
 func ChoosePeer(peers []PeerLoad, c Class, now time.Time, random func(n int) int) Choice {
-	usable := make([]int, 0, len(peers))
-	for i, p := range peers {
-		if !p.Draining && p.Slots > 0 && p.Weight > 0 {
-			usable = append(usable, i)
-		}
-	}
+	usable := usablePeers(peers)
 	if len(usable) == 0 {
 		return Choice{Index: -1, Reason: ReasonNoPeers}
 	}
@@ -66,6 +63,82 @@
 	return Choice{Index: best, Reason: ReasonLesserLoad}
 }
 
+// ChooseLighter picks two random peers and returns the one with the lesser load if
+// that is less than the local one, although the local upstream has a free slot. A peer
+// without a fresh report is returned so that its report becomes known; the peer
+// refuses the request when it is not less loaded.
+func ChooseLighter(local Load, peers []PeerLoad, c Class, now time.Time, random func(n int) int) Choice {
+	if local.InUse() == 0 || !local.HasRoom(c) {
+		return Choice{Index: -1, Reason: ReasonLocal}
+	}
+	usable := usablePeers(peers)
+	if len(usable) == 0 {
+		return Choice{Index: -1, Reason: ReasonNoPeers}
+	}
+	first, second := two(usable, random)
+	best, least := -1, local.strain(float64(local.InUse()))
+	for _, i := range []int{first, second} {
+		if strain := peers[i].strainWithOneMore(now); strain <= least {
+			best, least = i, strain
+		}
+	}
+	if best < 0 {
+		return Choice{Index: -1, Reason: ReasonLocal}
+	}
+	return Choice{Index: best, Reason: ReasonLesserLoad}
+}
+
+func usablePeers(peers []PeerLoad) []int {
+	usable := make([]int, 0, len(peers))
+	for i, p := range peers {
+		if !p.Draining && p.Slots > 0 && p.Weight > 0 {
+			usable = append(usable, i)
+		}
+	}
+	return usable
+}
+
+// LighterProbes is the number of peers that are asked, one after another, whether they are less
+// loaded. A question costs a hop of about 1 ms, which is little for long work only.
+func LighterProbes(c Class) int {
+	if c == Long {
+		return 4
+	}
+	return 1
+}
+
+// recentFactor is the weight of the recent mean of slots in use against the slots in use now.
+// With the slots in use alone, the imbalance of the swing at half load was 1.15 to 1.29: long
+// runs are few, so their chance differences last. 4, 8 and 16 gave less each time.
+const recentFactor = 16
+
+// recent is Recent in slots.
+func (l Load) recent() float64 { return float64(l.Recent) / 1000 }
+
+// strain is the load per slot of the present and the recent past.
+func (l Load) strain(inUse float64) float64 {
+	return (inUse + recentFactor*l.recent()) / float64(max(l.Slots, 1))
+}
+
+// lighterThan says whether one more request leaves the load below what another one has now.
+func (l Load) lighterThan(other Load) bool {
+	return l.strain(float64(l.InUse()+1)) <= other.strain(float64(other.InUse()))
+}
+
+// strainWithOneMore is the strain of a peer after one more request. As the report ages, the
+// recent mean replaces the reported slots in use.
+func (p PeerLoad) strainWithOneMore(now time.Time) float64 {
+	switch {
+	case !p.fresh(now):
+		return 0
+	case p.Load.Slots == 0:
+		return math.Inf(1)
+	}
+	age := float64(now.Sub(p.Reported)) / float64(ReportExpires)
+	inUse := float64(p.Load.InUse())*(1-age) + p.Load.recent()*age
+	return p.Load.strain(inUse + 1)
+}
+
 func two(from []int, random func(n int) int) (first, second int) {
 	i := random(len(from))
 	if len(from) == 1 {
--- a/admit/peer_test.go
+++ b/admit/peer_test.go
@@ -48,20 +48,20 @@
 
 // Guards against a header that agents of one version write and do not read.
 func TestLoadSurvivesItsHeader(t *testing.T) {
-	want := admit.Load{Slots: 7, Reserved: 1, ShortInUse: 2, LongInUse: 3, ShortQueued: 4, LongQueued: 5}
+	want := admit.Load{Slots: 7, Reserved: 1, ShortInUse: 2, LongInUse: 3, ShortQueued: 4, LongQueued: 5, Recent: 2500}
 	text, err := want.MarshalText()
 	require.NoError(t, err)
 	var got admit.Load
 	require.NoError(t, got.UnmarshalText(text))
 	require.Equal(t, want, got)
-	for _, text := range []string{"", "7,1", "7,1,2,3,4,5,6", "7,1,2,3,4,-5", "7,1,2,3,4,5x", "7,1,2,3,4,99999"} {
+	for _, text := range []string{"", "7,1", "7,1,2,3,4,5,6,7", "7,1,2,3,4,5", "7,1,2,3,4,-5,6", "7,1,2,3,4,5x,6", "7,1,2,3,4,99999,6", "7,1,2,3,4,5,99999999"} {
 		require.ErrorIs(t, got.UnmarshalText([]byte(text)), errors.NotValid, text)
 	}
 }
 
 // Guards against a panic or a silent change by a load header that another process wrote.
 func FuzzLoad(f *testing.F) {
-	f.Add("7,1,2,3,4,5")
+	f.Add("7,1,2,3,4,5,2500")
 	f.Fuzz(func(t *testing.T, text string) {
 		var l, again admit.Load
 		if l.UnmarshalText([]byte(text)) != nil {
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -47,6 +47,7 @@
 	short, long     *lane
 	// running holds each request that holds a slot.
 	running map[uint64]run
+	usage   usage
 	// virtual is the start tag of the latest start; it never decreases.
 	virtual float64
 }
@@ -100,11 +101,13 @@
 }
 
 // Load returns the load.
-func (s *Scheduler) Load() Load {
+func (s *Scheduler) Load(now time.Time) Load {
+	s.advance(now)
 	return Load{
 		Slots: s.slots, Reserved: s.reserved,
 		ShortInUse: s.short.inUse, LongInUse: s.long.inUse,
 		ShortQueued: len(s.short.queue), LongQueued: len(s.long.queue),
+		Recent: s.usage.thousandths(),
 	}
 }
 
@@ -114,7 +117,7 @@
 	if s.slots == 0 {
 		return s.refuse(r.ID, l, ReasonNoSlots, now)
 	}
-	if !s.Load().HasRoom(r.Class) {
+	if !s.Load(now).HasRoom(r.Class) {
 		return s.refuse(r.ID, l, ReasonBusy, now)
 	}
 	if !r.Deadline.IsZero() && !now.Add(l.shortestUseful()).Before(r.Deadline) {
@@ -124,6 +127,15 @@
 	return Decision{ID: r.ID, Verdict: Run, Reason: ReasonFreeSlot}
 }
 
+// TryRunLighter is TryRun for a request of an agent with a free slot of its own: it also
+// refuses when the upstream is not less loaded than that agent's.
+func (s *Scheduler) TryRunLighter(r Request, sender Load, now time.Time) Decision {
+	if !s.Load(now).lighterThan(sender) {
+		return s.refuse(r.ID, s.lane(r.Class), ReasonNotLighter, now)
+	}
+	return s.TryRun(r, now)
+}
+
 // Offer runs a request on a free slot, queues it, or refuses it when it is not expected
 // to meet its deadline.
 func (s *Scheduler) Offer(r Request, now time.Time) Decision {
@@ -154,7 +166,7 @@
 // that follow. For a request that holds no slot only the queues are looked at.
 func (s *Scheduler) Done(id uint64, now time.Time) []Decision {
 	if r, ok := s.running[id]; ok {
-		s.release(id, r)
+		s.release(id, r, now)
 		r.lane.measure(now.Sub(r.started), now)
 	}
 	return s.Next(now)
@@ -164,7 +176,7 @@
 // time, and returns the decisions that follow.
 func (s *Scheduler) Cancel(id uint64, now time.Time) []Decision {
 	if r, ok := s.running[id]; ok {
-		s.release(id, r)
+		s.release(id, r, now)
 		return s.Next(now)
 	}
 	s.short.remove(id)
@@ -200,12 +212,16 @@
 	return s.short
 }
 
-func (s *Scheduler) release(id uint64, r run) {
+func (s *Scheduler) advance(now time.Time) { s.usage.advance(s.short.inUse+s.long.inUse, now) }
+
+func (s *Scheduler) release(id uint64, r run, now time.Time) {
+	s.advance(now)
 	delete(s.running, id)
 	r.lane.inUse--
 }
 
 func (s *Scheduler) start(id uint64, l *lane, now time.Time) {
+	s.advance(now)
 	s.running[id] = run{lane: l, started: now}
 	s.virtual = l.charge(s.virtual)
 	l.inUse++
--- a/admit/scheduler_test.go
+++ b/admit/scheduler_test.go
@@ -87,7 +87,7 @@
 }
 
 func (m *model) check(*rapid.T) {
-	l := m.s.Load()
+	l := m.s.Load(m.now)
 	require.Equal(m.t, len(m.running), l.InUse())
 	require.Equal(m.t, len(m.queued), l.Queued())
 	if l.ShortQueued > 0 {
@@ -160,7 +160,7 @@
 	for id := range uint64(10) {
 		s.Offer(admit.Request{ID: id, Class: admit.Long}, start)
 	}
-	require.Equal(t, 3, s.Load().LongInUse)
+	require.Equal(t, 3, s.Load(start).LongInUse)
 	require.Equal(t, admit.Run, s.Offer(admit.Request{ID: 99, Class: admit.Short}, start).Verdict)
 	require.Empty(t, s.Done(99, start), "queued long work must not take it either")
 }
--- a/admit/swing_test.go
+++ b/admit/swing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -77,6 +78,8 @@
 	useful   time.Duration
 	offered  [3]int
 	refused  [3]int
+	// asked counts the questions to less loaded peers by phase.
+	asked [3]int
 }
 
 type agent struct {
@@ -167,6 +170,11 @@
 		r.Deadline = time.Time{}
 	}
 	a.works[id] = w
+	if s.mode.peers && s.moveToLighter(r, &w, home) {
+		delete(a.works, id)
+		return
+	}
+	a.works[id] = w
 	if a.scheduler.TryRun(r, s.now).Verdict == admit.Run {
 		s.begin(a, id)
 		return
@@ -198,6 +206,32 @@
 	})
 }
 
+// moveToLighter asks peers that are less loaded, although the agent may have a free slot.
+func (s *swing) moveToLighter(r admit.Request, w *work, home int) bool {
+	a := s.agents[home]
+	for range admit.LighterProbes(r.Class) {
+		c := admit.ChooseLighter(a.scheduler.Load(s.now), a.peers, r.Class, s.now, s.random.IntN)
+		if c.Index < 0 {
+			return false
+		}
+		other := c.Index
+		if other >= home {
+			other++
+		}
+		b := s.agents[other]
+		ran := b.scheduler.TryRunLighter(r, a.scheduler.Load(s.now), s.now).Verdict == admit.Run
+		a.peers[c.Index].Load, a.peers[c.Index].Reported = b.scheduler.Load(s.now), s.now
+		w.hop += peerHop
+		s.asked[phaseOf(s.now.Sub(s.start))]++
+		if ran {
+			b.works[r.ID] = *w
+			s.begin(b, r.ID)
+			return true
+		}
+	}
+	return false
+}
+
 // handOver asks one peer for a free slot; the report comes with its answer.
 func (s *swing) handOver(r admit.Request, w work, home int) bool {
 	a := s.agents[home]
@@ -211,9 +245,9 @@
 	}
 	b := s.agents[other]
 	ran := b.scheduler.TryRun(r, s.now).Verdict == admit.Run
-	a.peers[c.Index].Load, a.peers[c.Index].Reported = b.scheduler.Load(), s.now
+	a.peers[c.Index].Load, a.peers[c.Index].Reported = b.scheduler.Load(s.now), s.now
 	if ran {
-		w.hop = peerHop
+		w.hop += peerHop
 		b.works[r.ID] = w
 		s.begin(b, r.ID)
 	}
@@ -313,14 +347,17 @@
 // idle under overload, and against uneven use of the agents. The bounds are the targets.
 func TestSwingMeetsTargets(t *testing.T) {
 	for _, m := range swingModes()[:2] {
-		t.Run(m.name, func(t *testing.T) {
-			s := newSwing(m, 1)
-			s.run()
-			half, crest := s.response[0].ValueAtQuantile(99), s.response[1].ValueAtQuantile(99)
-			require.LessOrEqual(t, float64(crest)/float64(half), 2.0)
-			require.GreaterOrEqual(t, s.goodput(), 0.95)
-			require.LessOrEqual(t, s.imbalance(1), 1.1)
-		})
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", m.name, seed+1), func(t *testing.T) {
+				s := newSwing(m, seed+1)
+				s.run()
+				half, crest := s.response[0].ValueAtQuantile(99), s.response[1].ValueAtQuantile(99)
+				require.LessOrEqual(t, float64(crest)/float64(half), 2.0)
+				require.GreaterOrEqual(t, s.goodput(), 0.95)
+				require.LessOrEqual(t, s.imbalance(0), 1.1)
+				require.LessOrEqual(t, s.imbalance(1), 1.1)
+			})
+		}
 	}
 }
 
@@ -348,6 +385,7 @@
 			b.ReportMetric(float64(s.wait.ValueAtQuantile(99))*ms, "short-wait-p99-ms")
 			b.ReportMetric(s.goodput(), "goodput")
 			b.ReportMetric(s.imbalance(0), "half-imbalance")
+			b.ReportMetric(float64(s.asked[0]), "half-questions")
 			b.ReportMetric(s.imbalance(1), "crest-imbalance")
 			b.ReportMetric(float64(s.refused[admit.Short])/float64(s.offered[admit.Short]), "short-refused")
 			b.ReportMetric(float64(s.refused[admit.Long])/float64(s.offered[admit.Long]), "long-refused")
--- a/admit/types.go
+++ b/admit/types.go
@@ -77,6 +77,7 @@
 	ReasonQueueLength  = "queue is full"
 	ReasonLostDeadline = "deadline can no longer be met"
 	ReasonWaited       = "queue time exceeded"
+	ReasonNotLighter   = "not less loaded than the sender"
 )
 
 // Decision says what happens to a request, and why.
@@ -101,6 +102,8 @@
 	ShortInUse, LongInUse int
 	// ShortQueued and LongQueued are the requests that wait by class.
 	ShortQueued, LongQueued int
+	// Recent is the mean of the slots in use over the last seconds, in thousandths of a slot.
+	Recent int
 }
 
 // InUse returns the number of slots in use.
@@ -131,12 +134,12 @@
 }
 
 // loadNumbers is the number of numbers in the text of a load.
-const loadNumbers = 6
+const loadNumbers = 7
 
 // MarshalText returns the value of the header endiveflow-load: slots, reserved, short in
-// use, long in use, short queued, long queued.
+// use, long in use, short queued, long queued, recent.
 func (l Load) MarshalText() ([]byte, error) {
-	numbers := []int{l.Slots, l.Reserved, l.ShortInUse, l.LongInUse, l.ShortQueued, l.LongQueued}
+	numbers := []int{l.Slots, l.Reserved, l.ShortInUse, l.LongInUse, l.ShortQueued, l.LongQueued, l.Recent}
 	var text []byte
 	for i, n := range numbers {
 		if i > 0 {
@@ -155,12 +158,16 @@
 	}
 	var v [loadNumbers]int
 	for i, part := range parts {
-		n, err := strconv.ParseUint(part, 10, 16)
+		bits := 16
+		if i == loadNumbers-1 {
+			bits = 26 // thousandths of a 16-bit number
+		}
+		n, err := strconv.ParseUint(part, 10, bits)
 		if err != nil {
 			return errors.NewNotValid(err, "load")
 		}
 		v[i] = int(n)
 	}
-	*l = Load{Slots: v[0], Reserved: v[1], ShortInUse: v[2], LongInUse: v[3], ShortQueued: v[4], LongQueued: v[5]}
+	*l = Load{Slots: v[0], Reserved: v[1], ShortInUse: v[2], LongInUse: v[3], ShortQueued: v[4], LongQueued: v[5], Recent: v[6]}
 	return nil
 }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -187,6 +187,9 @@
 	r := j.request(ctx, started)
 	r.Header.Set(HeaderHandover, handover)
 	r.Header.Set(HeaderClass, j.class.String())
+	if handover == handoverLighter {
+		setLoad(r.Header, h.Load())
+	}
 	resp, err := h.cfg.Peer(ctx, addr, r)
 	if err != nil {
 		h.peers.forget(addr)
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -29,6 +29,9 @@
 	handoverSlot  = "slot"
 	handoverQueue = "queue"
 	handoverHome  = "home"
+	// handoverLighter is handoverSlot for an agent with a free slot of its own; HeaderLoad
+	// carries its load, and the peer refuses unless its own load is less.
+	handoverLighter = "lighter"
 )
 
 // Defaults of a Config.
--- a/dispatch/handler.go
+++ b/dispatch/handler.go
@@ -138,7 +138,7 @@
 func (h *Handler) PeerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.refresh(false)
-		mode, class := r.Header.Get(HeaderHandover), r.Header.Get(HeaderClass)
+		mode, class, load := r.Header.Get(HeaderHandover), r.Header.Get(HeaderClass), r.Header.Get(HeaderLoad)
 		j, fault := h.read(r)
 		if fault != nil {
 			h.writeToPeer(w, *fault)
@@ -151,10 +151,13 @@
 			return
 		}
 		j.class = admit.ParseClass(class)
-		if mode == handoverQueue {
+		switch mode {
+		case handoverQueue:
 			h.writeToPeer(w, h.runQueued(ctx, j))
-			return
+		case handoverLighter:
+			h.writeToPeer(w, h.runIfLighter(ctx, j, load))
+		default:
+			h.writeToPeer(w, h.runOnFreeSlot(ctx, j))
 		}
-		h.writeToPeer(w, h.runOnFreeSlot(ctx, j))
 	})
 }
--- a/dispatch/handler_test.go
+++ b/dispatch/handler_test.go
@@ -238,7 +238,7 @@
 	require.Empty(t, resp.Header.Get(dispatch.HeaderLoad), "the load is for agents only")
 	handedOver := call(h.PeerHandler(), http.MethodGet, "/", nil)
 	require.Equal(t, "not-run", outcome(handedOver))
-	require.Equal(t, "0,1,0,0,0,0", handedOver.Header.Get(dispatch.HeaderLoad))
+	require.Equal(t, "0,1,0,0,0,0,0", handedOver.Header.Get(dispatch.HeaderLoad))
 	require.Zero(t, local.Load())
 }
 
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -27,11 +27,8 @@
 // runQueued serves a request that a peer hands over because it has no upstream
 // of its own to run it on.
 func (h *Handler) runQueued(ctx context.Context, j *job) result {
-	switch {
-	case !h.cfg.AcceptsWork():
-		return refused(reasonDraining, time.Second)
-	case h.peers.avoidLocal():
-		return refused(reasonEjected, time.Second)
+	if reason := h.takesNoWork(); reason != "" {
+		return refused(reason, time.Second)
 	}
 	return h.runLocalQueued(ctx, j)
 }
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,16 +23,8 @@
 			time.Sleep(5 * time.Millisecond)
 			return answer(http.StatusOK, "peer"), nil
 		}))
-		cfg := agentConfig(nil)
+		cfg := withPeer(agentConfig(nil), peer)
 		cfg.AcceptsWork = func() bool { return false }
-		cfg.Peers = func() []dispatch.PeerInfo {
-			return []dispatch.PeerInfo{{Addr: netip.MustParseAddrPort("10.0.0.9:700"), Slots: 2}}
-		}
-		cfg.Peer = func(_ context.Context, _ netip.AddrPort, r *http.Request) (*http.Response, error) {
-			w := httptest.NewRecorder()
-			peer.PeerHandler().ServeHTTP(w, r)
-			return w.Result(), nil
-		}
 		draining := dispatch.New(cfg)
 		outcomes := make(chan string, 4)
 		for range cap(outcomes) {
@@ -42,3 +35,48 @@
 		}
 	})
 }
+
+// Guards against uneven use of the upstreams while each has free slots, and against
+// work that is moved although the peer is as busy as the sender.
+func TestFreeSlotGivesWayToLessLoadedPeer(t *testing.T) {
+	for _, c := range []struct {
+		busyPeer    bool
+		local, peer int64
+	}{{busyPeer: false, local: 1, peer: 1}, {busyPeer: true, local: 2, peer: 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			var local, remote atomic.Int64
+			slow := func(n *atomic.Int64) func(*http.Request) (*http.Response, error) {
+				return func(*http.Request) (*http.Response, error) {
+					n.Add(1)
+					time.Sleep(time.Second)
+					return answer(http.StatusOK, "done"), nil
+				}
+			}
+			peer := dispatch.New(agentConfig(slow(&remote)))
+			h := dispatch.New(withPeer(agentConfig(slow(&local)), peer))
+			if c.busyPeer {
+				go call(peer, http.MethodGet, "/", nil)
+				synctest.Wait()
+			}
+			for range 2 {
+				go call(h, http.MethodGet, "/", nil)
+				synctest.Wait()
+			}
+			require.Equal(t, []int64{c.local, c.peer}, []int64{local.Load(), remote.Load()})
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// withPeer adds one peer.
+func withPeer(cfg dispatch.Config, peer *dispatch.Handler) dispatch.Config {
+	cfg.Peers = func() []dispatch.PeerInfo {
+		return []dispatch.PeerInfo{{Addr: netip.MustParseAddrPort("10.0.0.9:700"), Slots: 2}}
+	}
+	cfg.Peer = func(_ context.Context, _ netip.AddrPort, r *http.Request) (*http.Response, error) {
+		w := httptest.NewRecorder()
+		peer.PeerHandler().ServeHTTP(w, r)
+		return w.Result(), nil
+	}
+	return cfg
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -101,6 +101,11 @@
 	return out
 }
 
+// admission returns what the scheduler needs to know of the request.
+func (j *job) admission() admit.Request {
+	return admit.Request{ID: j.id, Class: j.class, Deadline: j.deadline}
+}
+
 // content is a hash of what the request asks for.
 func (j *job) content() uint64 {
 	d := xxhash.New()
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -74,6 +74,19 @@
 
 // choose picks a peer and counts the request in its load until the next report.
 func (t *peerTable) choose(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
+	return t.pick(infos, skip, c, func(list []admit.PeerLoad) admit.Choice {
+		return admit.ChoosePeer(list, c, now, random)
+	})
+}
+
+// chooseLighter is choose among the peers that are less loaded than the local upstream.
+func (t *peerTable) chooseLighter(local admit.Load, infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
+	return t.pick(infos, skip, c, func(list []admit.PeerLoad) admit.Choice {
+		return admit.ChooseLighter(local, list, c, now, random)
+	})
+}
+
+func (t *peerTable) pick(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, choose func([]admit.PeerLoad) admit.Choice) (netip.AddrPort, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]admit.PeerLoad, 0, len(infos))
@@ -90,7 +103,7 @@
 			Addr: p.Addr, Slots: p.Slots, Load: r.load, Reported: r.at, Weight: weight, Draining: p.Draining,
 		})
 	}
-	choice := admit.ChoosePeer(list, c, now, random)
+	choice := choose(list)
 	if choice.Index < 0 {
 		return netip.AddrPort{}, false
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -22,6 +22,7 @@
 	reasonDeadline   = "deadline passed"
 	reasonCancelled  = "caller gone"
 	reasonPeerFailed = "peer did not answer"
+	reasonNoLoad     = "load of the sender is missing"
 )
 
 // result is the result of a request or of one attempt.
@@ -90,11 +91,15 @@
 	return d.Retry
 }
 
-// attempt places a request once: on a free local slot, on a peer, or in the local queue. An
+// attempt places a request once: on a peer that is less loaded, on a free local slot, on a peer
+// with a free slot, or in the local queue. An
 // attempt after a failed one asks the peers first.
 func (h *Handler) attempt(ctx context.Context, j *job, peersFirst bool) result {
 	accepts, avoid := h.cfg.AcceptsWork(), h.peers.avoidLocal()
 	if accepts && !avoid && !peersFirst {
+		if res, ran := h.askLighterPeers(ctx, j); ran {
+			return res
+		}
 		if d := h.slots.try(j); d.Verdict == admit.Run {
 			placedLocal.Inc()
 			return h.runLocal(ctx, j)
@@ -126,19 +131,33 @@
 	return refused(reasonCancelled, time.Second)
 }
 
-// askPeers offers a request to peers until one runs it. ran is false when it is proven that none did.
+// askPeers offers a request to peers with a free slot. ran is false when it is proven that none ran it.
 func (h *Handler) askPeers(ctx context.Context, j *job, probes int) (res result, ran bool) {
+	return h.offer(ctx, j, probes, handoverSlot, func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool) {
+		return h.peers.choose(h.cfg.Peers(), skip, j.class, h.cfg.Now(), h.random)
+	})
+}
+
+// askLighterPeers offers a request that may have a free local slot to peers that are less loaded.
+func (h *Handler) askLighterPeers(ctx context.Context, j *job) (res result, ran bool) {
+	return h.offer(ctx, j, admit.LighterProbes(j.class), handoverLighter, func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool) {
+		return h.peers.chooseLighter(h.slots.load(), h.cfg.Peers(), skip, j.class, h.cfg.Now(), h.random)
+	})
+}
+
+// offer offers a request to peers until one runs it.
+func (h *Handler) offer(ctx context.Context, j *job, probes int, handover string, choose func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool)) (res result, ran bool) {
 	skip := map[netip.AddrPort]bool{h.cfg.Self.Peer: true}
 	for range probes {
 		if ctx.Err() != nil {
 			return result{}, false
 		}
-		addr, ok := h.peers.choose(h.cfg.Peers(), skip, j.class, h.cfg.Now(), h.random)
+		addr, ok := choose(skip)
 		if !ok {
 			return result{}, false
 		}
 		skip[addr] = true
-		res = h.runOnPeer(ctx, j, addr, handoverSlot)
+		res = h.runOnPeer(ctx, j, addr, handover)
 		if res.outcome != retry.NotRun || res.tried {
 			placedPeer.Inc()
 			return res, true
@@ -149,21 +168,43 @@
 
 func (h *Handler) random(n int) int { return min(int(h.cfg.Rand()*float64(n)), n-1) }
 
-// runOnFreeSlot serves a request that a peer handed over.
+// runOnFreeSlot serves a request that a peer without a free slot handed over.
 func (h *Handler) runOnFreeSlot(ctx context.Context, j *job) result {
-	if !h.cfg.AcceptsWork() {
-		return refused(reasonDraining, time.Second)
+	return h.runHandedOver(ctx, j, h.slots.try)
+}
+
+// runIfLighter serves a request of a peer whose load is text, if the local load is less.
+func (h *Handler) runIfLighter(ctx context.Context, j *job, text string) result {
+	var sender admit.Load
+	if err := sender.UnmarshalText([]byte(text)); err != nil {
+		malformedLoads.Inc()
+		return refused(reasonNoLoad, time.Second)
 	}
-	if h.peers.avoidLocal() {
-		return refused(reasonEjected, time.Second)
+	return h.runHandedOver(ctx, j, func(j *job) admit.Decision { return h.slots.tryLighter(j, sender) })
+}
+
+func (h *Handler) runHandedOver(ctx context.Context, j *job, try func(*job) admit.Decision) result {
+	if reason := h.takesNoWork(); reason != "" {
+		return refused(reason, time.Second)
 	}
-	d := h.slots.try(j)
+	d := try(j)
 	if d.Verdict != admit.Run {
 		return refused(d.Reason, d.RetryAfter)
 	}
 	return h.runLocal(ctx, j)
 }
 
+// takesNoWork returns the reason why the local upstream takes no handed-over work, or nothing.
+func (h *Handler) takesNoWork() string {
+	switch {
+	case !h.cfg.AcceptsWork():
+		return reasonDraining
+	case h.peers.avoidLocal():
+		return reasonEjected
+	}
+	return ""
+}
+
 // refresh reads the settings and judges the upstreams again when that is due.
 func (h *Handler) refresh(force bool) {
 	now := h.cfg.Now()
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -37,7 +37,7 @@
 func (s *slots) load() admit.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.Load()
+	return s.scheduler.Load(s.now())
 }
 
 func (s *slots) classify(j *job, service config.Service) admit.Class {
@@ -91,14 +91,21 @@
 func (s *slots) try(j *job) admit.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.scheduler.TryRun(admit.Request{ID: j.id, Class: j.class, Deadline: j.deadline}, s.now())
+	return s.scheduler.TryRun(j.admission(), s.now())
+}
+
+// tryLighter takes a free slot or refuses, and refuses unless the load is less than the sender's.
+func (s *slots) tryLighter(j *job, sender admit.Load) admit.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.TryRunLighter(j.admission(), sender, s.now())
 }
 
 // acquire takes a slot, waiting in the queue if need be. When ctx ends first, it gives
 // the place up and returns the error of ctx.
 func (s *slots) acquire(ctx context.Context, j *job) (admit.Decision, error) {
 	s.mu.Lock()
-	d := s.scheduler.Offer(admit.Request{ID: j.id, Class: j.class, Deadline: j.deadline}, s.now())
+	d := s.scheduler.Offer(j.admission(), s.now())
 	if d.Verdict != admit.Queue {
 		s.mu.Unlock()
 		return d, nil
--- a/dispatch/write.go
+++ b/dispatch/write.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"endiveflow.example/endiveflow/admit"
 	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/outlier"
 	"endiveflow.example/endiveflow/retry"
@@ -46,15 +47,19 @@
 	if !h.cfg.AcceptsWork() || h.peers.avoidLocal() {
 		l.Slots = 0
 	}
-	if text, err := l.MarshalText(); err == nil {
-		w.Header().Set(HeaderLoad, string(text))
-	}
+	setLoad(w.Header(), l)
 	if res.outcome == retry.NotRun && res.tried {
 		w.Header().Set(HeaderShed, "1")
 	}
 	h.send(w, res)
 }
 
+func setLoad(to http.Header, l admit.Load) {
+	if text, err := l.MarshalText(); err == nil {
+		to.Set(HeaderLoad, string(text))
+	}
+}
+
 func (h *Handler) send(w http.ResponseWriter, res result) {
 	w.Header().Set(HeaderOutcome, res.outcome.String())
 	if res.outcome == retry.Answered {
