admit: no refusal of work that is served sooner than a refused caller returns

Cause: the queue time was bounded by 2 times the mean run time, at least 5 ms. For 3 ms work that is 6 ms, a few requests; a refused caller returns after 100 ms at the earliest. Besides, the assumed run time of 20 ms bounded the queue before anything was measured, and during the slow start one slot of four reached the bound at a quarter of the length.

Change: the floor is 40 ms, the bound of the 20 ms work for which the target at the crest is stated, so that nothing changes for that work. Until 8 run times are measured the floor is 400 ms. During the slow start the bound is that of the warm upstream's queue length. The first run times count equally in the mean, so that the assumed one has no part in it. The end of the queue time is fixed when a request enters the queue.

Ruled out: the deadline alone as the bound while nothing is measured.

--- a/admit/lane.go
+++ b/admit/lane.go
@@ -21,8 +21,10 @@
 
 // waiting is a request in a queue.
 type waiting struct {
-	id                uint64
-	deadline, arrived time.Time
+	id       uint64
+	deadline time.Time
+	// end is the end of the bounded queue time.
+	end time.Time
 }
 
 // lane is the queue and the measurements of one class. The queue is first in, first
@@ -33,6 +35,8 @@
 	inUse int
 	// mean is the mean run time, more than 0.
 	mean time.Duration
+	// samples is the number of measured run times.
+	samples int
 	// gap is the mean time between two ends while slots were busy; 0 when not yet measured.
 	gap time.Duration
 	// lastEnd is the time of the latest end.
@@ -61,7 +65,9 @@
 
 func (l *lane) measure(d time.Duration, now time.Time) {
 	d = max(d, time.Microsecond)
-	l.mean += time.Duration(float64(d-l.mean) * meanWeight)
+	l.samples++
+	// The first run times count equally, so that the assumed one has no part in the mean.
+	l.mean += time.Duration(float64(d-l.mean) * max(meanWeight, 1/float64(l.samples)))
 	if len(l.queue) > 0 && !l.lastEnd.IsZero() {
 		gap := now.Sub(l.lastEnd)
 		if l.gap == 0 {
@@ -97,9 +103,19 @@
 	return max(l.inUse, guaranteed, 1)
 }
 
-// maxWait is the bound of the queue time of a lane.
+// maxWait is the bound of the queue time of a lane. During the slow start it allows the
+// queue length that the warm upstream may have, since one slot of four reaches the
+// bound at a quarter of that length.
 func (s *Scheduler) maxWait(l *lane) time.Duration {
-	return max(time.Duration(float64(l.mean)*s.cfg.QueueFactor), queueFloor)
+	floor := queueFloor
+	if l.samples < minMeasured {
+		floor = unmeasuredFloor
+	}
+	bound := max(time.Duration(float64(l.mean)*s.cfg.QueueFactor), floor)
+	if s.warmSlots > s.slots && s.slots > 0 {
+		bound = bound * time.Duration(s.warmSlots) / time.Duration(s.slots)
+	}
+	return bound
 }
 
 // late says whether a request that waits for another wait misses its deadline.
@@ -112,15 +128,14 @@
 
 // giveUp is the time at which a queued request is refused at the latest.
 func (s *Scheduler) giveUp(l *lane, w waiting) time.Time {
-	end := w.arrived.Add(2 * s.maxWait(l))
 	if w.deadline.IsZero() {
-		return end
+		return w.end
 	}
 	last := w.deadline.Add(-l.shortestUseful())
-	if last.Before(end) {
+	if last.Before(w.end) {
 		return last
 	}
-	return end
+	return w.end
 }
 
 // dropLate refuses queued requests that can no longer meet their deadline or have waited too long.
@@ -150,7 +165,7 @@
 	if s.late(l, w, wait, now) {
 		return ReasonLostDeadline
 	}
-	if !now.Before(s.giveUp(l, w)) {
+	if !now.Before(w.end) {
 		return ReasonWaited
 	}
 	return ""
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -14,9 +14,19 @@
 	DefaultLongRun     = time.Second
 )
 
-// queueFloor is the shortest bound of the queue time. Below a few milliseconds the
-// pauses of the process decide the queue time, not the upstream.
-const queueFloor = 5 * time.Millisecond
+// queueFloor is the shortest bound of the queue time. A refused caller returns after
+// minRetryAfter at the earliest, so refusing what is served sooner only adds to its response time.
+// A request waits for at most twice the bound. 40 ms is the bound of 20 ms work, for which
+// the target at the crest is stated; a higher floor would lengthen its queue.
+const queueFloor = 40 * time.Millisecond
+
+// unmeasuredFloor is queueFloor until minMeasured run times are measured. The assumed run time is
+// too weak a reason to refuse work; without any bound, callers of an upstream that hangs from
+// the start would be refused only at their deadline.
+const unmeasuredFloor = 400 * time.Millisecond
+
+// minMeasured is the number of measured run times that make the mean usable as a bound.
+const minMeasured = 8
 
 // SchedulerConfig configures a Scheduler.
 type SchedulerConfig struct {
@@ -44,7 +54,9 @@
 	cfg SchedulerConfig
 	// slots is 0 or more; running requests above it finish, but none starts.
 	slots, reserved int
-	short, long     *lane
+	// warmSlots is the number of slots after the slow start; 0 when there is none.
+	warmSlots   int
+	short, long *lane
 	// running holds each request that holds a slot.
 	running map[uint64]run
 	usage   usage
@@ -95,6 +107,10 @@
 	return s.Next(now)
 }
 
+// SetWarmSlots sets the number of slots after the slow start, by which queue times are bounded; 0
+// means that there is none.
+func (s *Scheduler) SetWarmSlots(slots int) { s.warmSlots = slots }
+
 func (s *Scheduler) setSlots(slots, reserved int) {
 	s.slots = max(slots, 0)
 	s.reserved = max(min(reserved, s.slots-1), 0)
@@ -148,13 +164,15 @@
 		return s.refuse(r.ID, l, ReasonQueueLength, now)
 	}
 	wait := s.expectedWait(l, len(l.queue))
-	w := waiting{id: r.ID, deadline: r.Deadline, arrived: now}
+	w := waiting{id: r.ID, deadline: r.Deadline}
 	if s.late(l, w, wait, now) {
 		return s.refuse(r.ID, l, ReasonDeadline, now)
 	}
-	if wait > s.maxWait(l) {
+	bound := s.maxWait(l)
+	if wait > bound {
 		return s.refuse(r.ID, l, ReasonQueueTime, now)
 	}
+	w.end = now.Add(2 * bound)
 	if len(l.queue) == 0 {
 		l.activate(s.virtual)
 	}
--- a/admit/scheduler_test.go
+++ b/admit/scheduler_test.go
@@ -215,3 +215,28 @@
 	require.InEpsilon(t, 4*time.Second, slow, 0.2, "three wait and one more")
 	require.InEpsilon(t, 2*slow, retryAfter(time.Second, 0.999), 0.2)
 }
+
+// Guards against refusals that cost a caller more than the wait: of very short work, before run times
+// are measured, and during the slow start. The bound of 20 ms work stays at 40 ms, for the crest.
+func TestQueueTimeBound(t *testing.T) {
+	// queued returns how many requests one slot queues before it refuses one.
+	queued := func(run time.Duration, measured int, warmSlots int) int {
+		s, now := admit.NewScheduler(admit.SchedulerConfig{Slots: 1}), start
+		s.SetWarmSlots(warmSlots)
+		for id := range uint64(measured) {
+			s.TryRun(admit.Request{ID: id, Class: admit.Short}, now)
+			now = now.Add(run)
+			s.Done(id, now)
+		}
+		for n := 0; ; n++ {
+			if s.Offer(admit.Request{ID: uint64(1000 + n), Class: admit.Short}, now).Verdict == admit.Refuse {
+				return n - 1
+			}
+		}
+	}
+	require.Equal(t, 2, queued(20*time.Millisecond, 200, 0))
+	require.Equal(t, 2, queued(100*time.Millisecond, 200, 0))
+	require.Equal(t, 13, queued(3*time.Millisecond, 200, 0), "40 ms of 3 ms work")
+	require.Equal(t, 20, queued(20*time.Millisecond, 0, 0), "400 ms of the assumed 20 ms work")
+	require.Equal(t, 8, queued(20*time.Millisecond, 200, 4), "the queue of 4 slots")
+}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -74,6 +74,7 @@
 // apply sets the usable slots: a cold upstream gets its weight's part, rounded up.
 func (s *slots) apply() {
 	usable := (s.total*s.weight + 99) / 100
+	s.scheduler.SetWarmSlots(s.total)
 	s.deliver(s.scheduler.SetSlots(usable, s.reserved, s.now()))
 }
 
