--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -14,9 +14,19 @@
 	DefaultLongRun     = time.Second
 )
 
-// queueFloor is the shortest bound of the queue time. Below a few milliseconds the
-// pauses of the process decide the queue time, not the upstream.
-const queueFloor = 5 * time.Millisecond
+// queueFloor is the shortest bound of the queue time. A refused caller returns after
+// minRetryAfter at the earliest, so refusing what is served sooner only adds to its response time.
+// A request waits for at most twice the bound. 40 ms is the bound of 20 ms work, for which
+// the target at the crest is stated; a higher floor would lengthen its queue.
+const queueFloor = 40 * time.Millisecond
+
+// unmeasuredFloor is queueFloor until minMeasured run times are measured. The assumed run time is
+// too weak a reason to refuse work; without any bound, callers of an upstream that hangs from
+// the start would be refused only at their deadline.
+const unmeasuredFloor = 400 * time.Millisecond
+
+// minMeasured is the number of measured run times that make the mean usable as a bound.
+const minMeasured = 8
 
 // SchedulerConfig configures a Scheduler.
 type SchedulerConfig struct {
@@ -44,9 +54,12 @@
 	cfg SchedulerConfig
 	// slots is 0 or more; running requests above it finish, but none starts.
 	slots, reserved int
-	short, long     *lane
+	// warmSlots is the number of slots after the slow start; 0 when there is none.
+	warmSlots   int
+	short, long *lane
 	// running holds each request that holds a slot.
 	running map[uint64]run
+	usage   usage
 	// virtual is the start tag of the latest start; it never decreases.
 	virtual float64
 }
@@ -94,17 +107,23 @@
 	return s.Next(now)
 }
 
+// SetWarmSlots sets the number of slots after the slow start, by which queue times are bounded; 0
+// means that there is none.
+func (s *Scheduler) SetWarmSlots(slots int) { s.warmSlots = slots }
+
 func (s *Scheduler) setSlots(slots, reserved int) {
 	s.slots = max(slots, 0)
 	s.reserved = max(min(reserved, s.slots-1), 0)
 }
 
 // Load returns the load.
-func (s *Scheduler) Load() Load {
+func (s *Scheduler) Load(now time.Time) Load {
+	s.advance(now)
 	return Load{
 		Slots: s.slots, Reserved: s.reserved,
 		ShortInUse: s.short.inUse, LongInUse: s.long.inUse,
 		ShortQueued: len(s.short.queue), LongQueued: len(s.long.queue),
+		Recent: s.usage.thousandths(),
 	}
 }
 
@@ -114,7 +133,7 @@
 	if s.slots == 0 {
 		return s.refuse(r.ID, l, ReasonNoSlots, now)
 	}
-	if !s.Load().HasRoom(r.Class) {
+	if !s.Load(now).HasRoom(r.Class) {
 		return s.refuse(r.ID, l, ReasonBusy, now)
 	}
 	if !r.Deadline.IsZero() && !now.Add(l.shortestUseful()).Before(r.Deadline) {
@@ -124,6 +143,15 @@
 	return Decision{ID: r.ID, Verdict: Run, Reason: ReasonFreeSlot}
 }
 
+// TryRunLighter is TryRun for a request of an agent with a free slot of its own: it also
+// refuses when the upstream is not less loaded than that agent's.
+func (s *Scheduler) TryRunLighter(r Request, sender Load, now time.Time) Decision {
+	if !s.Load(now).lighterThan(sender) {
+		return s.refuse(r.ID, s.lane(r.Class), ReasonNotLighter, now)
+	}
+	return s.TryRun(r, now)
+}
+
 // Offer runs a request on a free slot, queues it, or refuses it when it is not expected
 // to meet its deadline.
 func (s *Scheduler) Offer(r Request, now time.Time) Decision {
@@ -136,13 +164,15 @@
 		return s.refuse(r.ID, l, ReasonQueueLength, now)
 	}
 	wait := s.expectedWait(l, len(l.queue))
-	w := waiting{id: r.ID, deadline: r.Deadline, arrived: now}
+	w := waiting{id: r.ID, deadline: r.Deadline}
 	if s.late(l, w, wait, now) {
 		return s.refuse(r.ID, l, ReasonDeadline, now)
 	}
-	if wait > s.maxWait(l) {
+	bound := s.maxWait(l)
+	if wait > bound {
 		return s.refuse(r.ID, l, ReasonQueueTime, now)
 	}
+	w.end = now.Add(2 * bound)
 	if len(l.queue) == 0 {
 		l.activate(s.virtual)
 	}
@@ -154,7 +184,7 @@
 // that follow. For a request that holds no slot only the queues are looked at.
 func (s *Scheduler) Done(id uint64, now time.Time) []Decision {
 	if r, ok := s.running[id]; ok {
-		s.release(id, r)
+		s.release(id, r, now)
 		r.lane.measure(now.Sub(r.started), now)
 	}
 	return s.Next(now)
@@ -164,7 +194,7 @@
 // time, and returns the decisions that follow.
 func (s *Scheduler) Cancel(id uint64, now time.Time) []Decision {
 	if r, ok := s.running[id]; ok {
-		s.release(id, r)
+		s.release(id, r, now)
 		return s.Next(now)
 	}
 	s.short.remove(id)
@@ -200,12 +230,16 @@
 	return s.short
 }
 
-func (s *Scheduler) release(id uint64, r run) {
+func (s *Scheduler) advance(now time.Time) { s.usage.advance(s.short.inUse+s.long.inUse, now) }
+
+func (s *Scheduler) release(id uint64, r run, now time.Time) {
+	s.advance(now)
 	delete(s.running, id)
 	r.lane.inUse--
 }
 
 func (s *Scheduler) start(id uint64, l *lane, now time.Time) {
+	s.advance(now)
 	s.running[id] = run{lane: l, started: now}
 	s.virtual = l.charge(s.virtual)
 	l.inUse++
