cmd/endiveflow: common output forms, exit codes and audit

Cause: only status and demo printed JSON, every failure had exit code 1 or kong's 80, and only apply could wait until its change is in force.

Tests: the scripts check exact exit codes instead of any failure.

--- /dev/null
+++ b/cmd/endiveflow/adminclient.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// maxAnswerBytes bounds the answer of an admin endpoint: the status of a region
+// of the target size is a few megabytes.
+const maxAnswerBytes = 64 << 20
+
+// adminFlags are the flags of commands that ask a running process.
+type adminFlags struct {
+	Admin   string        `required:"" env:"ENDIVEFLOW_ADMIN" placeholder:"URL" help:"Base URL of the admin endpoint of an entry or agent."`
+	Timeout time.Duration `default:"5s" help:"Longest wait for the answer."`
+}
+
+// get returns the answer to a GET request, within the flags' timeout.
+func (f adminFlags) get(ctx context.Context, path string, query url.Values) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	defer cancel()
+	return getAdmin(ctx, f.Admin, path, query)
+}
+
+// getAdmin returns the answer of an admin endpoint. An answer 400 is an error of
+// kind errors.NotValid, 404 one of kind errors.NotFound.
+func getAdmin(ctx context.Context, admin, path string, query url.Values) ([]byte, error) {
+	base, err := url.Parse(admin)
+	if err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
+		return nil, errors.NewNotValid(nil, fmt.Sprintf("admin endpoint %q is not valid, expected a URL such as http://127.0.0.11:7004", admin))
+	}
+	target := base.JoinPath(path)
+	target.RawQuery = query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("building the request: %w", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("asking the process: %w", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, fmt.Errorf("reading the answer of %s: %w", target, err)
+	}
+	return body, answerError(target, res, body)
+}
+
+func answerError(target *url.URL, res *http.Response, body []byte) error {
+	text := fmt.Sprintf("%s answered %s: %s", target.Redacted(), res.Status, bytes.TrimSpace(body))
+	switch res.StatusCode {
+	case http.StatusOK:
+		return nil
+	case http.StatusBadRequest:
+		return errors.NewNotValid(nil, text)
+	case http.StatusNotFound:
+		return errors.NewNotFound(nil, text)
+	default:
+		return errors.New(text)
+	}
+}
--- a/cmd/endiveflow/apply.go
+++ b/cmd/endiveflow/apply.go
@@ -5,16 +5,26 @@
 	"fmt"
 	"io"
 
+	"github.com/juju/errors"
+
 	"endiveflow.example/endiveflow/apply"
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/platform"
 )
 
 type applyCommand struct {
-	writeFlags
-	waitFlags
+	changeFlags
 	Files []string `name:"file" short:"f" required:"" type:"existingfile" help:"File of documents with kind, name and spec; may be repeated."`
 }
 
+// Help returns an example of the command.
+func (applyCommand) Help() string {
+	return `Writes the objects that differ from what is in force, services first. Nothing is written when a file has problems.
+
+Example:
+  endiveflow apply -f examples/config.yaml --platform http://127.0.0.2:7400 --why "first configuration" --wait --admin http://127.0.0.11:7004`
+}
+
 // Run writes the objects of the files that differ from those in force.
 func (c applyCommand) Run(ctx context.Context, out io.Writer) error {
 	if err := c.check(); err != nil {
@@ -37,17 +47,24 @@
 		return fmt.Errorf("nothing was applied: %w", err)
 	}
 	report, err := a.Run(ctx, steps, c.Why)
-	if err := printReport(out, report, err); err != nil {
-		return err
+	if err == nil {
+		err = checkCollision(ctx, a)
 	}
-	if err := checkInForce(ctx, a); err != nil {
-		return err
+	return c.finish(ctx, out, report, err)
+}
+
+// checkCollision finds collisions with objects that another operator wrote
+// meanwhile. Of two operators whose writes collide, the one who wrote last finds
+// it. The files were valid before the writes, so problems mean a conflict.
+func checkCollision(ctx context.Context, a *apply.Applier) error {
+	err := checkInForce(ctx, a)
+	if errors.Is(err, errors.NotValid) {
+		return fmt.Errorf("%w: %w", platform.Conflict, err)
 	}
-	return c.await(ctx, out, report)
+	return err
 }
 
-// checkInForce finds collisions with objects that another operator wrote
-// meanwhile. Of two operators whose writes collide, the one who wrote last finds it.
+// checkInForce reports the problems of what is in force as an error of kind errors.NotValid.
 func checkInForce(ctx context.Context, a *apply.Applier) error {
 	objects, err := a.Objects(ctx)
 	if err != nil {
--- /dev/null
+++ b/cmd/endiveflow/change.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"endiveflow.example/endiveflow/apply"
+)
+
+// changeFlags are the flags of commands that change the configuration.
+type changeFlags struct {
+	writeFlags
+	waitFlags
+	outputFlags
+}
+
+// changeOutput is the JSON form of a change.
+type changeOutput struct {
+	Results []changeResult `json:"results"`
+	// NotTried are the objects after the first failure.
+	NotTried []string `json:"notTried,omitempty"`
+	// Wait is how far the change had spread when --wait ended.
+	Wait *waitOutput `json:"wait,omitempty"`
+}
+
+type changeResult struct {
+	Object  string       `json:"object"`
+	Action  apply.Action `json:"action"`
+	Version uint64       `json:"version,omitempty"`
+	// Recovered says that the store's answer was lost and the write was found by reading back.
+	Recovered bool   `json:"recovered,omitempty"`
+	Error     string `json:"error,omitempty"`
+}
+
+// finish prints the writes of a run that ended with err and, when there was no
+// error, waits if the operator asked to. With JSON, standard output holds one
+// object, so the progress of the wait goes to standard error.
+func (f changeFlags) finish(ctx context.Context, out io.Writer, report apply.Report, err error) error {
+	if f.Output != outputJSON {
+		printReport(out, report)
+		if err != nil {
+			return err
+		}
+		_, err = f.await(ctx, out, report)
+		return err
+	}
+	result := newChangeOutput(report)
+	if err == nil {
+		result.Wait, err = f.await(ctx, os.Stderr, report)
+	}
+	if printErr := printJSON(out, result); printErr != nil && err == nil {
+		err = printErr
+	}
+	return err
+}
+
+func newChangeOutput(report apply.Report) changeOutput {
+	result := changeOutput{Results: []changeResult{}}
+	for _, r := range report.Results {
+		c := changeResult{Object: r.Key.String(), Action: r.Action, Version: r.Version, Recovered: r.Recovered}
+		if r.Err != nil {
+			c.Error = r.Err.Error()
+		}
+		result.Results = append(result.Results, c)
+	}
+	for _, s := range report.NotTried {
+		result.NotTried = append(result.NotTried, s.Key.String())
+	}
+	return result
+}
+
+// printReport prints one line for each write.
+func printReport(out io.Writer, report apply.Report) {
+	for _, r := range report.Results {
+		switch {
+		case r.Err != nil:
+			_, _ = fmt.Fprintf(out, "%s: %s failed\n", r.Key, r.Action)
+		case r.Action == apply.ActionNone:
+			_, _ = fmt.Fprintf(out, "%s: unchanged at version %d\n", r.Key, r.Version)
+		case r.Recovered:
+			_, _ = fmt.Fprintf(out, "%s: %s, version %d (answer lost, found by reading back)\n", r.Key, r.Action, r.Version)
+		default:
+			_, _ = fmt.Fprintf(out, "%s: %s, version %d\n", r.Key, r.Action, r.Version)
+		}
+	}
+	for _, s := range report.NotTried {
+		_, _ = fmt.Fprintf(out, "%s: not tried\n", s.Key)
+	}
+}
--- a/cmd/endiveflow/demo.go
+++ b/cmd/endiveflow/demo.go
@@ -15,7 +15,8 @@
 )
 
 type demoCommand struct {
-	JSON    bool `name:"json" help:"Print the report as one JSON object."`
+	outputFlags
+	JSON    bool `name:"json" help:"Short for --output json."`
 	Verbose bool `help:"Print the processes' log lines and, at the end, their metrics."`
 }
 
@@ -51,14 +52,16 @@
 	return nil
 }
 
+func (c demoCommand) asJSON() bool { return c.JSON || c.Output == outputJSON }
+
 func (c demoCommand) progress(what string) {
-	if !c.JSON {
+	if !c.asJSON() {
 		fmt.Fprintln(os.Stderr, what)
 	}
 }
 
 func (c demoCommand) print(out io.Writer, r demo.Report) error {
-	if !c.JSON {
+	if !c.asJSON() {
 		return r.WriteTable(out)
 	}
 	if err := json.NewEncoder(out).Encode(r); err != nil {
--- a/cmd/endiveflow/drain.go
+++ b/cmd/endiveflow/drain.go
@@ -13,12 +13,23 @@
 )
 
 type drainCommand struct {
-	writeFlags
+	changeFlags
 	Host netip.Addr `arg:"" help:"IP address of the host."`
 }
 
+// Help returns an example of the command.
+func (drainCommand) Help() string {
+	return `Writes an exception that keeps new flows and new work away from a host. Its open flows are kept and served through other hosts. With --wait, the command ends when every live node of the region has the drain.
+
+Example:
+  endiveflow drain --platform http://127.0.0.2:7400 --why "disk swap" --wait --admin http://127.0.0.11:7004 127.0.0.21`
+}
+
 // Run writes the exception that drains a host. Its reason is that of the change.
 func (c drainCommand) Run(ctx context.Context, out io.Writer) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	a, err := c.writer()
 	if err != nil {
 		return err
@@ -38,7 +49,7 @@
 		Exception: &config.Exception{Target: config.HostTarget(c.Host), Setting: config.SettingDrain, Value: "true", Reason: c.Why},
 	}
 	report, err := a.Apply(ctx, config.NewSet(exception), c.Why)
-	return printReport(out, report, err)
+	return c.finish(ctx, out, report, err)
 }
 
 func allowed(objects []config.Object, host netip.Addr) bool {
--- a/cmd/endiveflow/explain.go
+++ b/cmd/endiveflow/explain.go
@@ -1,22 +1,36 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
+	"net/netip"
 	"net/url"
-	"time"
 
-	"github.com/juju/errors"
+	"endiveflow.example/endiveflow/config"
 )
 
 type explainCommand struct {
-	Admin   string        `required:"" env:"ENDIVEFLOW_ADMIN" placeholder:"URL" help:"Base URL of the admin endpoint of an entry or agent."`
-	Service string        `required:"" help:"Name of the service to explain."`
-	Host    string        `help:"IP of a host, whose own exceptions are then taken into account."`
-	Timeout time.Duration `default:"5s" help:"Longest wait for the answer."`
+	adminFlags
+	outputFlags
+	Service string `required:"" help:"Name of the service to explain; an agent explains its own service."`
+	Host    string `help:"IP of a host, whose own exceptions are then taken into account."`
+}
+
+// explanation is the answer of an entry. An agent answers with the policy alone.
+type explanation struct {
+	Service string `json:"service"`
+	Agents  []struct {
+		Address  netip.AddrPort `json:"address"`
+		Zone     string         `json:"zone"`
+		State    string         `json:"state"`
+		Weight   uint8          `json:"weight"`
+		NewFlows bool           `json:"newFlows"`
+		Reason   string         `json:"reason"`
+	} `json:"agents"`
+	Policy []config.Explanation `json:"policy"`
 }
 
 // Help returns an example of the command.
@@ -27,44 +41,35 @@
   endiveflow explain --admin http://127.0.0.11:7004 --service rota --host 127.0.0.21`
 }
 
-// Run prints the explanation as JSON.
+// Run prints the explanation of a process.
 func (c explainCommand) Run(ctx context.Context, out io.Writer) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
-	target, err := url.JoinPath(c.Admin, "/explain")
+	body, err := c.get(ctx, "/explain", url.Values{"service": {c.Service}, "host": {c.Host}})
 	if err != nil {
-		return fmt.Errorf("building the URL: %w", err)
+		return err
 	}
-	query := url.Values{"service": {c.Service}, "host": {c.Host}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target+"?"+query.Encode(), http.NoBody)
-	if err != nil {
-		return fmt.Errorf("building the request: %w", err)
+	e := explanation{Service: c.Service}
+	var into any = &e
+	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("[")) {
+		into = &e.Policy
 	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("asking the process: %w", err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxStatusBytes))
-	if err != nil {
+	if err := json.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("reading the answer: %w", err)
 	}
-	if res.StatusCode != http.StatusOK {
-		return errors.Errorf("process answered %s: %s", res.Status, body)
-	}
-	return printJSON(out, body)
+	return c.print(out, json.RawMessage(body), func(w io.Writer) { printExplanation(w, e) })
 }
 
-// printJSON prints a JSON text with indentation.
-func printJSON(out io.Writer, body []byte) error {
-	var value any
-	if err := json.Unmarshal(body, &value); err != nil {
-		return fmt.Errorf("reading JSON: %w", err)
+func printExplanation(w io.Writer, e explanation) {
+	_, _ = fmt.Fprintf(w, "service %s\n", e.Service)
+	_, _ = fmt.Fprintf(w, "\nAGENT\tZONE\tSTATE\tWEIGHT\tNEW FLOWS\tREASON\n")
+	for _, a := range e.Agents {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d%%\t%t\t%s\n", a.Address, a.Zone, a.State, a.Weight, a.NewFlows, a.Reason)
 	}
-	encoder := json.NewEncoder(out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(value); err != nil {
-		return fmt.Errorf("printing JSON: %w", err)
+	_, _ = fmt.Fprintf(w, "\nSETTING\tVALUE\tSOURCE\tVERSION\tREASON\n")
+	for _, p := range e.Policy {
+		version := "-"
+		if p.Version > 0 {
+			version = fmt.Sprint(p.Version)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", p.Setting, p.Value, p.Source, version, p.Reason)
 	}
-	return nil
 }
--- a/cmd/endiveflow/history.go
+++ b/cmd/endiveflow/history.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,9 +14,24 @@
 
 type historyCommand struct {
 	storeFlags
+	outputFlags
 	Key string `arg:"" help:"Object such as Service/rota; deleted ones have a history too."`
 }
 
+// historyChange is the JSON form of one change.
+type historyChange struct {
+	Version uint64 `json:"version"`
+	config.Change
+}
+
+// Help returns an example of the command.
+func (historyCommand) Help() string {
+	return `Prints up to 20 changes of an object, the newest first: who, when, why, and the difference.
+
+Example:
+  endiveflow history --platform http://127.0.0.2:7400 Service/rota`
+}
+
 // Run prints the audit entries of an object, the newest first.
 func (c historyCommand) Run(ctx context.Context, out io.Writer) error {
 	key, err := config.ParseKey(c.Key)
@@ -32,21 +48,30 @@
 	}
 	for _, o := range objects {
 		if o.Key == key {
-			printChanges(out, o)
-			return nil
+			changes := changesOf(o)
+			return c.print(out, changes, func(w io.Writer) { printChanges(w, changes) })
 		}
 	}
 	return errors.NotFoundf("%s", key)
 }
 
-func printChanges(out io.Writer, o config.Object) {
+// changesOf returns the kept changes, the newest first. Each change's version is
+// the base of the next one.
+func changesOf(o config.Object) []historyChange {
+	out := []historyChange{}
 	version := o.Version
-	for i := len(o.Changes) - 1; i >= 0; i-- {
-		ch := o.Changes[i]
-		_, _ = fmt.Fprintf(out, "version %d, based on %d, %s by %s: %s\n", version, ch.BaseVersion, ch.When.UTC().Format(time.RFC3339), ch.Who, ch.Why)
+	for _, ch := range slices.Backward(o.Changes) {
+		out = append(out, historyChange{Version: version, Change: ch})
+		version = ch.BaseVersion
+	}
+	return out
+}
+
+func printChanges(out io.Writer, changes []historyChange) {
+	for _, ch := range changes {
+		_, _ = fmt.Fprintf(out, "version %d, based on %d, %s by %s: %s\n", ch.Version, ch.BaseVersion, ch.When.UTC().Format(time.RFC3339), ch.Who, ch.Why)
 		for _, line := range ch.Diff {
 			_, _ = fmt.Fprintf(out, "  %s\n", line)
 		}
-		version = ch.BaseVersion
 	}
 }
--- a/cmd/endiveflow/main.go
+++ b/cmd/endiveflow/main.go
@@ -19,7 +19,8 @@
 	Agent agentCommand `cmd:"" help:"Run an agent: the process beside an upstream."`
 
 	Apply   applyCommand   `cmd:"" help:"Bring configuration files into force."`
-	Check   checkCommand   `cmd:"" help:"Check configuration files."`
+	Audit   auditCommand   `cmd:"" help:"Print what a process did by itself."`
+	Check   checkCommand   `cmd:"" help:"Check configuration and settings files."`
 	Delete  deleteCommand  `cmd:"" help:"Delete objects of the configuration."`
 	Diff    diffCommand    `cmd:"" help:"Show what apply would change."`
 	Drain   drainCommand   `cmd:"" help:"Keep new work away from a host."`
@@ -33,16 +34,28 @@
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
-func main() {
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run runs one command line and returns its exit code.
+func run(args []string) int {
 	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	var c cli
-	k := kong.Parse(&c,
-		kong.Name("endiveflow"),
-		kong.Description("Layer-4 load balancer for QUIC."),
+	parser := newParser(
 		kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.BindTo(os.Stdout, (*io.Writer)(nil)),
 	)
-	k.FatalIfErrorf(k.Run())
+	k, err := parser.Parse(args)
+	if err == nil {
+		err = k.Run()
+	}
+	if err != nil {
+		parser.Errorf("%s", err)
+	}
+	return exitCode(err)
+}
+
+func newParser(options ...kong.Option) *kong.Kong {
+	options = append(options, kong.Name("endiveflow"), kong.Description(exitHelp))
+	return kong.Must(new(cli), options...)
 }
--- a/cmd/endiveflow/main_test.go
+++ b/cmd/endiveflow/main_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os/exec"
+	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/standin"
 	"endiveflow.example/endiveflow/status"
 )
@@ -30,7 +36,7 @@
 		Setup: func(env *testscript.Env) error {
 			store := standin.NewPlatform(standin.PlatformConfig{})
 			server := httptest.NewServer(store.Handler())
-			entry := httptest.NewServer(http.HandlerFunc(serveStatus))
+			entry := httptest.NewServer(http.HandlerFunc(serveAdmin))
 			env.Defer(server.Close)
 			env.Defer(entry.Close)
 			env.Values[storeKey{}] = store
@@ -39,7 +45,7 @@
 			env.Setenv("ENDIVEFLOW_OPERATOR", "ann")
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"store": setStore},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"store": setStore, "exits": requireExit},
 	})
 }
 
@@ -49,16 +55,51 @@
 	ts.Value(storeKey{}).(*standin.Platform).Set(s)
 }
 
-// serveStatus stands for the admin endpoint of an entry.
-func serveStatus(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/explain" {
-		serveExplain(w, r)
-		return
+// requireExit runs a command and checks its exit code, as in "exits 2 endiveflow check bad.yaml".
+func requireExit(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE COMMAND [ARG...]")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		exit := new(exec.ExitError)
+		if !errors.As(err, &exit) {
+			ts.Fatalf("running %s: %v", args[1], err)
+		}
+		got = exit.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("%s exited with %d instead of %d", strings.Join(args[1:], " "), got, want)
 	}
-	if r.URL.Path != status.Path {
+}
+
+// serveAdmin stands for the admin endpoint of an entry. Below /current, every
+// node is current.
+func serveAdmin(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/explain":
+		serveExplain(w, r)
+	case "/audit":
+		serveAudit(w)
+	case "/current" + status.Path:
+		_ = json.NewEncoder(w).Encode(status.Report{Version: 7, Zones: []status.Zone{{Zone: "okn-a", Nodes: 3, Current: 3, Version: 7}}})
+	case status.Path:
+		serveStatus(w)
+	default:
 		http.NotFound(w, r)
-		return
 	}
+}
+
+func serveAudit(w http.ResponseWriter) {
+	_ = json.NewEncoder(w).Encode([]audit.Event{
+		{Time: time.Unix(0, 0), Action: "suspect", Target: "agent 10.0.0.7:7000", Reason: "3 heartbeats missed"},
+		{Time: time.Unix(60, 0), Action: "eject", Target: "upstream 10.0.0.7:80", Reason: "4 of 5 requests failed"},
+	})
+}
+
+func serveStatus(w http.ResponseWriter) {
 	_ = json.NewEncoder(w).Encode(status.Report{
 		Version: 7,
 		Zones: []status.Zone{
@@ -76,5 +117,6 @@
 		http.Error(w, `service "chess" not found`, http.StatusNotFound)
 		return
 	}
-	_, _ = w.Write([]byte(`{"service":"rota"}`))
+	_, _ = w.Write([]byte(`{"service":"rota","agents":[{"address":"10.0.0.7:7000","zone":"okn-a","state":"ready","weight":100,"newFlows":true,"reason":"is ready"}],` +
+		`"policy":[{"setting":"deadline","value":"5s","source":"Defaults/fleet","version":4}]}`))
 }
--- /dev/null
+++ b/cmd/endiveflow/output.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// outputJSON is the value of --output that prints one JSON value.
+const outputJSON = "json"
+
+// outputFlags choose the form of what a command prints.
+type outputFlags struct {
+	Output string `enum:"table,json" default:"table" help:"Form of the output: table or json."`
+}
+
+// print prints a value as JSON, or by the given function in columns.
+func (f outputFlags) print(out io.Writer, value any, table func(io.Writer)) error {
+	if f.Output == outputJSON {
+		return printJSON(out, value)
+	}
+	return printTable(out, table)
+}
+
+func printJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		return fmt.Errorf("printing JSON: %w", err)
+	}
+	return nil
+}
+
+// printTable aligns the tab-separated columns that table writes.
+func printTable(out io.Writer, table func(io.Writer)) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	table(w)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("printing table: %w", err)
+	}
+	return nil
+}
--- a/cmd/endiveflow/standin_call.go
+++ b/cmd/endiveflow/standin_call.go
@@ -16,6 +16,7 @@
 )
 
 type standinCallCommand struct {
+	outputFlags
 	Address string        `required:"" help:"UDP address of the service."`
 	Name    string        `required:"" help:"Name of the service in its certificate."`
 	CA      string        `name:"ca" required:"" type:"existingfile" help:"File of the certificate to trust."`
@@ -25,6 +26,13 @@
 	Timeout time.Duration `default:"10s" help:"Time allowed for each request."`
 }
 
+// callOutput is the JSON form of one answer.
+type callOutput struct {
+	Status  int    `json:"status"`
+	Outcome string `json:"outcome"`
+	Body    string `json:"body"`
+}
+
 // Help returns an example of the command.
 func (standinCallCommand) Help() string {
 	return `Example:
@@ -35,7 +43,7 @@
 func (c standinCallCommand) Run(ctx context.Context, out io.Writer) error {
 	address, err := netip.ParseAddrPort(c.Address)
 	if err != nil {
-		return fmt.Errorf("reading address: %w", err)
+		return errors.NewNotValid(err, "reading --address")
 	}
 	trust, err := c.trust()
 	if err != nil {
@@ -73,6 +81,9 @@
 	if err != nil {
 		return fmt.Errorf("calling %s %s: %w", c.Method, c.Path, err)
 	}
+	if c.Output == outputJSON {
+		return printJSON(out, callOutput{Status: answer.Status, Outcome: answer.Outcome, Body: string(answer.Body)})
+	}
 	if _, err := fmt.Fprintf(out, "%d %s %s\n", answer.Status, answer.Outcome, answer.Body); err != nil {
 		return fmt.Errorf("printing answer: %w", err)
 	}
--- a/cmd/endiveflow/standin_certificate.go
+++ b/cmd/endiveflow/standin_certificate.go
@@ -11,6 +11,12 @@
 	Name []string `required:"" help:"Name of a service; may be repeated."`
 }
 
+// Help returns an example of the command.
+func (standinCertificateCommand) Help() string {
+	return `Example:
+  endiveflow standin certificate --dir examples --name rota --name draws`
+}
+
 // Run writes a certificate and its key.
 func (c standinCertificateCommand) Run() error {
 	cert, err := standin.NewCertificate(c.Name...)
--- a/cmd/endiveflow/standin_fabric.go
+++ b/cmd/endiveflow/standin_fabric.go
@@ -12,6 +12,12 @@
 	Settings string `required:"" type:"existingfile" help:"Settings file of the stand-in."`
 }
 
+// Help returns an example of the command.
+func (standinFabricCommand) Help() string {
+	return `Example:
+  endiveflow standin fabric --settings examples/fabric.yaml`
+}
+
 // Run runs one stand-in fabric for each service.
 func (c standinFabricCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadFabric(c.Settings)
--- a/cmd/endiveflow/standin_platform.go
+++ b/cmd/endiveflow/standin_platform.go
@@ -12,6 +12,12 @@
 	Settings string `required:"" type:"existingfile" help:"Settings file of the stand-in."`
 }
 
+// Help returns an example of the command.
+func (standinPlatformCommand) Help() string {
+	return `Example:
+  endiveflow standin platform --settings examples/platform.yaml`
+}
+
 // Run runs the stand-in platform.
 func (c standinPlatformCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadPlatform(c.Settings)
--- a/cmd/endiveflow/standin_upstream.go
+++ b/cmd/endiveflow/standin_upstream.go
@@ -16,6 +16,12 @@
 // longPath is the path prefix of long work of the stand-in.
 const longPath = "/long"
 
+// Help returns an example of the command.
+func (standinUpstreamCommand) Help() string {
+	return `Example:
+  endiveflow standin upstream --settings examples/upstream-rota-1.yaml`
+}
+
 // Run runs the stand-in upstream until a signal, which stops it gracefully.
 func (c standinUpstreamCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadUpstream(c.Settings)
--- a/cmd/endiveflow/store.go
+++ b/cmd/endiveflow/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os/user"
 	"time"
 
@@ -50,23 +49,3 @@
 	}
 	return f.applier(who)
 }
-
-// printReport prints one line for each write and returns the error of the run.
-func printReport(out io.Writer, report apply.Report, err error) error {
-	for _, r := range report.Results {
-		switch {
-		case r.Err != nil:
-			_, _ = fmt.Fprintf(out, "%s: %s failed\n", r.Key, r.Action)
-		case r.Action == apply.ActionNone:
-			_, _ = fmt.Fprintf(out, "%s: unchanged at version %d\n", r.Key, r.Version)
-		case r.Recovered:
-			_, _ = fmt.Fprintf(out, "%s: %s, version %d (answer lost, found by reading back)\n", r.Key, r.Action, r.Version)
-		default:
-			_, _ = fmt.Fprintf(out, "%s: %s, version %d\n", r.Key, r.Action, r.Version)
-		}
-	}
-	for _, s := range report.NotTried {
-		_, _ = fmt.Fprintf(out, "%s: not tried\n", s.Key)
-	}
-	return err
-}
--- a/cmd/endiveflow/version.go
+++ b/cmd/endiveflow/version.go
@@ -2,19 +2,66 @@
 
 import (
 	"fmt"
+	"io"
+	"runtime"
 	"runtime/debug"
 )
 
-type versionCommand struct{}
+type versionCommand struct{ outputFlags }
 
-// Run prints the module version that the Go toolchain recorded.
-func (versionCommand) Run() error {
-	version := "unknown"
+// versionOutput is the JSON form of the version.
+type versionOutput struct {
+	// Version is the module version that the Go toolchain recorded.
+	Version string `json:"version"`
+	// Revision is the commit of the checkout; "go run" and builds with -buildvcs=false record none.
+	Revision string `json:"revision,omitempty"`
+	Time     string `json:"time,omitempty"`
+	// Modified says that the checkout had changes that were not committed.
+	Modified bool   `json:"modified,omitempty"`
+	Go       string `json:"go"`
+	Platform string `json:"platform"`
+}
+
+// Help returns an example of the command.
+func (versionCommand) Help() string {
+	return `Example:
+  endiveflow version --output json`
+}
+
+// Run prints what the Go toolchain recorded about the build.
+func (c versionCommand) Run(out io.Writer) error {
+	v := versionOutput{Version: "unknown", Go: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH}
 	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
+		v.record(info)
+	}
+	return c.print(out, v, v.write)
+}
+
+func (v *versionOutput) record(info *debug.BuildInfo) {
+	v.Version = info.Main.Version
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			v.Revision = s.Value
+		case "vcs.time":
+			v.Time = s.Value
+		case "vcs.modified":
+			v.Modified = s.Value == "true"
+		}
+	}
+}
+
+func (v versionOutput) write(w io.Writer) {
+	revision := v.Revision
+	if revision == "" {
+		revision = "not recorded; \"go build\" in a checkout records it"
+	}
+	if v.Modified {
+		revision += " with uncommitted changes"
 	}
-	if _, err := fmt.Println("endiveflow", version); err != nil {
-		return fmt.Errorf("printing the version: %w", err)
+	_, _ = fmt.Fprintf(w, "endiveflow %s\nrevision\t%s\n", v.Version, revision)
+	if v.Time != "" {
+		_, _ = fmt.Fprintf(w, "committed\t%s\n", v.Time)
 	}
-	return nil
+	_, _ = fmt.Fprintf(w, "built with\t%s %s\n", v.Go, v.Platform)
 }
--- a/cmd/endiveflow/wait.go
+++ b/cmd/endiveflow/wait.go
@@ -23,41 +23,52 @@
 // waitEvery spaces the questions of one operator: each asks every entry of the region.
 const waitEvery = 500 * time.Millisecond
 
-// errNoAdmin is an error of the command line.
-const errNoAdmin = errors.ConstError("--wait needs --admin")
+// waitOutput is the JSON form of a wait.
+type waitOutput struct {
+	// Version is the highest version that was written.
+	Version uint64 `json:"version"`
+	// InForce says that every live node had the version when the wait ended.
+	InForce bool `json:"inForce"`
+	// Progress is the last progress in words.
+	Progress string  `json:"progress"`
+	Seconds  float64 `json:"seconds"`
+}
 
 // check reports a command line that cannot wait, before anything is written.
 func (f waitFlags) check() error {
 	if f.Wait && f.Admin == "" {
-		return errNoAdmin
+		return errors.NewNotValid(nil, "--wait needs --admin")
 	}
 	return nil
 }
 
-// await waits until the written versions are in force, telling the progress.
-func (f waitFlags) await(ctx context.Context, out io.Writer, report apply.Report) error {
+// await waits until the written versions are in force, telling the progress. Its
+// result is nil when there is nothing to wait for.
+func (f waitFlags) await(ctx context.Context, out io.Writer, report apply.Report) (*waitOutput, error) {
 	version := highest(report)
 	if !f.Wait || version == 0 {
-		return nil
+		return nil, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.WaitFor)
 	defer cancel()
 	begin := time.Now()
-	last := ""
+	w := &waitOutput{Version: version}
 	for {
 		progress, done := f.progress(ctx, version)
+		w.InForce, w.Seconds = done, time.Since(begin).Seconds()
 		if done {
+			w.Progress = progress
 			_, err := fmt.Fprintf(out, "version %d is in force everywhere after %s\n", version, time.Since(begin).Round(time.Millisecond))
-			return wrapPrinting(err)
+			return w, wrapPrinting(err)
 		}
-		if progress != last {
-			last = progress
+		if progress != w.Progress {
+			w.Progress = progress
 			if _, err := fmt.Fprintln(out, progress); err != nil {
-				return wrapPrinting(err)
+				return w, wrapPrinting(err)
 			}
 		}
 		if err := node.Sleep(ctx, waitEvery); err != nil {
-			return fmt.Errorf("version %d is not in force everywhere after %s: %s: %w", version, f.WaitFor, last, err)
+			return w, fmt.Errorf("version %d is not in force everywhere after %s: %s: %w", version, f.WaitFor, w.Progress, err)
 		}
 	}
 }
