--- a/cmd/endiveflow/store.go
+++ b/cmd/endiveflow/store.go
@@ -13,25 +13,25 @@
 type storeFlags struct {
 	Platform string        `required:"" env:"ENDIVEFLOW_PLATFORM" placeholder:"URL" help:"Base URL of the platform's object API."`
 	Timeout  time.Duration `default:"2s" help:"Longest wait for one call of the store."`
-	Resolve  time.Duration `default:"15s" help:"Longest wait until the outcome of a write is known."`
 }
 
 // writeFlags are the flags of commands that write to the store.
 type writeFlags struct {
 	storeFlags
-	Why string `required:"" help:"Reason of the change, kept in its audit entry."`
-	Who string `env:"ENDIVEFLOW_OPERATOR" help:"Operator named in the audit entry; default the login name."`
+	Resolve time.Duration `default:"15s" help:"Longest wait until the outcome of a write is known."`
+	Why     string        `required:"" help:"Reason of the change, kept in its audit entry."`
+	Who     string        `env:"ENDIVEFLOW_OPERATOR" help:"Operator named in the audit entry; default the login name."`
 }
 
 // reader returns an applier for commands that only read.
-func (f storeFlags) reader() (*apply.Applier, error) { return f.applier("reader") }
+func (f storeFlags) reader() (*apply.Applier, error) { return f.applier("reader", 0) }
 
-func (f storeFlags) applier(who string) (*apply.Applier, error) {
+func (f storeFlags) applier(who string, resolve time.Duration) (*apply.Applier, error) {
 	client, err := platform.New(platform.Config{URL: f.Platform, Timeout: f.Timeout})
 	if err != nil {
 		return nil, fmt.Errorf("connecting to the store: %w", err)
 	}
-	a, err := apply.New(apply.Config{Client: client, Who: who, ResolveFor: f.Resolve})
+	a, err := apply.New(apply.Config{Client: client, Who: who, ResolveFor: resolve})
 	if err != nil {
 		return nil, fmt.Errorf("preparing to write: %w", err)
 	}
@@ -47,5 +47,5 @@
 		}
 		who = login.Username
 	}
-	return f.applier(who)
+	return f.applier(who, f.Resolve)
 }
--- a/cmd/endiveflow/version.go
+++ b/cmd/endiveflow/version.go
@@ -7,13 +7,17 @@
 	"runtime/debug"
 )
 
+// revision is set by go build -ldflags "-X main.revision=..." where the Go
+// toolchain records none, as with go run and in git worktrees.
+var revision string
+
 type versionCommand struct{ outputFlags }
 
 // versionOutput is the JSON form of the version.
 type versionOutput struct {
 	// Version is the module version that the Go toolchain recorded.
 	Version string `json:"version"`
-	// Revision is the commit of the checkout; "go run" and builds with -buildvcs=false record none.
+	// Revision is the commit of the checkout; empty when it was not recorded.
 	Revision string `json:"revision,omitempty"`
 	Time     string `json:"time,omitempty"`
 	// Modified says that the checkout had changes that were not committed.
@@ -30,7 +34,7 @@
 
 // Run prints what the Go toolchain recorded about the build.
 func (c versionCommand) Run(out io.Writer) error {
-	v := versionOutput{Version: "unknown", Go: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH}
+	v := versionOutput{Version: "unknown", Go: runtime.Version(), Platform: runtime.GOOS + "/" + runtime.GOARCH, Revision: revision}
 	if info, ok := debug.ReadBuildInfo(); ok {
 		v.record(info)
 	}
@@ -52,14 +56,14 @@
 }
 
 func (v versionOutput) write(w io.Writer) {
-	revision := v.Revision
-	if revision == "" {
-		revision = "not recorded; \"go build\" in a checkout records it"
+	commit := v.Revision
+	if commit == "" {
+		commit = "not recorded, see docs/commands.md"
 	}
 	if v.Modified {
-		revision += " with uncommitted changes"
+		commit += " with uncommitted changes"
 	}
-	_, _ = fmt.Fprintf(w, "endiveflow %s\nrevision\t%s\n", v.Version, revision)
+	_, _ = fmt.Fprintf(w, "endiveflow %s\nrevision\t%s\n", v.Version, commit)
 	if v.Time != "" {
 		_, _ = fmt.Fprintf(w, "committed\t%s\n", v.Time)
 	}
