--- a/cmd/endiveflow/adminclient.go
+++ b/cmd/endiveflow/adminclient.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,12 +30,21 @@
 	return getAdmin(ctx, f.Admin, path, query)
 }
 
+// parseAdmin reads the base URL of an admin endpoint.
+func parseAdmin(text string) (*url.URL, error) {
+	base, err := url.Parse(text)
+	if err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
+		return nil, errors.NewNotValid(err, fmt.Sprintf("admin endpoint %q is not valid, expected a URL such as http://127.0.0.11:7004", text))
+	}
+	return base, nil
+}
+
 // getAdmin returns the answer of an admin endpoint. An answer 400 is an error of
 // kind errors.NotValid, 404 one of kind errors.NotFound.
 func getAdmin(ctx context.Context, admin, path string, query url.Values) ([]byte, error) {
-	base, err := url.Parse(admin)
-	if err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
-		return nil, errors.NewNotValid(nil, fmt.Sprintf("admin endpoint %q is not valid, expected a URL such as http://127.0.0.11:7004", admin))
+	base, err := parseAdmin(admin)
+	if err != nil {
+		return nil, err
 	}
 	target := base.JoinPath(path)
 	target.RawQuery = query.Encode()
@@ -55,7 +65,7 @@
 }
 
 func answerError(target *url.URL, res *http.Response, body []byte) error {
-	text := fmt.Sprintf("%s answered %s: %s", target.Redacted(), res.Status, bytes.TrimSpace(body))
+	text := fmt.Sprintf("%s answered %s: %s", target.Redacted(), res.Status, errorText(body))
 	switch res.StatusCode {
 	case http.StatusOK:
 		return nil
@@ -67,3 +77,14 @@
 		return errors.New(text)
 	}
 }
+
+// errorText returns the error in the JSON answer of an admin endpoint, or the answer itself.
+func errorText(body []byte) string {
+	var answer struct {
+		Error string `json:"error"`
+	}
+	if err := json.Unmarshal(body, &answer); err == nil && answer.Error != "" {
+		return answer.Error
+	}
+	return string(bytes.TrimSpace(body))
+}
--- a/cmd/endiveflow/change.go
+++ b/cmd/endiveflow/change.go
@@ -23,6 +23,8 @@
 	NotTried []string `json:"notTried,omitempty"`
 	// Wait is how far the change had spread when --wait ended.
 	Wait *waitOutput `json:"wait,omitempty"`
+	// OpenFlows is the number of flows that the drained host still had; nil when its agent was not asked.
+	OpenFlows *int `json:"openFlows,omitempty"`
 }
 
 type changeResult struct {
@@ -38,18 +40,37 @@
 // error, waits if the operator asked to. With JSON, standard output holds one
 // object, so the progress of the wait goes to standard error.
 func (f changeFlags) finish(ctx context.Context, out io.Writer, report apply.Report, err error) error {
+	return f.finishWith(ctx, out, report, err, nil)
+}
+
+// finishWith is finish for a command that reports the open flows of a host after
+// its writes; openFlows may be nil.
+func (f changeFlags) finishWith(ctx context.Context, out io.Writer, report apply.Report, err error, openFlows func(context.Context) (int, error)) error {
 	if f.Output != outputJSON {
 		printReport(out, report)
 		if err != nil {
 			return err
 		}
-		_, err = f.await(ctx, out, report)
-		return err
+		if _, err = f.await(ctx, out, report); err != nil || openFlows == nil {
+			return err
+		}
+		flows, err := openFlows(ctx)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "%d flows are open at the host\n", flows)
+		return wrapPrinting(err)
 	}
 	result := newChangeOutput(report)
 	if err == nil {
 		result.Wait, err = f.await(ctx, os.Stderr, report)
 	}
+	if err == nil && openFlows != nil {
+		var flows int
+		if flows, err = openFlows(ctx); err == nil {
+			result.OpenFlows = &flows
+		}
+	}
 	if printErr := printJSON(out, result); printErr != nil && err == nil {
 		err = printErr
 	}
--- a/cmd/endiveflow/drain.go
+++ b/cmd/endiveflow/drain.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -14,7 +16,8 @@
 
 type drainCommand struct {
 	changeFlags
-	Host netip.Addr `arg:"" help:"IP address of the host."`
+	Agent string     `placeholder:"URL" help:"Base URL of the admin endpoint of the host's agent, which is then asked how many flows are still open."`
+	Host  netip.Addr `arg:"" help:"IP address of the host."`
 }
 
 // Help returns an example of the command.
@@ -22,7 +25,7 @@
 	return `Writes an exception that keeps new flows and new work away from a host. Its open flows are kept and served through other hosts. With --wait, the command ends when every live node of the region has the drain.
 
 Example:
-  endiveflow drain --platform http://127.0.0.2:7400 --why "disk swap" --wait --admin http://127.0.0.11:7004 127.0.0.21`
+  endiveflow drain --platform http://127.0.0.2:7400 --why "disk swap" --wait --admin http://127.0.0.11:7004 --agent http://127.0.0.21:7004 127.0.0.21`
 }
 
 // Run writes the exception that drains a host. Its reason is that of the change.
@@ -30,6 +33,11 @@
 	if err := c.check(); err != nil {
 		return err
 	}
+	if c.Agent != "" {
+		if _, err := parseAdmin(c.Agent); err != nil {
+			return err
+		}
+	}
 	a, err := c.writer()
 	if err != nil {
 		return err
@@ -49,7 +57,34 @@
 		Exception: &config.Exception{Target: config.HostTarget(c.Host), Setting: config.SettingDrain, Value: "true", Reason: c.Why},
 	}
 	report, err := a.Apply(ctx, config.NewSet(exception), c.Why)
-	return c.finish(ctx, out, report, err)
+	if c.Agent == "" {
+		return c.finish(ctx, out, report, err)
+	}
+	return c.finishWith(ctx, out, report, err, c.openFlows)
+}
+
+// flowsMetric is the gauge of an agent's open flows. The address of an agent's
+// admin endpoint is not part of its member record, so the operator names it.
+const flowsMetric = "endiveflow_flowserver_flows"
+
+// agentTimeout bounds the question to the agent.
+const agentTimeout = 5 * time.Second
+
+// openFlows asks the host's agent how many flows are open.
+func (c drainCommand) openFlows(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, agentTimeout)
+	defer cancel()
+	body, err := getAdmin(ctx, c.Agent, "/metrics", nil)
+	if err != nil {
+		return 0, fmt.Errorf("the drain is written, its open flows are not known: %w", err)
+	}
+	for line := range strings.Lines(string(body)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if name == flowsMetric {
+			return strconv.Atoi(value)
+		}
+	}
+	return 0, errors.NotFoundf("the drain is written; %s in the metrics of %s", flowsMetric, c.Agent)
 }
 
 func allowed(objects []config.Object, host netip.Addr) bool {
--- a/cmd/endiveflow/explain.go
+++ b/cmd/endiveflow/explain.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"net/url"
+	"slices"
 
 	"endiveflow.example/endiveflow/config"
 )
@@ -15,22 +16,24 @@
 type explainCommand struct {
 	adminFlags
 	outputFlags
-	Service string `required:"" help:"Name of the service to explain; an agent explains its own service."`
-	Host    string `help:"IP of a host, whose own exceptions are then taken into account."`
+	Service string     `required:"" help:"Name of the service to explain; an agent answers for its own service and host."`
+	Host    netip.Addr `help:"IP address of a host, whose own exceptions are then taken into account."`
 }
 
 // explanation is the answer of an entry. An agent answers with the policy alone.
 type explanation struct {
-	Service string `json:"service"`
-	Agents  []struct {
-		Address  netip.AddrPort `json:"address"`
-		Zone     string         `json:"zone"`
-		State    string         `json:"state"`
-		Weight   uint8          `json:"weight"`
-		NewFlows bool           `json:"newFlows"`
-		Reason   string         `json:"reason"`
-	} `json:"agents"`
-	Policy []config.Explanation `json:"policy"`
+	Service string               `json:"service"`
+	Agents  []agentExplanation   `json:"agents"`
+	Policy  []config.Explanation `json:"policy"`
+}
+
+type agentExplanation struct {
+	Address  netip.AddrPort `json:"address"`
+	Zone     string         `json:"zone"`
+	State    string         `json:"state"`
+	Weight   uint8          `json:"weight"`
+	NewFlows bool           `json:"newFlows"`
+	Reason   string         `json:"reason"`
 }
 
 // Help returns an example of the command.
@@ -43,11 +46,15 @@
 
 // Run prints the explanation of a process.
 func (c explainCommand) Run(ctx context.Context, out io.Writer) error {
-	body, err := c.get(ctx, "/explain", url.Values{"service": {c.Service}, "host": {c.Host}})
+	query := url.Values{"service": {c.Service}}
+	if c.Host.IsValid() {
+		query.Set("host", c.Host.String())
+	}
+	body, err := c.get(ctx, "/explain", query)
 	if err != nil {
 		return err
 	}
-	e := explanation{Service: c.Service}
+	var e explanation
 	var into any = &e
 	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("[")) {
 		into = &e.Policy
@@ -55,14 +62,15 @@
 	if err := json.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("reading the answer: %w", err)
 	}
+	slices.SortFunc(e.Agents, func(a, b agentExplanation) int { return a.Address.Compare(b.Address) })
 	return c.print(out, json.RawMessage(body), func(w io.Writer) { printExplanation(w, e) })
 }
 
 func printExplanation(w io.Writer, e explanation) {
-	_, _ = fmt.Fprintf(w, "service %s\n", e.Service)
-	_, _ = fmt.Fprintf(w, "\nAGENT\tZONE\tSTATE\tWEIGHT\tNEW FLOWS\tREASON\n")
-	for _, a := range e.Agents {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d%%\t%t\t%s\n", a.Address, a.Zone, a.State, a.Weight, a.NewFlows, a.Reason)
+	if e.Service == "" {
+		_, _ = fmt.Fprintln(w, "settings at this agent, for its own service and host")
+	} else {
+		printAgents(w, e)
 	}
 	_, _ = fmt.Fprintf(w, "\nSETTING\tVALUE\tSOURCE\tVERSION\tREASON\n")
 	for _, p := range e.Policy {
@@ -73,3 +81,11 @@
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", p.Setting, p.Value, p.Source, version, p.Reason)
 	}
 }
+
+func printAgents(w io.Writer, e explanation) {
+	_, _ = fmt.Fprintf(w, "service %s\n", e.Service)
+	_, _ = fmt.Fprintf(w, "\nAGENT\tZONE\tSTATE\tWEIGHT\tNEW FLOWS\tREASON\n")
+	for _, a := range e.Agents {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d%%\t%t\t%s\n", a.Address, a.Zone, a.State, a.Weight, a.NewFlows, a.Reason)
+	}
+}
--- a/cmd/endiveflow/main_test.go
+++ b/cmd/endiveflow/main_test.go
@@ -81,6 +81,8 @@
 	switch r.URL.Path {
 	case "/explain":
 		serveExplain(w, r)
+	case "/metrics":
+		_, _ = w.Write([]byte("endiveflow_flowserver_flows_opened_total 9\nendiveflow_flowserver_flows 3\n"))
 	case "/audit":
 		serveAudit(w)
 	case "/current" + status.Path:
@@ -113,8 +115,12 @@
 }
 
 func serveExplain(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("service") == "agent" {
+		_, _ = w.Write([]byte(`[{"setting":"deadline","value":"5s","source":"Defaults/fleet","version":4}]`))
+		return
+	}
 	if r.URL.Query().Get("service") != "rota" {
-		http.Error(w, `service "chess" not found`, http.StatusNotFound)
+		http.Error(w, `{"error":"service \"chess\" not found"}`, http.StatusNotFound)
 		return
 	}
 	_, _ = w.Write([]byte(`{"service":"rota","agents":[{"address":"10.0.0.7:7000","zone":"okn-a","state":"ready","weight":100,"newFlows":true,"reason":"is ready"}],` +
--- a/cmd/endiveflow/status.go
+++ b/cmd/endiveflow/status.go
@@ -7,6 +7,8 @@
 	"io"
 	"strings"
 
+	"github.com/juju/errors"
+
 	"endiveflow.example/endiveflow/status"
 )
 
@@ -36,6 +38,9 @@
 
 func fetchStatus(ctx context.Context, admin string) (status.Report, error) {
 	body, err := getAdmin(ctx, admin, status.Path, nil)
+	if errors.Is(err, errors.NotFound) {
+		return status.Report{}, fmt.Errorf("%w; only entries have a status", err)
+	}
 	if err != nil {
 		return status.Report{}, err
 	}
@@ -56,8 +61,12 @@
 		}
 		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", z.Zone, z.Nodes, z.Current, effect)
 	}
-	_, _ = fmt.Fprintf(w, "\nBEHIND\tZONE\tADDRESS\tSTATE\tREASON\n")
+	title := "\nBEHIND\tZONE\tADDRESS\tSTATE\tREASON\n"
 	for _, z := range report.Zones {
+		if len(z.Behind) > 0 {
+			_, _ = fmt.Fprint(w, title)
+			title = ""
+		}
 		for _, b := range z.Behind {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", strings.TrimSpace(b.Role+" "+b.Service), z.Zone, b.Address, b.State, b.Reason)
 		}
--- a/cmd/endiveflow/wait.go
+++ b/cmd/endiveflow/wait.go
@@ -36,10 +36,14 @@
 
 // check reports a command line that cannot wait, before anything is written.
 func (f waitFlags) check() error {
-	if f.Wait && f.Admin == "" {
+	if !f.Wait {
+		return nil
+	}
+	if f.Admin == "" {
 		return errors.NewNotValid(nil, "--wait needs --admin")
 	}
-	return nil
+	_, err := parseAdmin(f.Admin)
+	return err
 }
 
 // await waits until the written versions are in force, telling the progress. Its
--- a/metricsdoc/metrics_test.go
+++ b/metricsdoc/metrics_test.go
@@ -48,17 +48,20 @@
 // recognize, such as under a name that is not one string at the call. They would
 // be left out of the comparison.
 func TestMetricNamesAreRecognized(t *testing.T) {
+	var made []string
+	files := make(map[string][]*ast.File)
 	for _, dir := range packageDirs(t) {
-		var made []string
-		files := parseDir(t, dir)
-		for _, file := range files {
+		files[dir] = parseDir(t, dir)
+		for _, file := range files[dir] {
 			for _, call := range metricCalls(file) {
 				name := nameIn(call)
 				require.NotEmpty(t, name, "a metric in %s has no literal name", dir)
 				made = append(made, name)
 			}
 		}
-		for _, file := range files {
+	}
+	for dir, list := range files {
+		for _, file := range list {
 			ast.Inspect(file, func(n ast.Node) bool {
 				if name := literalName(n); name != "" {
 					require.Contains(t, made, name, "%s is not made by a known function in %s", name, dir)
