entry: bound the gap between refreshes

Cause: the gap is 100 times the wall time of the refresh before it. On a busy machine (load 20, several fleets in one process) a trial saw a refresh of three agents and one service take 45 ms, which made a gap of 4.5 s in which a new service or address is not bound.

Change: the gap is at most 1 s.

Result: TestGapBetweenRefreshes; tests of entry pass.

Conclusion: at the target, where a refresh takes about 10 ms, the gap and its cost stay as they were.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -27,9 +27,13 @@
 	// refreshGap is the least time between two refreshes.
 	refreshGap = 250 * time.Millisecond
 	// refreshShare is the number of times that the gap is longer than the
-	// refresh before it. It keeps refreshes below 1% of a core however many
-	// members there are and however often they change.
+	// refresh before it. It keeps refreshes below 1% of a core however often
+	// members change.
 	refreshShare = 100
+	// refreshGapMax bounds the gap. A refresh takes 10 ms for a region of the
+	// target, but several times that on a busy machine, and an entry that just
+	// started must not wait for seconds before it binds its first services.
+	refreshGapMax = time.Second
 	// retryEvery is how often failed binds are repeated and deaths are aged.
 	retryEvery = time.Second
 	// socketBuffer is the size of each socket's kernel buffers in bytes,
@@ -231,12 +235,17 @@
 		}
 		begin := f.cfg.Now()
 		f.refresh(ctx)
-		if !f.pause(ctx, max(refreshGap, refreshShare*f.cfg.Now().Sub(begin))) {
+		if !f.pause(ctx, gapAfter(f.cfg.Now().Sub(begin))) {
 			return
 		}
 	}
 }
 
+// gapAfter returns the time from a refresh to the next one.
+func gapAfter(refresh time.Duration) time.Duration {
+	return min(max(refreshGap, refreshShare*refresh), refreshGapMax)
+}
+
 // pause waits. It is false when the forwarder ends meanwhile.
 func (f *Forwarder) pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/entry/forwarder_test.go
+++ b/entry/forwarder_test.go
@@ -225,3 +225,11 @@
 	<-stopped
 	require.Empty(t, f.Bound())
 }
+
+// Refreshes must neither occupy a core nor, on a busy machine, keep an entry
+// from binding new services for seconds.
+func TestGapBetweenRefreshes(t *testing.T) {
+	require.Equal(t, refreshGap, gapAfter(time.Millisecond))
+	require.Equal(t, 500*time.Millisecond, gapAfter(5*time.Millisecond))
+	require.Equal(t, time.Second, gapAfter(50*time.Millisecond))
+}
