upstream: allow the silence limit to be set per request

Cause: Config.SilenceAfter is read once, when the client is made. An agent makes its client before it has any configuration, so an operator's silenceAfter never took effect. Ruled out: making the client anew per change, which would drop its idle connections. Change: Options.SilenceAfter goes before Config.SilenceAfter for one request.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -68,6 +68,9 @@
 	Repeatable bool
 	// Long work may be silent until the first byte of its answer.
 	Long bool
+	// SilenceAfter is how long the upstream may show no progress on the request; 0
+	// means that of the Config. It lets a changed setting apply to a running client.
+	SilenceAfter time.Duration
 }
 
 type optionsKey struct{}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -43,6 +43,9 @@
 
 func (c *Client) newExchange(req *http.Request, addr netip.AddrPort, body *onceBody) *exchange {
 	x := &exchange{client: c, options: optionsOf(req.Context())}
+	if x.options.SilenceAfter == 0 {
+		x.options.SilenceAfter = c.cfg.SilenceAfter
+	}
 	x.ctx, x.cancel = context.WithCancelCause(req.Context())
 	out := req.Clone(httptrace.WithClientTrace(x.ctx, &httptrace.ClientTrace{
 		GotConn:              x.gotConn,
@@ -137,7 +140,7 @@
 
 // watch checks for silence until the returned function is called.
 func (x *exchange) watch() func() {
-	ticker := time.NewTicker(x.client.cfg.SilenceAfter / checksPerSilence)
+	ticker := time.NewTicker(x.options.SilenceAfter / checksPerSilence)
 	ended := make(chan struct{})
 	done := make(chan struct{})
 	go func() {
@@ -164,7 +167,7 @@
 	c := x.conn
 	reads := x.sent && (x.started || !x.options.Long)
 	x.mu.Unlock()
-	if c == nil || c.quiet(now, reads) < x.client.cfg.SilenceAfter {
+	if c == nil || c.quiet(now, reads) < x.options.SilenceAfter {
 		return
 	}
 	x.once.Do(func() {
