agent: check the service of peers, apply changed settings, add tests

Cause: the package had no tests of its own. Writing them showed these faults: - silenceAfter and the share of drainFor for GOAWAY were read once at the start, before the agent had a configuration, so that a change needed a restart and the first configuration had no effect either; - an agent ran requests of agents of another service, when its address had been one of an agent of that service before; - a ledger of more than 131,072 records, the default limit of the CBOR library, could not be taken over; - a successor notice of up to 64 MB was read, and one without addresses taken; - an upstream that came back at another address within 6 s got its full weight at once; - slowStart 0s gave the record full weight, but the handler's judge took 0 for its default of 10 s. Ruled out: requests of callers with internal headers are not taken for those of peers, and an unclear hand-over leads to no second run. Change: policies are read per use; agents send their service tag in Endiveflow-Service, and a mismatch is rejected, as not-run where that is certain; decoder limits follow from the sizes; an upstream at another address starts cold. flowserver.Config.DrainSpread is a function; its test passes one with the same value. Result: the tests pass, also with -race. Conclusion: silenceAfter, slots, slowStart and drain apply without a restart, but silenceAfter still doesn't apply to connections between agents.

--- a/agent/flows.go
+++ b/agent/flows.go
@@ -53,7 +53,7 @@
 		TokenKey:          &keys.token,
 		TicketKeys:        keys.tickets,
 		Handler:           h,
-		DrainSpread:       min(b.Policy(cfg.Settings.Service).DrainFor, cfg.Settings.ShutdownGrace) / drainSpread,
+		DrainSpread:       func() time.Duration { return drainTime(cfg, b) / drainSpread },
 		Log:               cfg.Log,
 	})
 	if err != nil {
@@ -111,14 +111,18 @@
 	return keys, nil
 }
 
+// drainTime is how long a planned stop keeps open flows.
+func drainTime(cfg RoleConfig, b *node.Board) time.Duration {
+	return min(b.Policy(cfg.Settings.Service).DrainFor, cfg.Settings.ShutdownGrace)
+}
+
 // stopFlows is the planned stop: no new flows and no new local work, GOAWAY
 // early, open flows kept and served through peers up to drainFor, the ledger
 // handed over last.
 func (p parts) stopFlows(ctx context.Context) error {
 	p.Board.Stopping.Store(true)
 	p.State.update()
-	policy := p.Board.Policy(p.Config.Settings.Service)
-	drainCtx, cancel := context.WithTimeout(ctx, min(policy.DrainFor, p.Config.Settings.ShutdownGrace))
+	drainCtx, cancel := context.WithTimeout(ctx, drainTime(p.Config, p.Board))
 	defer cancel()
 	p.Flows.Drain()
 	for p.Flows.Flows() > 0 {
--- a/agent/handover.go
+++ b/agent/handover.go
@@ -25,6 +25,10 @@
 	successorPath = "/agent/successor"
 	// maxLedgerBytes bounds a received ledger; its default bound is 16 MB.
 	maxLedgerBytes = 64 << 20
+	// minRecordBytes is below the encoded size of any record, which has a time and two hashes.
+	minRecordBytes = 16
+	// maxNoticeBytes bounds a successor notice, which takes about 60 bytes.
+	maxNoticeBytes = 1 << 10
 	// maxSuccessors bounds the remembered successors; the oldest is forgotten
 	// first, and its keys then get the outcome unknown.
 	maxSuccessors = 1024
@@ -152,6 +156,7 @@
 	if err != nil {
 		return fmt.Errorf("making request: %w", err)
 	}
+	setService(req, h.service)
 	resp, err := h.client.Do(req)
 	if err != nil {
 		return fmt.Errorf("posting %s: %w", path, err)
@@ -165,7 +170,11 @@
 
 func (h *handover) receiveLedger(w http.ResponseWriter, r *http.Request) {
 	var t ledgerTransfer
-	if !decodeBody(w, r, &t) {
+	if !decodeBody(w, r, maxLedgerBytes, &t) {
+		return
+	}
+	if !t.Home.IsValid() {
+		http.Error(w, "ledger without home", http.StatusBadRequest)
 		return
 	}
 	home := dispatch.Self{Peer: t.Home, Incarnation: t.Incarnation}
@@ -178,20 +187,36 @@
 
 func (h *handover) receiveSuccessor(w http.ResponseWriter, r *http.Request) {
 	var n successorNotice
-	if !decodeBody(w, r, &n) {
+	if !decodeBody(w, r, maxNoticeBytes, &n) {
+		return
+	}
+	if !n.Home.IsValid() || !n.Successor.IsValid() {
+		http.Error(w, "successor notice without home or successor", http.StatusBadRequest)
 		return
 	}
 	h.successors.put(dispatch.Self{Peer: n.Home, Incarnation: n.Incarnation}, n.Successor)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func decodeBody(w http.ResponseWriter, r *http.Request, into any) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxLedgerBytes))
+// transferDecoder takes as many records as fit into maxLedgerBytes. The library's limit of
+// 131,072 elements is below what a ledger of 64 MB holds.
+var transferDecoder = mustDecoder(cbor.DecOptions{MaxArrayElements: maxLedgerBytes / minRecordBytes})
+
+func mustDecoder(o cbor.DecOptions) cbor.DecMode {
+	mode, err := o.DecMode()
+	if err != nil {
+		panic("agent: decoder options: " + err.Error())
+	}
+	return mode
+}
+
+func decodeBody(w http.ResponseWriter, r *http.Request, limit int64, into any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		http.Error(w, "reading body: "+err.Error(), http.StatusBadRequest)
 		return false
 	}
-	if err := cbor.Unmarshal(body, into); err != nil {
+	if err := transferDecoder.Unmarshal(body, into); err != nil {
 		http.Error(w, "decoding body: "+err.Error(), http.StatusBadRequest)
 		return false
 	}
--- /dev/null
+++ b/agent/handover_test.go
@@ -0,0 +1,207 @@
+package agent
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/ledger"
+	"endiveflow.example/endiveflow/member"
+)
+
+// Guards against a planned stop that loses saved answers, or leaves the other
+// peers without the successor, so that a repeat gets unknown or runs again.
+func TestSuccessorAnswersRepeats(t *testing.T) {
+	f, a := newFleet(t, testService, testService, testService)
+	key, unused := a[0].book(t), a[0].newKey(t)
+	require.NoError(t, a[0].stop(t))
+	delete(f.agents, a[0].addr())
+	f.fault = onlyTo(f, nil)
+	for _, peer := range a[1:] {
+		requireBooked(t, peer.post(key))
+		resp := peer.post(unused)
+		require.NotEqual(t, "answered", resp.Header.Get(dispatch.HeaderOutcome))
+	}
+	requireRuns(t, 1, a...)
+}
+
+// Guards against the stopping agent running its keys after it has handed them on.
+func TestNothingRunsAtHomeAfterHandover(t *testing.T) {
+	_, a := newFleet(t, testService, testService)
+	a[0].book(t)
+	unused := a[0].newKey(t)
+	require.NoError(t, a[0].stop(t))
+	require.NotEqual(t, http.StatusCreated, a[0].post(unused).StatusCode)
+	require.Equal(t, http.StatusServiceUnavailable, a[0].post("").StatusCode)
+	requireRuns(t, 1, a...)
+}
+
+// Guards against a hand-over that ends at the first peer that can't take the
+// ledger: one that is gone, refuses, or serves another service since its
+// address was reused.
+func TestHandoverSkipsPeers(t *testing.T) {
+	for name, answer := range map[string]func() (*http.Response, error){
+		"gone":    func() (*http.Response, error) { return nil, errNoAnswer },
+		"refuses": func() (*http.Response, error) { return status(http.StatusBadRequest), nil },
+		"ignores": func() (*http.Response, error) { return status(http.StatusOK), nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, a := newFleet(t, testService, testService, testService)
+			key := a[0].book(t)
+			var once sync.Once
+			var bad netip.AddrPort
+			f.fault = func(to netip.AddrPort, r *http.Request, serve func() *http.Response) (*http.Response, error) {
+				if r.URL.Path == ledgerPath {
+					once.Do(func() { bad = to })
+				}
+				if to == bad {
+					return answer()
+				}
+				return serve(), nil
+			}
+			require.NoError(t, a[0].stop(t))
+			f.fault = onlyTo(f, nil)
+			delete(f.agents, a[0].addr())
+			for _, peer := range a[1:] {
+				if peer.addr() != bad {
+					requireBooked(t, peer.post(key))
+				}
+			}
+			requireRuns(t, 1, a...)
+		})
+	}
+}
+
+// Guards against a draining peer as successor, which would leave soon after.
+func TestHandoverNeedsReadyPeer(t *testing.T) {
+	_, a := newFleet(t, testService, testService)
+	a[0].book(t)
+	a[1].Self.SetState(member.StateDraining)
+	a[0].Members.Merge([]member.Record{a[1].Self.Record()})
+	require.ErrorIs(t, a[0].stop(t), errors.NotFound)
+}
+
+// Guards against a second run when the successor took the ledger and its
+// answer was lost: nobody knows the successor, and neither side may run.
+func TestUnclearHandoverRunsNothing(t *testing.T) {
+	f, a := newFleet(t, testService, testService, testService)
+	key, unused := a[0].book(t), a[0].newKey(t)
+	f.fault = func(_ netip.AddrPort, r *http.Request, serve func() *http.Response) (*http.Response, error) {
+		resp := serve()
+		if r.URL.Path == ledgerPath {
+			return nil, errNoAnswer
+		}
+		return resp, nil
+	}
+	require.ErrorIs(t, a[0].stop(t), errors.NotFound)
+	requireBooked(t, a[0].post(key))
+	require.NotEqual(t, http.StatusCreated, a[1].post(unused).StatusCode)
+	delete(f.agents, a[0].addr())
+	f.fault = onlyTo(f, nil)
+	for _, peer := range a[1:] {
+		requireBooked(t, peer.post(key))
+		require.NotEqual(t, http.StatusCreated, peer.post(unused).StatusCode)
+	}
+	requireRuns(t, 1, a...)
+}
+
+// Guards against a second run when the home is gone and nobody took its ledger.
+func TestLostLedgerIsUnknown(t *testing.T) {
+	f, a := newFleet(t, testService, testService)
+	key := a[0].book(t)
+	delete(f.agents, a[0].addr())
+	f.fault = onlyTo(f, nil)
+	requireUnknown(t, a[1].post(key))
+	requireRuns(t, 1, a...)
+}
+
+// Guards against transfers that are malformed or too large and yet replace
+// what is known, or end the process.
+func TestMalformedTransfers(t *testing.T) {
+	_, a := newFleet(t, testService, testService)
+	home := a[0].addr()
+	for name, c := range map[string]struct {
+		path string
+		body any
+	}{
+		"ledger not CBOR":        {ledgerPath, cbor.RawMessage{0xff}},
+		"ledger truncated":       {ledgerPath, cbor.RawMessage{0xa3, 0x01}},
+		"ledger without home":    {ledgerPath, ledgerTransfer{Incarnation: 1, Ledger: ledger.Export{Marks: []uint64{0}}}},
+		"ledger without marks":   {ledgerPath, ledgerTransfer{Home: home, Incarnation: 1}},
+		"ledger lost records":    {ledgerPath, ledgerTransfer{Home: home, Incarnation: 1, Ledger: ledger.Export{Marks: []uint64{0}, Count: 2}}},
+		"notice not CBOR":        {successorPath, cbor.RawMessage{0x61}},
+		"notice without home":    {successorPath, successorNotice{Incarnation: 1, Successor: home}},
+		"notice without address": {successorPath, successorNotice{Home: home, Incarnation: 1}},
+		"notice too large":       {successorPath, map[int]any{1: home, 2: 1, 3: home, 4: make([]byte, maxNoticeBytes)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resp := a[1].transfer(t, c.path, c.body)
+			require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+			_, known := a[1].handover.successors.get(dispatch.Key{Home: home, Incarnation: 1})
+			require.False(t, known)
+		})
+	}
+}
+
+// Guards against a full ledger that no peer can decode: the library's own
+// limit of 131,072 elements is below what ledgerBytes allows.
+func TestLargeLedgerIsTaken(t *testing.T) {
+	_, a := newFleet(t, testService)
+	const records = 140_000
+	export := ledger.Export{Marks: []uint64{0}, Records: make([]ledger.Saved, records), Count: records}
+	for i := range export.Records {
+		export.Records[i].Sequence = uint64(i + 1)
+	}
+	resp := a[0].transfer(t, ledgerPath, ledgerTransfer{Home: netip.MustParseAddrPort("10.0.0.9:7002"), Incarnation: 1, Ledger: export})
+	require.Equal(t, http.StatusNoContent, resp.StatusCode)
+}
+
+// Guards against unbounded memory for the successors of agents that left, and
+// against forgetting the newest.
+func TestSuccessorsAreBounded(t *testing.T) {
+	s := newSuccessors()
+	addr := netip.MustParseAddrPort("10.0.0.9:7002")
+	for i := range uint64(maxSuccessors + 1) {
+		s.put(dispatch.Self{Peer: addr, Incarnation: i}, addr)
+	}
+	require.Len(t, s.of, maxSuccessors)
+	require.Len(t, s.order, maxSuccessors)
+	_, oldest := s.get(dispatch.Key{Home: addr})
+	_, newest := s.get(dispatch.Key{Home: addr, Incarnation: maxSuccessors})
+	require.False(t, oldest)
+	require.True(t, newest)
+}
+
+func (a *testAgent) transfer(t *testing.T, path string, body any) *http.Response {
+	raw, ok := body.(cbor.RawMessage)
+	if !ok {
+		var err error
+		raw, err = cbor.Marshal(body)
+		require.NoError(t, err)
+	}
+	r := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(raw))
+	setService(r, a.Self.Record().Service)
+	return serveOn(a.served, r)
+}
+
+func status(code int) *http.Response {
+	return &http.Response{StatusCode: code, Header: http.Header{}, Body: http.NoBody}
+}
+
+// onlyTo answers for known agents, and fails for others.
+func onlyTo(f *fleet, err error) func(netip.AddrPort, *http.Request, func() *http.Response) (*http.Response, error) {
+	return func(to netip.AddrPort, _ *http.Request, serve func() *http.Response) (*http.Response, error) {
+		if f.agents[to] == nil {
+			return nil, errors.Annotate(errNoAnswer, to.String())
+		}
+		return serve(), err
+	}
+}
--- /dev/null
+++ b/agent/peerhandler.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/retry"
+)
+
+// headerService holds the service tag of the agent that sends a request to a peer.
+const headerService = "Endiveflow-Service"
+
+const reasonOtherService = "agent serves another service"
+
+var otherServiceTotal = metrics.GetOrCreateCounter(`endiveflow_agent_other_service_total`)
+
+func setService(r *http.Request, tag config.ServiceTag) {
+	r.Header.Set(headerService, tagText(tag))
+}
+
+func tagText(tag config.ServiceTag) string { return strconv.FormatUint(uint64(tag), 16) }
+
+// peerHandler serves the requests and transfers of agents of the same service.
+// All endiveflow processes share the fleet's certificates, and a stale record can
+// name an address that an agent of another service has taken over since.
+func peerHandler(tag config.ServiceTag, h *dispatch.Handler, ho *handover) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+ledgerPath, ho.receiveLedger)
+	mux.HandleFunc("POST "+successorPath, ho.receiveSuccessor)
+	requests := h.PeerHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Header.Get(headerService) != tagText(tag):
+			rejectOtherService(w, r)
+		// Requests of callers keep their path, so only the header tells them from transfers.
+		case r.Header.Get(dispatch.HeaderHandover) != "":
+			requests.ServeHTTP(w, r)
+		default:
+			mux.ServeHTTP(w, r)
+		}
+	})
+}
+
+// rejectOtherService gives no outcome for a request with a key: only the key's home
+// or its successor knows whether an earlier attempt has run.
+func rejectOtherService(w http.ResponseWriter, r *http.Request) {
+	otherServiceTotal.Inc()
+	if r.Header.Get(dispatch.HeaderHandover) != "" && r.Header.Get(dispatch.HeaderKey) == "" {
+		w.Header().Set(dispatch.HeaderOutcome, retry.NotRun.String())
+		w.Header().Set(dispatch.HeaderReason, reasonOtherService)
+		http.Error(w, reasonOtherService, http.StatusServiceUnavailable)
+		return
+	}
+	http.Error(w, reasonOtherService, http.StatusMisdirectedRequest)
+}
--- a/agent/requests.go
+++ b/agent/requests.go
@@ -30,21 +30,11 @@
 }
 
 func providePeerServer(cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, h *dispatch.Handler, ho *handover) (*peer.Server, error) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+ledgerPath, ho.receiveLedger)
-	mux.HandleFunc("POST "+successorPath, ho.receiveSuccessor)
 	server, err := peer.NewServer(peer.ServerConfig{
-		Ring:   ring,
-		IP:     cfg.Settings.PeerAddress.Addr(),
-		Socket: sockets.Peer,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			// Requests of callers keep their path, so only the header tells them from transfers.
-			if r.Header.Get(dispatch.HeaderHandover) != "" {
-				h.PeerHandler().ServeHTTP(w, r)
-				return
-			}
-			mux.ServeHTTP(w, r)
-		}),
+		Ring:    ring,
+		IP:      cfg.Settings.PeerAddress.Addr(),
+		Socket:  sockets.Peer,
+		Handler: peerHandler(config.TagOf(cfg.Settings.Service), h, ho),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("making peer server: %w", err)
@@ -56,10 +46,9 @@
 	return upstream.NewAnnouncements(upstream.AnnouncementsConfig{Service: cfg.Settings.Service})
 }
 
-func provideUpstream(cfg RoleConfig, b *node.Board, announced *upstream.Announcements) (*upstream.Client, error) {
+func provideUpstream(announced *upstream.Announcements) (*upstream.Client, error) {
 	client, err := upstream.New(upstream.Config{
-		Address:      func() netip.AddrPort { return announced.Current().Address },
-		SilenceAfter: b.Policy(cfg.Settings.Service).SilenceAfter,
+		Address: func() netip.AddrPort { return announced.Current().Address },
 	})
 	if err != nil {
 		return nil, fmt.Errorf("making upstream client: %w", err)
@@ -77,14 +66,16 @@
 	tag := config.TagOf(cfg.Settings.Service)
 	self := b.Self.Record()
 	return dispatch.New(dispatch.Config{
-		Self:     dispatch.Self{Peer: self.Peer, Incarnation: uint64(self.Incarnation)},
-		Upstream: func(r *http.Request) (*http.Response, error) { return askUpstream(client, r) },
+		Self: dispatch.Self{Peer: self.Peer, Incarnation: uint64(self.Incarnation)},
+		Upstream: func(r *http.Request) (*http.Response, error) {
+			return askUpstream(client, b.Policy(cfg.Settings.Service).SilenceAfter, r)
+		},
 		Peer: func(ctx context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
-			return askPeer(ctx, peers, addr, r)
+			return askPeer(ctx, peers, tag, addr, r)
 		},
 		Peers:     func() []dispatch.PeerInfo { return peersOf(b, tag) },
 		Successor: successors.get,
-		Policy:    func() config.Policy { return b.Policy(cfg.Settings.Service) },
+		Policy:    func() config.Policy { return dispatchPolicy(b, cfg.Settings.Service) },
 		Service: func() config.Service {
 			_, service, _ := b.Config.Service(tag)
 			return service
@@ -96,14 +87,22 @@
 	}), nil
 }
 
+// dispatchPolicy returns the settings for the handler. Its judge takes a slow start of 0 for
+// unset and would use its default of 10 s, so that 0 is replaced by the shortest duration.
+func dispatchPolicy(b *node.Board, service string) config.Policy {
+	policy := b.Policy(service)
+	policy.SlowStart = max(policy.SlowStart, 1)
+	return policy
+}
+
 // acceptsWork says whether the local upstream gets new work.
 func acceptsWork(b *node.Board, service string, state upstream.State) bool {
 	return state == upstream.StateReady && !b.Stopping.Load() && !b.Policy(service).Drain
 }
 
-func askUpstream(client *upstream.Client, r *http.Request) (*http.Response, error) {
+func askUpstream(client *upstream.Client, silenceAfter time.Duration, r *http.Request) (*http.Response, error) {
 	a := dispatch.AttemptOf(r.Context())
-	ctx := upstream.WithOptions(r.Context(), upstream.Options{Repeatable: a.Repeatable, Long: a.Long})
+	ctx := upstream.WithOptions(r.Context(), upstream.Options{Repeatable: a.Repeatable, Long: a.Long, SilenceAfter: silenceAfter})
 	resp, err := client.Do(r.WithContext(ctx))
 	if err != nil {
 		return nil, attemptError("asking upstream", err, upstream.ErrNotSent)
@@ -111,7 +110,8 @@
 	return resp, nil
 }
 
-func askPeer(ctx context.Context, peers *peer.Client, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
+func askPeer(ctx context.Context, peers *peer.Client, tag config.ServiceTag, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
+	setService(r, tag)
 	resp, err := peers.Do(ctx, addr, r)
 	if err != nil {
 		return nil, attemptError("asking peer", err, peer.ErrNotSent)
--- /dev/null
+++ b/agent/requests_test.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/testkit"
+	"endiveflow.example/endiveflow/upstream"
+)
+
+// Guards against a key of one service that is run or answered by another.
+func TestKeyOfOtherServiceIsRejected(t *testing.T) {
+	_, a := newFleet(t, testService, "draws")
+	key := a[0].newKey(t)
+	resp := a[1].post(key)
+	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+	requireUnknown(t, resp)
+	requireRuns(t, 0, a...)
+}
+
+// Guards against a key whose content changes on its way through the codec.
+func TestKeyKeepsItsContent(t *testing.T) {
+	keys, err := flowid.NewKeyCodec(flowid.Config{Ring: testkit.Ring(t, 1)})
+	require.NoError(t, err)
+	tag := config.TagOf(testService)
+	want := dispatch.Key{
+		Home: netip.MustParseAddrPort("10.0.0.1:7002"), Incarnation: 1 << 60, Sequence: 7, Issued: time.UnixMilli(1_700_000_000_000),
+	}
+	got, err := parseKey(keys, tag, keys.Issue(requestKey(tag, want)))
+	require.NoError(t, err)
+	require.True(t, want.Issued.Equal(got.Issued))
+	got.Issued = want.Issued
+	require.Equal(t, want, got)
+	_, err = parseKey(keys, config.TagOf("draws"), keys.Issue(requestKey(tag, want)))
+	require.ErrorIs(t, err, errOtherService)
+}
+
+// Guards against an agent of another service that runs a request, because its
+// address was one of an agent of this service before.
+func TestRequestOfOtherServiceIsNotRun(t *testing.T) {
+	_, a := newFleet(t, testService)
+	for name, key := range map[string]string{"not-run": "", "": a[0].newKey(t)} {
+		r := httptest.NewRequest(http.MethodGet, "/claims", nil)
+		r.Header.Set(dispatch.HeaderHandover, "slot")
+		if key != "" {
+			r = httptest.NewRequest(http.MethodPost, "/claims", strings.NewReader("lawn 3"))
+			r.Header.Set(dispatch.HeaderHandover, "home")
+			r.Header.Set(dispatch.HeaderKey, key)
+		}
+		setService(r, config.TagOf("draws"))
+		resp := serveOn(a[0].served, r)
+		require.GreaterOrEqual(t, resp.StatusCode, http.StatusBadRequest)
+		require.Equal(t, name, resp.Header.Get(dispatch.HeaderOutcome))
+	}
+	requireRuns(t, 0, a...)
+}
+
+// Guards against a caller that passes for a peer by internal headers: it would
+// skip keys, choose a class, or replace what is known of successors.
+func TestInternalHeadersOfCallers(t *testing.T) {
+	_, a := newFleet(t, testService, testService)
+	for _, mode := range []string{"slot", "queue", "home"} {
+		resp := a[0].post("", dispatch.HeaderHandover, mode, dispatch.HeaderClass, "long", headerService, "1")
+		require.Equal(t, http.StatusPreconditionRequired, resp.StatusCode, mode)
+		require.Empty(t, resp.Header.Get(dispatch.HeaderLoad), mode)
+	}
+	requireRuns(t, 0, a...)
+	for _, path := range []string{ledgerPath, successorPath} {
+		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("x"))
+		resp := serveOn(a[0].handler, r)
+		require.Equal(t, http.StatusPreconditionRequired, resp.StatusCode, path)
+	}
+}
+
+// Guards against a caller's internal headers that reach the upstream or a peer.
+func TestInternalHeadersAreNotForwarded(t *testing.T) {
+	var seen http.Header
+	h := dispatch.New(dispatch.Config{
+		Slots: 1,
+		Upstream: func(r *http.Request) (*http.Response, error) {
+			seen = r.Header
+			return status(http.StatusOK), nil
+		},
+		Peers:   func() []dispatch.PeerInfo { return nil },
+		Policy:  config.BuiltinPolicy,
+		Service: func() config.Service { return config.Service{} },
+	})
+	r := httptest.NewRequest(http.MethodGet, "/slots", nil)
+	for _, name := range []string{dispatch.HeaderHandover, dispatch.HeaderClass, dispatch.HeaderLoad, headerService} {
+		r.Header.Set(name, "home")
+	}
+	require.Equal(t, http.StatusOK, serveOn(h, r).StatusCode)
+	for name := range seen {
+		if strings.HasPrefix(name, "Endiveflow-") {
+			require.Equal(t, dispatch.HeaderDeadline, name)
+		}
+	}
+}
+
+// Guards against a change of silenceAfter that needs a restart: the value used
+// to be read once, before the agent had any configuration.
+func TestSilenceAfterTakesEffect(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	b := newTestBoard(1, testService)
+	announced := upstream.NewAnnouncements(upstream.AnnouncementsConfig{})
+	require.NoError(t, announced.Accept([]byte(`{"service":"rota","address":"`+silent.Addr().String()+`","slots":2,"state":"ready"}`)))
+	client, err := provideUpstream(announced)
+	require.NoError(t, err)
+	h, err := provideHandler(roleConfig(), testkit.Ring(t, 1), b, client, announced, nil, newSuccessors())
+	require.NoError(t, err)
+	h.SetSlots(2)
+	require.True(t, b.Config.Apply(defaults(1, map[config.Setting]string{config.SettingSilenceAfter: "100ms", config.SettingDeadline: "2s"})))
+	begin := time.Now()
+	resp := serveOn(h, httptest.NewRequest(http.MethodGet, "/slots", nil))
+	require.NotEqual(t, http.StatusOK, resp.StatusCode)
+	require.Less(t, time.Since(begin), time.Second)
+}
+
+func defaults(version uint64, s map[config.Setting]string) config.Object {
+	return config.Object{
+		Key: config.Key{Kind: config.KindDefaults, Name: config.DefaultsName}, Version: version, Defaults: &config.Defaults{Settings: s},
+	}
+}
--- a/agent/state.go
+++ b/agent/state.go
@@ -34,6 +34,8 @@
 	mu sync.Mutex
 	// readySince is when the upstream became ready, zero while it is not; guarded by mu.
 	readySince time.Time
+	// readyAt is the address of the upstream since then; guarded by mu.
+	readyAt netip.AddrPort
 }
 
 func newStateController(cfg RoleConfig, b *node.Board, announced *upstream.Announcements, h *dispatch.Handler) *stateController {
@@ -73,7 +75,7 @@
 	old := c.board.Self.Record()
 	state, reason := nextState(old.State, announced.State, policy.Drain, c.board.Stopping.Load())
 	slots := c.slots(announced)
-	c.trackReady(announced.State, slots)
+	c.trackReady(announced, slots)
 	weight := uint8(0)
 	if state == member.StateReady {
 		weight = slowStartWeight(c.now().Sub(c.readySince), policy.SlowStart)
@@ -91,11 +93,13 @@
 	}
 }
 
-// trackReady tells the handler of a start of the upstream and of its slots.
-func (c *stateController) trackReady(state upstream.State, slots int) {
-	ready := state == upstream.StateReady
-	if ready && c.readySince.IsZero() {
+// trackReady tells the handler of a start of the upstream and of its slots. An upstream at
+// another address is another process, and cold even if the former one was never missed.
+func (c *stateController) trackReady(a upstream.Announcement, slots int) {
+	ready := a.State == upstream.StateReady
+	if ready && (c.readySince.IsZero() || a.Address != c.readyAt) {
 		c.readySince = c.now()
+		c.readyAt = a.Address
 		c.handler.SetSlots(slots)
 		c.handler.Started()
 	}
--- /dev/null
+++ b/agent/state_test.go
@@ -0,0 +1,186 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/upstream"
+)
+
+// Guards against a state that sends new flows to an agent that can't serve them, or keeps them away from one that can.
+func TestNextState(t *testing.T) {
+	for _, c := range []struct {
+		old             member.State
+		up              upstream.State
+		drain, stopping bool
+		want            member.State
+	}{
+		{old: member.StateStarting, up: upstream.StateGone, want: member.StateStarting},
+		{old: member.StateStarting, up: upstream.StateStarting, want: member.StateStarting},
+		{old: member.StateStarting, up: upstream.StateDraining, want: member.StateStarting},
+		{old: member.StateStarting, up: upstream.StateReady, want: member.StateReady},
+		{old: member.StateReady, up: upstream.StateStarting, want: member.StateStarting},
+		{old: member.StateReady, up: upstream.StateDraining, want: member.StateDraining},
+		{old: member.StateReady, up: upstream.StateGone, want: member.StateDraining},
+		{old: member.StateReady, up: upstream.StateReady, drain: true, want: member.StateDraining},
+		{old: member.StateStarting, up: upstream.StateGone, drain: true, want: member.StateDraining},
+		{old: member.StateReady, up: upstream.StateReady, stopping: true, want: member.StateDraining},
+		{old: member.StateStarting, up: upstream.StateGone, stopping: true, want: member.StateDraining},
+		{old: member.StateDraining, up: upstream.StateReady, want: member.StateReady},
+		{old: member.StateDraining, up: upstream.StateGone, want: member.StateDraining},
+	} {
+		got, reason := nextState(c.old, c.up, c.drain, c.stopping)
+		require.Equal(t, c.want, got, "%+v", c)
+		require.NotEmpty(t, reason)
+	}
+}
+
+// Guards against a cold upstream with the share of a warm one, and against a weight of 0 that lasts.
+func TestSlowStartWeight(t *testing.T) {
+	const whole = 10 * time.Second
+	for since, want := range map[time.Duration]uint8{
+		0: 25, whole/4 - 1: 25, whole / 4: 50, whole/2 - 1: 50, whole / 2: 75, whole*3/4 - 1: 75,
+		whole * 3 / 4: 100, whole: 100, whole * 9: 100,
+	} {
+		require.Equal(t, want, slowStartWeight(since, whole), since)
+	}
+	require.Equal(t, member.FullWeight, slowStartWeight(0, 0))
+}
+
+// stateTest is a state controller with its own clock.
+type stateTest struct {
+	*stateController
+	t     *testing.T
+	clock time.Time
+}
+
+func newStateTest(t *testing.T) *stateTest {
+	s := &stateTest{t: t, clock: time.UnixMilli(1_700_000_000_000)}
+	now := func() time.Time { return s.clock }
+	b := newTestBoard(1, testService)
+	h := dispatch.New(dispatch.Config{
+		Upstream: func(*http.Request) (*http.Response, error) { return status(http.StatusOK), nil },
+		Service:  func() config.Service { return config.Service{} },
+		Peers:    func() []dispatch.PeerInfo { return nil }, Policy: func() config.Policy { return dispatchPolicy(b, testService) }, Now: now,
+	})
+	s.stateController = newStateController(roleConfig(), b, upstream.NewAnnouncements(upstream.AnnouncementsConfig{Now: now}), h)
+	s.now = now
+	return s
+}
+
+func (s *stateTest) announce(state upstream.State, slots, port int) {
+	s.t.Helper()
+	require.NoError(s.t, s.announced.Accept(fmt.Appendf(nil, `{"service":%q,"address":"127.0.0.1:%d","slots":%d,"state":%q}`, testService, port, slots, state)))
+}
+
+// requireRecord updates the record and checks it, and that the handler uses no more slots.
+func (s *stateTest) requireRecord(state member.State, weight uint8, slots int) {
+	s.t.Helper()
+	before := s.board.Self.Record()
+	s.update()
+	r := s.board.Self.Record()
+	require.Equal(s.t, state, r.State)
+	require.Equal(s.t, weight, r.Weight)
+	require.Equal(s.t, slots, int(r.Slots))
+	require.LessOrEqual(s.t, s.handler.Load().Slots, slots)
+	if r != before {
+		require.Greater(s.t, r.Version, before.Version)
+	}
+}
+
+// Guards against a change of the record that others don't take for newer, and
+// against an upstream that comes back and gets its full share at once.
+func TestUpstreamComesBack(t *testing.T) {
+	s := newStateTest(t)
+	s.requireRecord(member.StateStarting, 0, 0)
+	s.announce(upstream.StateReady, 4, 8000)
+	s.requireRecord(member.StateReady, 25, 4)
+	s.clock = s.clock.Add(5 * time.Second)
+	s.announce(upstream.StateReady, 4, 8000)
+	s.requireRecord(member.StateReady, 75, 4)
+	s.clock = s.clock.Add(6 * time.Second)
+	s.requireRecord(member.StateDraining, 0, 0)
+	s.announce(upstream.StateReady, 4, 8000)
+	s.requireRecord(member.StateReady, 25, 4)
+}
+
+// Guards against a restarted upstream that gets its full share at once, because
+// it announces itself again before the agent missed the former process.
+func TestUpstreamAtOtherAddressStartsCold(t *testing.T) {
+	s := newStateTest(t)
+	s.announce(upstream.StateReady, 4, 8000)
+	s.requireRecord(member.StateReady, 25, 4)
+	s.clock = s.clock.Add(20 * time.Second)
+	s.announce(upstream.StateReady, 4, 8000)
+	s.requireRecord(member.StateReady, member.FullWeight, 4)
+	s.announce(upstream.StateReady, 4, 8001)
+	s.requireRecord(member.StateReady, 25, 4)
+}
+
+// Guards against a drain that needs a restart, and against an undrain that doesn't end it.
+func TestDrainAndUndrain(t *testing.T) {
+	s := newStateTest(t)
+	s.announce(upstream.StateReady, 4, 8000)
+	s.requireRecord(member.StateReady, 25, 4)
+	drain := config.Object{
+		Key: config.Key{Kind: config.KindException, Name: "drain"}, Version: 1,
+		Exception: &config.Exception{Target: "host/10.0.0.1", Setting: config.SettingDrain, Value: "true", Reason: "disk swap"},
+	}
+	require.True(t, s.board.Config.Apply(drain))
+	s.requireRecord(member.StateDraining, 0, 4)
+	require.False(t, acceptsWork(s.board, testService, upstream.StateReady))
+	require.True(t, s.board.Config.Apply(config.Object{Key: drain.Key, Version: 2, Deleted: true}))
+	s.requireRecord(member.StateReady, 25, 4)
+	require.True(t, acceptsWork(s.board, testService, upstream.StateReady))
+	s.board.Stopping.Store(true)
+	s.requireRecord(member.StateDraining, 0, 4)
+	require.False(t, acceptsWork(s.board, testService, upstream.StateReady))
+}
+
+// Guards against an upstream that announces more slots than the operator
+// allows its host, and against a change of the limit that needs a restart. A
+// slow start of 0 must reach the handler, whose judge takes 0 for its default.
+func TestSlotsAreBoundedByConfiguration(t *testing.T) {
+	s := newStateTest(t)
+	require.True(t, s.board.Config.Apply(defaults(1, map[config.Setting]string{config.SettingSlowStart: "0s"})))
+	requireSlots := func(want int) {
+		t.Helper()
+		s.requireRecord(member.StateReady, member.FullWeight, want)
+		// The handler assesses its upstream when it serves a request, at most each second.
+		s.clock = s.clock.Add(time.Second)
+		serveOn(s.handler, httptest.NewRequest(http.MethodGet, "/slots", nil))
+		require.Equal(t, want, s.handler.Load().Slots)
+	}
+	s.announce(upstream.StateReady, 9, 8000)
+	requireSlots(9)
+	allow := func(version uint64, name, network string, slots int) {
+		require.True(t, s.board.Config.Apply(config.Object{
+			Key: config.Key{Kind: config.KindUpstream, Name: name}, Version: version,
+			Upstream: &config.Upstream{Service: testService, Networks: []netip.Prefix{netip.MustParsePrefix(network)}, Slots: slots},
+		}))
+	}
+	allow(1, "elsewhere", "10.9.0.0/24", 2)
+	requireSlots(9)
+	allow(2, "here", "10.0.0.0/24", 4)
+	requireSlots(4)
+	allow(3, "here", "10.0.0.0/24", 6)
+	requireSlots(6)
+}
+
+// Guards against a change of slowStart that needs a restart.
+func TestSlowStartTakesEffect(t *testing.T) {
+	s := newStateTest(t)
+	s.announce(upstream.StateReady, 4, 8000)
+	s.requireRecord(member.StateReady, 25, 4)
+	require.True(t, s.board.Config.Apply(defaults(1, map[config.Setting]string{config.SettingSlowStart: "0s"})))
+	s.requireRecord(member.StateReady, member.FullWeight, 4)
+}
--- a/flowserver/server.go
+++ b/flowserver/server.go
@@ -75,8 +75,9 @@
 	// MaxRequests is the number of requests in flight per flow; 0 means DefaultMaxRequests.
 	MaxRequests int64
 	// DrainSpread is the time over which Drain sends GOAWAY to the flows, so
-	// that callers don't reconnect all at once; 0 sends to all at once.
-	DrainSpread time.Duration
+	// that callers don't reconnect all at once; 0 sends to all at once. Drain calls it
+	// once, since the setting can change while the server runs; nil means 0.
+	DrainSpread func() time.Duration
 	// Log receives the result of Shutdown; nil means slog.Default.
 	Log *slog.Logger
 }
--- a/flowserver/server_test.go
+++ b/flowserver/server_test.go
@@ -163,7 +163,7 @@
 	p := listen(t, "127.0.0.1:0")
 	s := start(t, flowserver.Config{
 		Packets:     p,
-		DrainSpread: 100 * time.Millisecond,
+		DrainSpread: func() time.Duration { return 100 * time.Millisecond },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			ran.Add(1)
 			_, _ = w.Write(make([]byte, 5000))
--- a/flowserver/shutdown.go
+++ b/flowserver/shutdown.go
@@ -41,11 +41,15 @@
 // drain ends when all shards got GOAWAY, at the latest in Shutdown.
 func (s *Server) drain() {
 	defer close(s.drainEnded)
+	var spread time.Duration
+	if s.cfg.DrainSpread != nil {
+		spread = s.cfg.DrainSpread()
+	}
 	for i := range drainShards {
 		s.goAway(&s.shards[i])
 		select {
 		case <-s.hurry:
-		case <-time.After(s.cfg.DrainSpread / drainShards):
+		case <-time.After(spread / drainShards):
 		}
 	}
 }
