--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 
 	"endiveflow.example/endiveflow/config"
@@ -70,3 +71,31 @@
 		}
 	})
 }
+
+// BenchmarkViewMemory shows the memory of the configuration by the number of
+// services, each with an Upstream.
+func BenchmarkViewMemory(b *testing.B) {
+	objects := targetObjects()
+	for _, services := range []int{930, 3100, targetAddresses} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				v := config.NewView()
+				for _, o := range objects[:2*services] {
+					v.Apply(o)
+				}
+				after := heap()
+				runtime.KeepAlive(v)
+				b.ReportMetric(float64(after-before)/float64(services), "bytes/service")
+			}
+		})
+	}
+}
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -135,3 +137,33 @@
 		f.refresh(b.Context())
 	}
 }
+
+// BenchmarkServices shows the memory of the forwarder by the number of bound
+// services, stacks of their readers included and kernel memory not.
+func BenchmarkServices(b *testing.B) {
+	for _, n := range []int{100, 300, 930} {
+		b.Run(fmt.Sprintf("services=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := inUse()
+				services := make(map[config.ServiceTag]netip.AddrPort, n)
+				for i := range n {
+					services[config.ServiceTag(i+1)] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i >> 8), byte(i)}), 0)
+				}
+				f := newForwarder(b, testkit.Ring(b, 1), newView())
+				f.cfg.Services = func() map[config.ServiceTag]netip.AddrPort { return services }
+				f.refresh(b.Context())
+				after := inUse()
+				f.close()
+				b.ReportMetric(float64(after-before)/float64(n), "bytes/service")
+			}
+		})
+	}
+}
+
+// inUse returns the bytes of heap and stacks in use after a collection.
+func inUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
