dispatch: queue work only on peers that take it, and do not count its wait as latency

Cause, found by reading queueOnPeer with the rest; each has a test that failed before: - An agent that takes no work reports no slots and nothing in use, which was the least load, so a draining agent queued its requests on draining and ejected peers and passed their refusals to its callers. Reports also never expired, slots and weight had no part in the choice, and both samples could be the same peer. - A peer that was not reached or refused ended the request with "not run", although other peers would have taken it. - The time in a peer's queue counted as the latency, and at the deadline as a failure, of its upstream, so a healthy upstream was ejected with "latency above the others". Besides, an agent whose upstream announces no slots refused what it now queues on peers, like one that is draining.

Change: admit.ChooseQueue chooses with the score of ChoosePeer, without peers that report no slots. Two peers are asked. A request handed to a queue records no latency.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -88,6 +89,23 @@
 	return Choice{Index: best, Reason: ReasonLesserLoad}
 }
 
+// ChooseQueue picks two random peers and returns the one with the lesser load, whether or
+// not it is expected to have a free slot.
+func ChooseQueue(peers []PeerLoad, now time.Time, random func(n int) int) Choice {
+	usable := slices.DeleteFunc(usablePeers(peers), func(i int) bool {
+		// An agent that takes no work reports no slots.
+		return peers[i].fresh(now) && peers[i].Load.Slots == 0
+	})
+	if len(usable) == 0 {
+		return Choice{Index: -1, Reason: ReasonNoPeers}
+	}
+	first, second := two(usable, random)
+	if peers[second].score(now) < peers[first].score(now) {
+		first = second
+	}
+	return Choice{Index: first, Reason: ReasonLesserLoad}
+}
+
 func usablePeers(peers []PeerLoad) []int {
 	usable := make([]int, 0, len(peers))
 	for i, p := range peers {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -184,6 +184,13 @@
 // and not tried is a refusal of the peer's admission.
 func (h *Handler) runOnPeer(ctx context.Context, j *job, addr netip.AddrPort, handover string) result {
 	started := h.cfg.Now()
+	took := func() time.Duration {
+		if handover == handoverQueue {
+			// The time in the peer's queue says nothing about its upstream.
+			return 0
+		}
+		return h.cfg.Now().Sub(started)
+	}
 	r := j.request(ctx, started)
 	r.Header.Set(HeaderHandover, handover)
 	r.Header.Set(HeaderClass, j.class.String())
@@ -193,7 +200,7 @@
 	resp, err := h.callPeer(ctx, addr, r)
 	if err != nil {
 		h.peers.forget(addr)
-		h.record(ctx, j, addr, h.cfg.Now().Sub(started), true)
+		h.record(ctx, j, addr, took(), true)
 		res := h.failed(ctx, err)
 		res.tried = res.outcome != retry.NotRun
 		return res
@@ -201,7 +208,7 @@
 	h.peers.report(addr, resp.Header, h.cfg.Now())
 	end := func(err error) {
 		failed := err != nil || resp.StatusCode >= http.StatusInternalServerError
-		h.record(ctx, j, addr, h.cfg.Now().Sub(started), failed)
+		h.record(ctx, j, addr, took(), failed)
 	}
 	return h.readPeer(ctx, resp, end)
 }
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -6,21 +6,26 @@
 	"time"
 
 	"endiveflow.example/endiveflow/admit"
-	"endiveflow.example/endiveflow/retry"
 )
 
+// maxQueueProbes is the number of peers whose queue is asked. The first may be gone or just full.
+const maxQueueProbes = 2
+
 // queueOnPeer hands a request to the queue of a peer, for an agent whose own
 // upstream takes no work. Without it, callers of a draining agent were refused
 // while all slots of its peers were busy, and waited a second for nothing.
 func (h *Handler) queueOnPeer(ctx context.Context, j *job, reason string) result {
-	addr, ok := h.peers.chooseQueue(h.cfg.Peers(), h.cfg.Self.Peer, h.random)
-	if !ok {
+	res, ran := h.offer(ctx, j, maxQueueProbes, handoverQueue, func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool) {
+		return h.peers.chooseQueue(h.cfg.Peers(), skip, j.class, h.cfg.Now(), h.random)
+	})
+	switch {
+	case ran:
+		return res
+	case ctx.Err() != nil:
+		return h.endedBeforeRun(ctx)
+	case res.reason == "":
 		return refused(reason, time.Second)
 	}
-	res := h.runOnPeer(ctx, j, addr, handoverQueue)
-	if res.outcome != retry.NotRun || res.tried {
-		placedPeer.Inc()
-	}
 	return res
 }
 
@@ -45,30 +50,3 @@
 	placedQueue.Inc()
 	return h.runLocal(ctx, j)
 }
-
-// chooseQueue picks the less loaded of two random peers that take work.
-func (t *peerTable) chooseQueue(infos []PeerInfo, self netip.AddrPort, random func(int) int) (netip.AddrPort, bool) {
-	var usable []netip.AddrPort
-	for _, p := range infos {
-		if !p.Draining && p.Slots > 0 && p.Addr != self {
-			usable = append(usable, p.Addr)
-		}
-	}
-	if len(usable) == 0 {
-		return netip.AddrPort{}, false
-	}
-	first := usable[random(len(usable))]
-	second := usable[random(len(usable))]
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.pending(second) < t.pending(first) {
-		return second, true
-	}
-	return first, true
-}
-
-// pending returns the requests that a peer last reported. The caller holds mu.
-func (t *peerTable) pending(addr netip.AddrPort) int {
-	load := t.loads[addr].load
-	return load.InUse() + load.Queued()
-}
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/dispatch"
 )
 
@@ -80,3 +82,99 @@
 	}
 	return cfg
 }
+
+// queueFleet is a draining agent and four peers, which answer a request that is queued on
+// them as answer says. It returns the numbers of requests that each peer got.
+func queueFleet(answer func(peer int, handover string) (*http.Response, error)) (h *dispatch.Handler, got []int, trail *audit.Trail) {
+	got, trail = make([]int, 4), quietTrail()
+	cfg := agentConfig(nil)
+	cfg.AcceptsWork = func() bool { return false }
+	cfg.Trail = trail
+	cfg.Peers = func() (peers []dispatch.PeerInfo) {
+		for i := range got {
+			peers = append(peers, dispatch.PeerInfo{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 700), Slots: 2})
+		}
+		return peers
+	}
+	cfg.Peer = func(_ context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
+		peer, handover := int(addr.Addr().As4()[3]), r.Header.Get(dispatch.HeaderHandover)
+		if handover == "queue" {
+			got[peer]++
+		}
+		return answer(peer, handover)
+	}
+	return dispatch.New(cfg), got, trail
+}
+
+// reply is an answer of a peer.
+func reply(outcome, load string) *http.Response {
+	resp := answer(http.StatusOK, "peer")
+	resp.Header.Set(dispatch.HeaderOutcome, outcome)
+	resp.Header.Set(dispatch.HeaderLoad, load)
+	return resp
+}
+
+// Guards against requests that are queued on a peer that takes none, because its report of no slots
+// in use looks like the least load, and are refused while others take them.
+func TestQueueAvoidsPeersWithoutSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, got, _ := queueFleet(func(peer int, handover string) (*http.Response, error) {
+			if peer != 0 {
+				return reply("not-run", "0,0,0,0,0,0,0"), nil
+			}
+			if handover == "queue" {
+				return reply("answered", "2,1,2,0,3,0,2000"), nil
+			}
+			return reply("not-run", "2,1,2,0,3,0,2000"), nil
+		})
+		for range 5 {
+			call(h, http.MethodGet, "/", nil)
+		}
+		clear(got)
+		for range 20 {
+			require.Equal(t, "answered", outcome(call(h, http.MethodGet, "/", nil)))
+		}
+		require.Equal(t, []int{20, 0, 0, 0}, got)
+	})
+}
+
+// Guards against a refusal because of one peer that is not reached.
+func TestQueueAsksAnotherPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _, _ := queueFleet(func(peer int, handover string) (*http.Response, error) {
+			switch {
+			case peer == 0:
+				return nil, &dispatch.NotSentError{Err: errNetwork}
+			case handover == "queue":
+				return reply("answered", "2,1,2,0,0,0,2000"), nil
+			}
+			return reply("not-run", "2,1,2,0,0,0,2000"), nil
+		})
+		for range 100 {
+			require.Equal(t, "answered", outcome(call(h, http.MethodGet, "/", nil)))
+		}
+	})
+}
+
+// Guards against the ejection of a healthy upstream for the time that requests waited in its queue.
+func TestQueueTimeIsNoLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, got, trail := queueFleet(func(peer int, handover string) (*http.Response, error) {
+			if handover != "queue" {
+				return reply("not-run", "2,1,2,0,0,0,2000"), nil
+			}
+			time.Sleep(5 * time.Millisecond)
+			if peer == 0 {
+				time.Sleep(95 * time.Millisecond)
+			}
+			return reply("answered", "2,1,2,0,0,0,2000"), nil
+		})
+		for range 200 {
+			call(h, http.MethodGet, "/", nil)
+		}
+		require.Greater(t, slices.Min(got), 10)
+		for _, e := range trail.Recent() {
+			require.NotEqual(t, "eject", e.Action, e.Reason)
+		}
+	})
+}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -86,6 +86,13 @@
 	})
 }
 
+// chooseQueue picks a peer for a request that may wait.
+func (t *peerTable) chooseQueue(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
+	return t.pick(infos, skip, c, func(list []admit.PeerLoad) admit.Choice {
+		return admit.ChooseQueue(list, now, random)
+	})
+}
+
 func (t *peerTable) pick(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, choose func([]admit.PeerLoad) admit.Choice) (netip.AddrPort, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -105,8 +105,9 @@
 			return h.runLocal(ctx, j)
 		}
 	}
+	none := h.slots.load().Slots == 0
 	probes := maxProbes
-	if !accepts || avoid {
+	if !accepts || avoid || none {
 		probes = maxProbesDraining
 	}
 	if res, ran := h.askPeers(ctx, j, probes); ran {
@@ -119,6 +120,8 @@
 		return h.queueOnPeer(ctx, j, reasonDraining)
 	case avoid:
 		return h.queueOnPeer(ctx, j, reasonEjected)
+	case none:
+		return h.queueOnPeer(ctx, j, admit.ReasonNoSlots)
 	}
 	return h.runLocalQueued(ctx, j)
 }
@@ -145,16 +148,16 @@
 	})
 }
 
-// offer offers a request to peers until one runs it.
+// offer offers a request to peers until one runs it. Otherwise it returns the last refusal, if any.
 func (h *Handler) offer(ctx context.Context, j *job, probes int, handover string, choose func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool)) (res result, ran bool) {
 	skip := map[netip.AddrPort]bool{h.cfg.Self.Peer: true}
 	for range probes {
 		if ctx.Err() != nil {
-			return result{}, false
+			return res, false
 		}
 		addr, ok := choose(skip)
 		if !ok {
-			return result{}, false
+			return res, false
 		}
 		skip[addr] = true
 		res = h.runOnPeer(ctx, j, addr, handover)
@@ -163,7 +166,7 @@
 			return res, true
 		}
 	}
-	return result{}, false
+	return res, false
 }
 
 func (h *Handler) random(n int) int { return min(int(h.cfg.Rand()*float64(n)), n-1) }
