dispatch: ask a silent or failing peer about its load once in 2 s

Cause: a peer without a fresh report counts as idle, so that its report becomes known. A peer that failed lost its report, and one that was silent had none yet, so each got one request after another of an agent with a free slot, until it was ejected; at most 30% of a service are ejected.

Change: a question or a failure holds the peer back for 2 s unless a report follows. Only the choice of less loaded peers heeds it; an agent without a free slot tries the peer as before.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -18,6 +18,8 @@
 	// Load is the latest in-band report; Reported is the time of it, zero when there is none.
 	Load     Load
 	Reported time.Time
+	// Held is the time of the latest question or failure that no report has followed; zero when there is none.
+	Held time.Time
 	// Weight is the weight of the peer's upstream in percent; 0 excludes it.
 	Weight int
 	// Draining peers get no work.
@@ -66,8 +68,8 @@
 
 // ChooseLighter picks two random peers and returns the one with the lesser load if
 // that is less than the local one, although the local upstream has a free slot. A peer
-// without a fresh report is returned so that its report becomes known; the peer
-// refuses the request when it is not less loaded.
+// without a fresh report is returned so that its report becomes known, but once in
+// ReportExpires at most, since it may be silent. The peer refuses the request when it is not less loaded.
 func ChooseLighter(local Load, peers []PeerLoad, c Class, now time.Time, random func(n int) int) Choice {
 	if local.InUse() == 0 || !local.HasRoom(c) {
 		return Choice{Index: -1, Reason: ReasonLocal}
@@ -143,10 +145,12 @@
 	return l.strain(float64(l.InUse()+1)) <= other.strain(float64(other.InUse()))
 }
 
-// strainWithOneMore is the strain of a peer after one more request. As the report ages, the
+// strainWithOneMore is the strain of a peer after one more request, infinite when it is not to be asked. As the report ages, the
 // recent mean replaces the reported slots in use.
 func (p PeerLoad) strainWithOneMore(now time.Time) float64 {
 	switch {
+	case !p.fresh(now) && !p.Held.IsZero() && now.Sub(p.Held) < ReportExpires:
+		return math.Inf(1)
 	case !p.fresh(now):
 		return 0
 	case p.Load.Slots == 0:
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -199,7 +199,7 @@
 	}
 	resp, err := h.callPeer(ctx, addr, r)
 	if err != nil {
-		h.peers.forget(addr)
+		h.peers.forget(addr, h.cfg.Now())
 		h.record(ctx, j, addr, took(), true)
 		res := h.failed(ctx, err)
 		res.tried = res.outcome != retry.NotRun
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -178,3 +178,31 @@
 		}
 	})
 }
+
+// Guards against a peer that is silent, or fails, and gets one request after another because
+// nothing is known of its load, while the local upstream has a free slot.
+func TestSilentPeerGetsFewRequests(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"silent": 3 * time.Second, "failing": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var asked atomic.Int64
+				cfg := withPeer(agentConfig(func(*http.Request) (*http.Response, error) {
+					time.Sleep(150 * time.Millisecond)
+					return answer(http.StatusOK, "local"), nil
+				}), nil)
+				cfg.Peer = func(context.Context, netip.AddrPort, *http.Request) (*http.Response, error) {
+					asked.Add(1)
+					time.Sleep(silence)
+					return nil, &dispatch.NotSentError{Err: errNetwork}
+				}
+				h := dispatch.New(cfg)
+				for range 10 {
+					go call(h, http.MethodGet, "/", nil)
+					time.Sleep(100 * time.Millisecond)
+				}
+				require.EqualValues(t, 1, asked.Load(), "within 1 s")
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -28,6 +28,8 @@
 type reported struct {
 	load admit.Load
 	at   time.Time
+	// held is the time of the latest question or failure that no report has followed.
+	held time.Time
 }
 
 func newPeerTable() *peerTable {
@@ -66,34 +68,34 @@
 }
 
 // forget drops the report of a peer that did not answer.
-func (t *peerTable) forget(addr netip.AddrPort) {
+func (t *peerTable) forget(addr netip.AddrPort, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.loads, addr)
+	t.loads[addr] = reported{held: now}
 }
 
 // choose picks a peer and counts the request in its load until the next report.
 func (t *peerTable) choose(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
-	return t.pick(infos, skip, c, func(list []admit.PeerLoad) admit.Choice {
+	return t.pick(infos, skip, c, now, func(list []admit.PeerLoad) admit.Choice {
 		return admit.ChoosePeer(list, c, now, random)
 	})
 }
 
 // chooseLighter is choose among the peers that are less loaded than the local upstream.
 func (t *peerTable) chooseLighter(local admit.Load, infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
-	return t.pick(infos, skip, c, func(list []admit.PeerLoad) admit.Choice {
+	return t.pick(infos, skip, c, now, func(list []admit.PeerLoad) admit.Choice {
 		return admit.ChooseLighter(local, list, c, now, random)
 	})
 }
 
 // chooseQueue picks a peer for a request that may wait.
 func (t *peerTable) chooseQueue(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
-	return t.pick(infos, skip, c, func(list []admit.PeerLoad) admit.Choice {
+	return t.pick(infos, skip, c, now, func(list []admit.PeerLoad) admit.Choice {
 		return admit.ChooseQueue(list, now, random)
 	})
 }
 
-func (t *peerTable) pick(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, choose func([]admit.PeerLoad) admit.Choice) (netip.AddrPort, bool) {
+func (t *peerTable) pick(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, choose func([]admit.PeerLoad) admit.Choice) (netip.AddrPort, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]admit.PeerLoad, 0, len(infos))
@@ -107,7 +109,7 @@
 			weight = v.Weight
 		}
 		list = append(list, admit.PeerLoad{
-			Addr: p.Addr, Slots: p.Slots, Load: r.load, Reported: r.at, Weight: weight, Draining: p.Draining,
+			Addr: p.Addr, Slots: p.Slots, Load: r.load, Reported: r.at, Held: r.held, Weight: weight, Draining: p.Draining,
 		})
 	}
 	choice := choose(list)
@@ -115,9 +117,8 @@
 		return netip.AddrPort{}, false
 	}
 	addr := list[choice.Index].Addr
-	if r, ok := t.loads[addr]; ok {
-		t.loads[addr] = reported{load: r.load.WithRun(c), at: r.at}
-	}
+	r := t.loads[addr]
+	t.loads[addr] = reported{load: r.load.WithRun(c), at: r.at, held: now}
 	return addr, true
 }
 
