--- a/cmd/endiveflow/main_test.go
+++ b/cmd/endiveflow/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"endiveflow.example/endiveflow/audit"
+	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/standin"
 	"endiveflow.example/endiveflow/status"
 )
@@ -36,7 +38,7 @@
 		Setup: func(env *testscript.Env) error {
 			store := standin.NewPlatform(standin.PlatformConfig{})
 			server := httptest.NewServer(store.Handler())
-			entry := httptest.NewServer(http.HandlerFunc(serveAdmin))
+			entry := httptest.NewServer(serveAdmin(server.URL))
 			env.Defer(server.Close)
 			env.Defer(entry.Close)
 			env.Values[storeKey{}] = store
@@ -76,8 +78,51 @@
 }
 
 // serveAdmin stands for the admin endpoint of an entry. Below /current, every
-// node is current.
-func serveAdmin(w http.ResponseWriter, r *http.Request) {
+// node has what the store has; below /other, versions with the same numbers;
+// below /ahead, versions that the store does not have.
+func serveAdmin(store string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		base, found := strings.CutSuffix(r.URL.Path, status.Path)
+		if !found || base == "" {
+			serveEntry(w, r)
+			return
+		}
+		report, err := storedStatus(r.Context(), store)
+		switch base {
+		case "/current":
+		case "/other":
+			report.Digest = "other"
+		case "/ahead":
+			report.Version = 99
+		default:
+			http.NotFound(w, r)
+			return
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(report)
+	}
+}
+
+// storedStatus is the status of an entry whose region has what the store has.
+func storedStatus(ctx context.Context, store string) (status.Report, error) {
+	a, err := storeFlags{Platform: store}.reader()
+	if err != nil {
+		return status.Report{}, err
+	}
+	objects, err := a.Objects(ctx)
+	view := config.NewView()
+	for _, o := range objects {
+		view.Apply(o)
+	}
+	report := status.Build(view, nil)
+	report.Zones = []status.Zone{{Zone: "okn-a", Nodes: 3, Current: 3, Version: report.Version}}
+	return report, err
+}
+
+func serveEntry(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/explain":
 		serveExplain(w, r)
@@ -85,8 +130,6 @@
 		_, _ = w.Write([]byte("endiveflow_flowserver_flows_opened_total 9\nendiveflow_flowserver_flows 3\n"))
 	case "/audit":
 		serveAudit(w)
-	case "/current" + status.Path:
-		_ = json.NewEncoder(w).Encode(status.Report{Version: 7, Zones: []status.Zone{{Zone: "okn-a", Nodes: 3, Current: 3, Version: 7}}})
 	case status.Path:
 		serveStatus(w)
 	default:
--- a/cmd/endiveflow/wait.go
+++ b/cmd/endiveflow/wait.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"endiveflow.example/endiveflow/apply"
+	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/node"
 	"endiveflow.example/endiveflow/status"
 )
@@ -46,9 +47,12 @@
 	return err
 }
 
+// errStoreWentBack says that the entries know versions which the store does not.
+const errStoreWentBack = errors.ConstError("the store has lost versions that are in force; nodes take only higher versions")
+
 // await waits until the written versions are in force, telling the progress. Its
 // result is nil when there is nothing to wait for.
-func (f waitFlags) await(ctx context.Context, out io.Writer, report apply.Report) (*waitOutput, error) {
+func (f changeFlags) await(ctx context.Context, out io.Writer, report apply.Report) (*waitOutput, error) {
 	version := highest(report)
 	if !f.Wait || version == 0 {
 		return nil, nil
@@ -58,8 +62,11 @@
 	begin := time.Now()
 	w := &waitOutput{Version: version}
 	for {
-		progress, done := f.progress(ctx, version)
+		progress, done, err := f.progress(ctx, version)
 		w.InForce, w.Seconds = done, time.Since(begin).Seconds()
+		if err != nil {
+			return w, fmt.Errorf("waiting for version %d: %w", version, err)
+		}
 		if done {
 			w.Progress = progress
 			_, err := fmt.Fprintf(out, "version %d is in force everywhere after %s\n", version, time.Since(begin).Round(time.Millisecond))
@@ -77,17 +84,49 @@
 	}
 }
 
-// progress asks the entry once.
-func (f waitFlags) progress(ctx context.Context, version uint64) (text string, done bool) {
+// progress asks the entry once. An error means that waiting longer is useless.
+func (f changeFlags) progress(ctx context.Context, version uint64) (text string, done bool, err error) {
 	report, err := fetchStatus(ctx, f.Admin)
 	if err != nil {
-		return fmt.Sprintf("waiting for the entry: %v", err), false
+		return fmt.Sprintf("waiting for the entry: %v", err), false, nil
 	}
 	if report.Version < version {
-		return fmt.Sprintf("the entry has version %d, waiting for %d", report.Version, version), false
+		return fmt.Sprintf("the entry has version %d, waiting for %d", report.Version, version), false, nil
 	}
 	current, nodes := countNodes(report)
-	return fmt.Sprintf("%d of %d nodes have version %d", current, nodes, report.Version), current == nodes && nodes > 0
+	text = fmt.Sprintf("%d of %d nodes have version %d", current, nodes, report.Version)
+	if current < nodes || nodes == 0 {
+		return text, false, nil
+	}
+	same, err := f.storeHas(ctx, report)
+	if err == nil && !same {
+		text = fmt.Sprintf("the entry's version %d is not that of the store", report.Version)
+	}
+	return text, same, err
+}
+
+// storeHas compares what the entry has with the store. A number of a version
+// alone proves nothing: a store that came back with an older state gives out
+// the same numbers again, and nodes ignore them. When the store is ahead, an
+// operator wrote after the entry answered, and only the numbers are compared.
+func (f changeFlags) storeHas(ctx context.Context, report status.Report) (bool, error) {
+	a, err := f.reader()
+	if err != nil {
+		return false, err
+	}
+	objects, err := a.Objects(ctx)
+	if err != nil {
+		return false, fmt.Errorf("comparing with the store: %w", err)
+	}
+	view := config.NewView()
+	for _, o := range objects {
+		view.Apply(o)
+	}
+	stored := status.Build(view, nil)
+	if stored.Version < report.Version {
+		return false, fmt.Errorf("%w: the entry has version %d, the store %d", errStoreWentBack, report.Version, stored.Version)
+	}
+	return stored.Version > report.Version || stored.Digest == report.Digest, nil
 }
 
 func countNodes(report status.Report) (current, nodes int) {
