cmd/endiveflow: script tests of the roles and stand-ins

Cause: the scripts covered no command that runs a process, so settings that a role wrongly accepts, or a planned stop that ends with an error, showed only in the end-to-end tests.

The processes listen on random loopback addresses. The script of the fabric waits until it asked an entry for its readiness, because a signal that arrives before the process handles signals would end it with an error.

--- a/cmd/endiveflow/main_test.go
+++ b/cmd/endiveflow/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,9 +46,15 @@
 			env.Setenv("ENDIVEFLOW_PLATFORM", server.URL)
 			env.Setenv("ENDIVEFLOW_ADMIN", entry.URL)
 			env.Setenv("ENDIVEFLOW_OPERATOR", "ann")
+			env.Setenv("LOOPBACK", randomLoopback())
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"store": setStore, "exits": requireExit},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"store":   setStore,
+			"exits":   requireExit,
+			"expand":  expandFiles,
+			"answers": awaitAnswer,
+		},
 	})
 }
 
@@ -79,9 +86,18 @@
 
 // serveAdmin stands for the admin endpoint of an entry. Below /current, every
 // node has what the store has; below /other, versions with the same numbers;
-// below /ahead, versions that the store does not have.
+// below /ahead, versions that the store does not have. /probed answers 200 when
+// a fabric has asked for the readiness.
 func serveAdmin(store string) http.HandlerFunc {
+	var probed atomic.Bool
 	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/readyz" {
+			probed.Store(true)
+			return
+		}
+		if r.URL.Path == "/probed" && probed.Load() {
+			return
+		}
 		base, found := strings.CutSuffix(r.URL.Path, status.Path)
 		if !found || base == "" {
 			serveEntry(w, r)
