--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -20,6 +20,7 @@
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/flowserver"
 	"endiveflow.example/endiveflow/header"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 // lossy drops all packets from and to the blocked addresses.
--- a/config/view_test.go
+++ b/config/view_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/config"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func service(name string, version uint64) config.Object {
--- a/control/codec_test.go
+++ b/control/codec_test.go
@@ -11,6 +11,7 @@
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/member"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func testSealer(t require.TestingT) *fleetkey.Sealer {
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/dispatch"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 var errNetwork = errors.New("network fault")
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -10,6 +10,7 @@
 
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/member"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func addr(host byte) netip.AddrPort {
--- a/outlier/judge_test.go
+++ b/outlier/judge_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/outlier"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -9,6 +9,7 @@
 
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/retry"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 var now = time.Unix(1_800_000_000, 0)
