--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -1,14 +1,11 @@
 package caller_test
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -17,37 +14,12 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/caller"
-	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/flowserver"
 	"endiveflow.example/endiveflow/header"
+	"endiveflow.example/endiveflow/testkit"
 	_ "endiveflow.example/endiveflow/testseed"
 )
 
-// lossy drops all packets from and to the blocked addresses.
-type lossy struct {
-	net.PacketConn
-	blocked sync.Map
-}
-
-func (l *lossy) ReadFrom(p []byte) (int, net.Addr, error) {
-	for {
-		n, addr, err := l.PacketConn.ReadFrom(p)
-		if err != nil {
-			return n, addr, err
-		}
-		if _, ok := l.blocked.Load(addr.String()); !ok {
-			return n, addr, nil
-		}
-	}
-}
-
-func (l *lossy) WriteTo(p []byte, addr net.Addr) (int, error) {
-	if _, ok := l.blocked.Load(addr.String()); ok {
-		return len(p), nil
-	}
-	return l.PacketConn.WriteTo(p, addr)
-}
-
 // service is a stand-in for an agent: it issues keys, keeps a ledger and
 // breaks attempts as told.
 type service struct {
@@ -143,38 +115,23 @@
 	s.faults = faults
 }
 
-func startService(t *testing.T, handler http.Handler) (*lossy, *flowserver.Server, *tls.Config) {
+func startService(t *testing.T, handler http.Handler) (*testkit.Lossy, *flowserver.Server, *tls.Config) {
 	t.Helper()
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = socket.Close() })
-	ring, err := fleetkey.New(fleetkey.Config{Keys: []fleetkey.Key{{ID: 1, Secret: bytes.Repeat([]byte{1}, 32)}}})
-	require.NoError(t, err)
-	both, err := ring.PeerTLS(netip.MustParseAddr("127.0.0.1"))
+	packets := testkit.ListenLossy(t, "127.0.0.1:0")
+	serverTLS, clientTLS := testkit.ServiceTLS(t)
+	s, err := flowserver.New(flowserver.Config{Packets: packets, TLS: serverTLS, Handler: handler})
 	require.NoError(t, err)
-	packets := &lossy{PacketConn: socket}
-	s, err := flowserver.New(flowserver.Config{
-		Packets: packets,
-		TLS:     &tls.Config{Certificates: both.Certificates},
-		Handler: handler,
-	})
-	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := s.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		require.NoError(t, <-done)
-	})
-	return packets, s, &tls.Config{RootCAs: both.RootCAs}
+	testkit.Run(t, s.Run)
+	return packets, s, clientTLS
 }
 
 func newService() *service {
 	return &service{ran: make(map[string]int), saved: make(map[string]string)}
 }
 
-func newCaller(t *testing.T, packets *lossy, cfg caller.Config) *caller.Client {
+func newCaller(t *testing.T, packets *testkit.Lossy, cfg caller.Config) *caller.Client {
 	t.Helper()
-	cfg.Address = packets.LocalAddr().(*net.UDPAddr).AddrPort()
+	cfg.Address = packets.Addr()
 	c, err := caller.New(cfg)
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
@@ -228,10 +185,14 @@
 // A refused key never runs again. A caller that kept it was refused for ever,
 // although the refusal carried a new one.
 func TestRefusedKeyIsReplaced(t *testing.T) {
+	var mu sync.Mutex
+	// used is guarded by mu.
 	var used []string
 	packets, _, clientTLS := startService(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key := r.Header.Get(header.Key)
+		mu.Lock()
 		used = append(used, key)
+		mu.Unlock()
 		switch key {
 		case "second":
 			w.Header().Set(header.Outcome, header.OutcomeAnswered)
@@ -247,6 +208,8 @@
 		Do(t.Context(), caller.Request{Method: http.MethodPost, Path: "/claim"})
 	require.NoError(t, err)
 	require.Equal(t, "second", answer.Key)
+	mu.Lock()
+	defer mu.Unlock()
 	require.Equal(t, []string{"", "first", "second"}, used)
 }
 
@@ -283,7 +246,7 @@
 func TestSilentConnectionDuringKeyedRequest(t *testing.T) {
 	s := newService()
 	packets, _, clientTLS := startService(t, s)
-	s.during = func(r *http.Request) { packets.blocked.Store(r.RemoteAddr, true) }
+	s.during = func(r *http.Request) { packets.Block(r.RemoteAddr) }
 	const silenceAfter = 500 * time.Millisecond
 	c := newCaller(t, packets, caller.Config{TLS: clientTLS, SilenceAfter: silenceAfter})
 	begin := time.Now()
--- a/flowserver/measure_test.go
+++ b/flowserver/measure_test.go
@@ -18,6 +18,7 @@
 
 	"endiveflow.example/endiveflow/flowserver"
 	"endiveflow.example/endiveflow/h3conn"
+	"endiveflow.example/endiveflow/testkit"
 )
 
 // The measurement of open flows takes two processes, so that only the agent's
@@ -47,7 +48,7 @@
 	keepAlive, err := time.ParseDuration(os.Getenv("KEEPALIVE"))
 	require.NoError(t, err)
 	s := start(t, flowserver.Config{
-		Packets:   listen(t, address.String()),
+		Packets:   testkit.ListenLossy(t, address.String()),
 		KeepAlive: keepAlive,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, "ok")
--- a/flowserver/server_test.go
+++ b/flowserver/server_test.go
@@ -1,7 +1,6 @@
 package flowserver_test
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"io"
@@ -17,52 +16,26 @@
 	"github.com/quic-go/quic-go"
 	"github.com/stretchr/testify/require"
 
-	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/flowserver"
 	"endiveflow.example/endiveflow/h3conn"
+	"endiveflow.example/endiveflow/testkit"
 )
 
-// packets hides the methods of UDP sockets, as tunnel.Conn does.
-type packets struct{ net.PacketConn }
-
-func listen(t testing.TB, addr string) packets {
-	t.Helper()
-	socket, err := net.ListenPacket("udp", addr)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = socket.Close() })
-	return packets{socket}
-}
-
-func (p packets) addr() netip.AddrPort { return p.LocalAddr().(*net.UDPAddr).AddrPort() }
-
-// serviceTLS returns the configurations of a service and of its callers.
-func serviceTLS(t testing.TB) (server, client *tls.Config) {
-	t.Helper()
-	ring, err := fleetkey.New(fleetkey.Config{Keys: []fleetkey.Key{{ID: 1, Secret: bytes.Repeat([]byte{1}, 32)}}})
-	require.NoError(t, err)
-	both, err := ring.PeerTLS(netip.MustParseAddr("127.0.0.1"))
-	require.NoError(t, err)
-	return &tls.Config{Certificates: both.Certificates}, &tls.Config{RootCAs: both.RootCAs}
-}
+func listen(t testing.TB) *testkit.Lossy { return testkit.ListenLossy(t, "127.0.0.1:0") }
 
 func start(t testing.TB, cfg flowserver.Config) *flowserver.Server {
 	t.Helper()
-	cfg.TLS, _ = serviceTLS(t)
+	cfg.TLS, _ = testkit.ServiceTLS(t)
 	s, err := flowserver.New(cfg)
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := s.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		require.NoError(t, <-done)
-	})
+	testkit.Run(t, s.Run)
 	return s
 }
 
 func dial(t testing.TB, addr netip.AddrPort, cfg h3conn.Config) *h3conn.Conn {
 	t.Helper()
 	if cfg.TLS == nil {
-		_, cfg.TLS = serviceTLS(t)
+		_, cfg.TLS = testkit.ServiceTLS(t)
 	}
 	conn, err := h3conn.Dial(t.Context(), addr, cfg)
 	require.NoError(t, err)
@@ -71,13 +44,7 @@
 }
 
 func get(ctx context.Context, c *h3conn.Conn, path string) (string, error) {
-	resp, err := c.Do(httptest.NewRequest(http.MethodGet, "https://rota"+path, nil).WithContext(ctx))
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err
+	return testkit.Body(c.Do(httptest.NewRequest(http.MethodGet, "https://rota"+path, nil).WithContext(ctx)))
 }
 
 // slowHandler answers /long after release and others at once.
@@ -100,9 +67,9 @@
 // the flows; a cut answer would be a broken flow.
 func TestShutdownFinishesWhatIsInFlight(t *testing.T) {
 	h := slowHandler{make(chan struct{}, 1), make(chan struct{})}
-	p := listen(t, "127.0.0.1:0")
+	p := listen(t)
 	s := start(t, flowserver.Config{Packets: p, Handler: h})
-	busy, idle := dial(t, p.addr(), h3conn.Config{}), dial(t, p.addr(), h3conn.Config{})
+	busy, idle := dial(t, p.Addr(), h3conn.Config{}), dial(t, p.Addr(), h3conn.Config{})
 	type result struct {
 		body string
 		err  error
@@ -119,7 +86,7 @@
 	<-idle.Ended()
 	_, err := get(t.Context(), busy, "/")
 	require.ErrorIs(t, err, h3conn.ErrNotSent)
-	body, err := get(t.Context(), dial(t, p.addr(), h3conn.Config{}), "/late")
+	body, err := get(t.Context(), dial(t, p.Addr(), h3conn.Config{}), "/late")
 	require.NoError(t, err, "a draining server still takes new flows")
 	require.Equal(t, "/late", body)
 
@@ -135,9 +102,9 @@
 // Flows cut at the bound must be counted: they are what operators weigh most.
 func TestShutdownCountsWhatItCuts(t *testing.T) {
 	h := slowHandler{make(chan struct{}, 3), make(chan struct{})}
-	p := listen(t, "127.0.0.1:0")
+	p := listen(t)
 	s := start(t, flowserver.Config{Packets: p, Handler: h})
-	conns := []*h3conn.Conn{dial(t, p.addr(), h3conn.Config{}), dial(t, p.addr(), h3conn.Config{}), dial(t, p.addr(), h3conn.Config{})}
+	conns := []*h3conn.Conn{dial(t, p.Addr(), h3conn.Config{}), dial(t, p.Addr(), h3conn.Config{}), dial(t, p.Addr(), h3conn.Config{})}
 	failed := make(chan error, 3)
 	for _, c := range []*h3conn.Conn{conns[0], conns[0], conns[1]} {
 		go func() {
@@ -160,7 +127,7 @@
 // answered, or refused as not sent.
 func TestDrainUnderLoad(t *testing.T) {
 	var ran atomic.Int64
-	p := listen(t, "127.0.0.1:0")
+	p := listen(t)
 	s := start(t, flowserver.Config{
 		Packets:     p,
 		DrainSpread: func() time.Duration { return 100 * time.Millisecond },
@@ -173,7 +140,7 @@
 	var answered atomic.Int64
 	const flows = 40
 	for range flows {
-		c := dial(t, p.addr(), h3conn.Config{})
+		c := dial(t, p.Addr(), h3conn.Config{})
 		go func() {
 			for {
 				body, err := get(t.Context(), c, "/")
@@ -203,14 +170,14 @@
 func TestSessionResumesAtAnotherServer(t *testing.T) {
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	keys := [][32]byte{{1}}
-	first, second, other := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	first, second, other := listen(t), listen(t), listen(t)
 	start(t, flowserver.Config{Packets: first, Handler: handler, TicketKeys: keys})
 	start(t, flowserver.Config{Packets: second, Handler: handler, TicketKeys: keys})
 	start(t, flowserver.Config{Packets: other, Handler: handler, TicketKeys: [][32]byte{{2}}})
-	_, clientTLS := serviceTLS(t)
+	_, clientTLS := testkit.ServiceTLS(t)
 	clientTLS.ClientSessionCache = tls.NewLRUClientSessionCache(8)
-	resumed := func(p packets) bool {
-		c := dial(t, p.addr(), h3conn.Config{TLS: clientTLS})
+	resumed := func(p *testkit.Lossy) bool {
+		c := dial(t, p.Addr(), h3conn.Config{TLS: clientTLS})
 		_, err := get(t.Context(), c, "/")
 		require.NoError(t, err)
 		return c.State().TLS.DidResume
@@ -224,17 +191,17 @@
 func TestRestartResetsFlowsOfTheFormerIncarnation(t *testing.T) {
 	reset := &quic.StatelessResetKey{7}
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	p := listen(t, "127.0.0.1:0")
-	serverTLS, _ := serviceTLS(t)
+	p := listen(t)
+	serverTLS, _ := testkit.ServiceTLS(t)
 	crashing, err := flowserver.New(flowserver.Config{Packets: p, TLS: serverTLS, Handler: handler, StatelessResetKey: reset})
 	require.NoError(t, err)
 	crashed := crashing.Run(t.Context())
-	c := dial(t, p.addr(), h3conn.Config{})
+	c := dial(t, p.Addr(), h3conn.Config{})
 	_, err = get(t.Context(), c, "/")
 	require.NoError(t, err)
 	require.NoError(t, p.Close())
 	<-crashed
-	start(t, flowserver.Config{Packets: listen(t, p.addr().String()), Handler: handler, StatelessResetKey: reset})
+	start(t, flowserver.Config{Packets: testkit.ListenLossy(t, p.Addr().String()), Handler: handler, StatelessResetKey: reset})
 	begin := time.Now()
 	_, err = get(t.Context(), c, "/")
 	told := time.Since(begin)
@@ -246,7 +213,7 @@
 
 // A Retry must not break the handshake, since it is used when load is highest.
 func TestRetryUnderLoad(t *testing.T) {
-	p := listen(t, "127.0.0.1:0")
+	p := listen(t)
 	var asked atomic.Int64
 	start(t, flowserver.Config{
 		Packets:             p,
@@ -254,7 +221,7 @@
 		TokenKey:            &quic.TokenGeneratorKey{3},
 		VerifySourceAddress: func(net.Addr) bool { asked.Add(1); return true },
 	})
-	_, err := get(t.Context(), dial(t, p.addr(), h3conn.Config{}), "/")
+	_, err := get(t.Context(), dial(t, p.Addr(), h3conn.Config{}), "/")
 	require.NoError(t, err)
 	require.Positive(t, asked.Load())
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,7 +1,6 @@
 package peer_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,73 +17,25 @@
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
-	"endiveflow.example/endiveflow/fleetkey"
 	"endiveflow.example/endiveflow/peer"
+	"endiveflow.example/endiveflow/testkit"
 )
 
-var loopback = netip.MustParseAddr("127.0.0.1")
-
-func newRing(t testing.TB, id uint8) *fleetkey.Ring {
-	t.Helper()
-	r, err := fleetkey.New(fleetkey.Config{Keys: []fleetkey.Key{{ID: id, Secret: bytes.Repeat([]byte{id}, 32)}}})
-	require.NoError(t, err)
-	return r
-}
-
-// lossy drops all packets from and to the blocked addresses.
-type lossy struct {
-	net.PacketConn
-	blocked sync.Map
-}
-
-func (l *lossy) ReadFrom(p []byte) (int, net.Addr, error) {
-	for {
-		n, addr, err := l.PacketConn.ReadFrom(p)
-		if err != nil {
-			return n, addr, err
-		}
-		if _, ok := l.blocked.Load(addr.String()); !ok {
-			return n, addr, nil
-		}
-	}
-}
-
-func (l *lossy) WriteTo(p []byte, addr net.Addr) (int, error) {
-	if _, ok := l.blocked.Load(addr.String()); ok {
-		return len(p), nil
-	}
-	return l.PacketConn.WriteTo(p, addr)
-}
-
-func listen(t testing.TB, addr string) *lossy {
-	t.Helper()
-	socket, err := net.ListenPacket("udp", addr)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = socket.Close() })
-	return &lossy{PacketConn: socket}
-}
-
-func addrOf(c net.PacketConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
+func listen(t testing.TB) *testkit.Lossy { return testkit.ListenLossy(t, "127.0.0.1:0") }
 
 func startServer(t testing.TB, socket net.PacketConn, handler http.HandlerFunc) (*peer.Server, context.CancelFunc) {
 	t.Helper()
-	s, err := peer.NewServer(peer.ServerConfig{Ring: newRing(t, 1), IP: loopback, Socket: socket, Handler: handler})
+	s, err := peer.NewServer(peer.ServerConfig{Ring: testkit.Ring(t, 1), IP: testkit.Loopback, Socket: socket, Handler: handler})
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := s.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		require.NoError(t, <-done)
-	})
-	return s, cancel
+	return s, testkit.Run(t, s.Run)
 }
 
 func newClient(t testing.TB, cfg peer.ClientConfig) *peer.Client {
 	t.Helper()
 	if cfg.Ring == nil {
-		cfg.Ring = newRing(t, 1)
+		cfg.Ring = testkit.Ring(t, 1)
 	}
-	cfg.LocalIP = loopback
+	cfg.LocalIP = testkit.Loopback
 	c, err := peer.NewClient(cfg)
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
@@ -93,13 +44,7 @@
 
 // do returns the body of the answer.
 func do(ctx context.Context, c *peer.Client, addr netip.AddrPort, method, path string) (string, error) {
-	resp, err := c.Do(ctx, addr, httptest.NewRequest(method, path, strings.NewReader("lawn 7")))
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err
+	return testkit.Body(c.Do(ctx, addr, httptest.NewRequest(method, path, strings.NewReader("lawn 7"))))
 }
 
 // A request that failed at any point must be called not sent only if the
@@ -114,12 +59,12 @@
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
 			t.Run(name+" "+method, func(t *testing.T) {
 				var ran atomic.Int32
-				socket := listen(t, "127.0.0.1:0")
+				socket := listen(t)
 				startServer(t, socket, func(w http.ResponseWriter, r *http.Request) {
 					ran.Add(1)
 					handler(w, r)
 				})
-				_, err := do(t.Context(), newClient(t, peer.ClientConfig{}), addrOf(socket), method, "/")
+				_, err := do(t.Context(), newClient(t, peer.ClientConfig{}), socket.Addr(), method, "/")
 				require.Error(t, err)
 				require.NotErrorIs(t, err, peer.ErrNotSent)
 				require.EqualValues(t, 1, ran.Load())
@@ -128,13 +73,13 @@
 	}
 	t.Run("nobody there", func(t *testing.T) {
 		c := newClient(t, peer.ClientConfig{ConnectTimeout: 100 * time.Millisecond})
-		_, err := do(t.Context(), c, addrOf(listen(t, "127.0.0.1:0")), http.MethodPost, "/")
+		_, err := do(t.Context(), c, listen(t).Addr(), http.MethodPost, "/")
 		require.ErrorIs(t, err, peer.ErrNotSent)
 	})
 	t.Run("foreign key", func(t *testing.T) {
-		socket := listen(t, "127.0.0.1:0")
+		socket := listen(t)
 		startServer(t, socket, func(http.ResponseWriter, *http.Request) { t.Error("a foreign request ran") })
-		_, err := do(t.Context(), newClient(t, peer.ClientConfig{Ring: newRing(t, 2)}), addrOf(socket), http.MethodPost, "/")
+		_, err := do(t.Context(), newClient(t, peer.ClientConfig{Ring: testkit.Ring(t, 2)}), socket.Addr(), http.MethodPost, "/")
 		require.ErrorIs(t, err, peer.ErrNotSent)
 	})
 }
@@ -150,16 +95,16 @@
 // A cancellation at any moment must not be called not sent when the handler runs.
 func TestCancelledRequestIsNeverFalselyNotSent(t *testing.T) {
 	var ran sync.Map
-	socket := listen(t, "127.0.0.1:0")
+	socket := listen(t)
 	s, _ := startServer(t, socket, func(_ http.ResponseWriter, r *http.Request) { ran.Store(r.URL.Path, true) })
 	c := newClient(t, peer.ClientConfig{})
-	_, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/warm")
+	_, err := do(t.Context(), c, socket.Addr(), http.MethodPost, "/warm")
 	require.NoError(t, err)
 	claimed := make(map[string]bool)
 	for i := range 1000 {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%250)*time.Microsecond)
 		path := fmt.Sprint("/", i)
-		_, err := do(ctx, c, addrOf(socket), http.MethodPost, path)
+		_, err := do(ctx, c, socket.Addr(), http.MethodPost, path)
 		claimed[path] = errors.Is(err, peer.ErrNotSent)
 		cancel()
 	}
@@ -181,7 +126,7 @@
 // A connection that went silent under work must not hold up the next request,
 // and must not lose the answer in flight if its packets come through again.
 func TestSilentConnectionIsReplacedWhileItsWorkGoesOn(t *testing.T) {
-	socket := listen(t, "127.0.0.1:0")
+	socket := listen(t)
 	finish := make(chan struct{})
 	closeFinish := sync.OnceFunc(func() { close(finish) })
 	defer closeFinish()
@@ -201,28 +146,28 @@
 	}
 	answer := make(chan result, 1)
 	go func() {
-		body, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/long")
+		body, err := do(t.Context(), c, socket.Addr(), http.MethodPost, "/long")
 		answer <- result{body, err}
 	}()
 	old := <-started
-	socket.blocked.Store(old, true)
+	socket.Block(old)
 	begin := time.Now()
 	for port := old; port == old; {
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-		if body, err := do(ctx, c, addrOf(socket), http.MethodPost, "/short"); err == nil {
+		if body, err := do(ctx, c, socket.Addr(), http.MethodPost, "/short"); err == nil {
 			port = body
 		}
 		cancel()
 		require.Less(t, time.Since(begin), 2*silenceAfter)
 	}
-	socket.blocked.Delete(old)
+	socket.Unblock(old)
 	closeFinish()
 	require.Equal(t, result{body: old}, <-answer)
 }
 
 // A working connection must not be taken for silent while its handler thinks.
 func TestQuietWorkIsNotSilent(t *testing.T) {
-	socket := listen(t, "127.0.0.1:0")
+	socket := listen(t)
 	ports := make(chan string, 2)
 	startServer(t, socket, func(_ http.ResponseWriter, r *http.Request) {
 		ports <- r.RemoteAddr
@@ -231,9 +176,9 @@
 		}
 	})
 	c := newClient(t, peer.ClientConfig{SilenceAfter: 100 * time.Millisecond, KeepAlive: -1})
-	_, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/long")
+	_, err := do(t.Context(), c, socket.Addr(), http.MethodPost, "/long")
 	require.NoError(t, err)
-	_, err = do(t.Context(), c, addrOf(socket), http.MethodPost, "/")
+	_, err = do(t.Context(), c, socket.Addr(), http.MethodPost, "/")
 	require.NoError(t, err)
 	require.Equal(t, <-ports, <-ports)
 }
@@ -241,7 +186,7 @@
 // A shutdown must finish what is in flight, and a request it doesn't take must
 // be called not sent, so that the sender can choose another peer.
 func TestShutdownCutsNothing(t *testing.T) {
-	socket := listen(t, "127.0.0.1:0")
+	socket := listen(t)
 	var ran atomic.Int64
 	s, _ := startServer(t, socket, func(w http.ResponseWriter, _ *http.Request) {
 		ran.Add(1)
@@ -254,7 +199,7 @@
 	for range 20 {
 		senders.Go(func() {
 			for {
-				body, err := do(t.Context(), c, addrOf(socket), http.MethodPost, "/")
+				body, err := do(t.Context(), c, socket.Addr(), http.MethodPost, "/")
 				if err != nil {
 					require.ErrorIs(t, err, peer.ErrNotSent)
 					return
@@ -273,14 +218,14 @@
 // A restarted process must reset the connections of the former one: otherwise
 // its peers wait for answers until the connection counts as silent.
 func TestRestartIsToldAtOnce(t *testing.T) {
-	socket := listen(t, "127.0.0.1:0")
-	addr := addrOf(socket)
+	socket := listen(t)
+	addr := socket.Addr()
 	started := make(chan string, 1)
 	stuck := make(chan struct{})
 	defer close(stuck)
 	crashing, err := peer.NewServer(peer.ServerConfig{
-		Ring:   newRing(t, 1),
-		IP:     loopback,
+		Ring:   testkit.Ring(t, 1),
+		IP:     testkit.Loopback,
 		Socket: socket,
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			started <- r.RemoteAddr
@@ -295,10 +240,10 @@
 		_, err := do(t.Context(), c, addr, http.MethodPost, "/")
 		failed <- err
 	}()
-	socket.blocked.Store(<-started, true)
+	socket.Block(<-started)
 	require.NoError(t, socket.Close())
 	require.Error(t, <-crashed)
-	startServer(t, listen(t, addr.String()), func(http.ResponseWriter, *http.Request) {})
+	startServer(t, testkit.ListenLossy(t, addr.String()), func(http.ResponseWriter, *http.Request) {})
 	begin := time.Now()
 	_, err = do(t.Context(), c, addr, http.MethodPost, "/")
 	require.Error(t, err)
@@ -311,7 +256,7 @@
 
 // Work for a sender that gave up must end.
 func TestCancellationReachesThePeer(t *testing.T) {
-	socket := listen(t, "127.0.0.1:0")
+	socket := listen(t)
 	started, ended := make(chan struct{}), make(chan struct{})
 	startServer(t, socket, func(_ http.ResponseWriter, r *http.Request) {
 		close(started)
@@ -324,7 +269,7 @@
 		<-started
 		cancel()
 	}()
-	_, err := do(ctx, c, addrOf(socket), http.MethodPost, "/")
+	_, err := do(ctx, c, socket.Addr(), http.MethodPost, "/")
 	require.ErrorIs(t, err, context.Canceled)
 	<-ended
 }
@@ -332,12 +277,12 @@
 // Requests with less time left than a handshake takes must still lead to a
 // connection, or a client under tight deadlines never sends anything.
 func TestHandshakeOutlivesShortRequests(t *testing.T) {
-	socket := listen(t, "127.0.0.1:0")
+	socket := listen(t)
 	startServer(t, socket, func(http.ResponseWriter, *http.Request) {})
 	c := newClient(t, peer.ClientConfig{})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Microsecond)
 	defer cancel()
-	_, err := do(ctx, c, addrOf(socket), http.MethodGet, "/")
+	_, err := do(ctx, c, socket.Addr(), http.MethodGet, "/")
 	require.ErrorIs(t, err, peer.ErrNotSent)
-	require.Eventually(t, func() bool { return c.Connected(addrOf(socket)) }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return c.Connected(socket.Addr()) }, 5*time.Second, time.Millisecond)
 }
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"endiveflow.example/endiveflow/standin"
+	"endiveflow.example/endiveflow/testkit"
 	"endiveflow.example/endiveflow/upstream"
 )
 
@@ -59,13 +60,7 @@
 
 // do returns the answer's body.
 func do(c *upstream.Client, req *http.Request) (string, error) {
-	resp, err := c.Do(req)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err
+	return testkit.Body(c.Do(req))
 }
 
 // A refused or cut request must be called not sent exactly when the upstream
