--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endiveflow.example/endiveflow/dispatch"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 var errNetwork = errors.New("network fault")
