--- a/flowserver/handshake_test.go
+++ b/flowserver/handshake_test.go
@@ -13,11 +13,11 @@
 // BenchmarkHandshake measures what a new flow costs both ends in processor
 // time; the caller is in the same process, so the server's part is less.
 func BenchmarkHandshake(b *testing.B) {
-	p := listen(b, "127.0.0.1:0")
+	p := listen(b)
 	start(b, flowserver.Config{Packets: p, Handler: http.NotFoundHandler()})
 	begin := processorTime()
 	for b.Loop() {
-		c := dial(b, p.addr(), h3conn.Config{})
+		c := dial(b, p.Addr(), h3conn.Config{})
 		c.Close()
 	}
 	b.ReportMetric(float64(processorTime()-begin)/float64(b.N)/1000, "cpu-µs/flow")
