h3conn: a request that meets the close after GOAWAY is not sent

Ruled out: accepting the outcome unknown in the test. The request is written after GOAWAY was received, so its stream is above the last one that the peer takes, and closes by this package itself are told apart by a flag. Change: such an error is of kind ErrNotSent.

--- a/h3conn/conn.go
+++ b/h3conn/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -61,6 +62,8 @@
 	wake chan struct{}
 	// silent is closed when the connection was found silent.
 	silent chan struct{}
+	// closing is set before this package closes the connection.
+	closing atomic.Bool
 	// ended is closed when the connection and its socket are closed.
 	ended chan struct{}
 
@@ -199,5 +202,6 @@
 }
 
 func (c *Conn) closeQUIC(text string) {
+	c.closing.Store(true)
 	_ = c.quic.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), text)
 }
--- a/h3conn/request.go
+++ b/h3conn/request.go
@@ -53,14 +53,30 @@
 		}
 		return errors.WithType(err, ErrNotSent)
 	}
-	var h3 *http3.Error
-	if errors.As(err, &h3) && h3.Remote && h3.ErrorCode == http3.ErrCodeRequestRejected {
+	if c.refusedByPeer(err) {
 		c.Retire()
 		return errors.WithType(err, ErrNotSent)
 	}
 	return err
 }
 
+// refusedByPeer says whether an error proves that the peer does not run the
+// request although it was handed to the connection.
+func (c *Conn) refusedByPeer(err error) bool {
+	var h3 *http3.Error
+	if !errors.As(err, &h3) {
+		return false
+	}
+	if h3.Remote {
+		return h3.ErrorCode == http3.ErrCodeRequestRejected
+	}
+	// http3 closes the connection by itself when GOAWAY arrives and no request
+	// is in flight. A request that starts at that moment meets the close. It
+	// is written after GOAWAY was received, so its stream is above the last one
+	// that the peer takes.
+	return h3.ErrorCode == http3.ErrCodeNoError && !c.closing.Load()
+}
+
 func (c *Conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
