dispatch: one description of an offer to peers; names of headers from package header

The three ways of choosing a peer passed six parameters through a method each; they are now one value with the function that chooses. The aliases of the constants in package header are gone.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"endiveflow.example/endiveflow/admit"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/outlier"
 	"endiveflow.example/endiveflow/retry"
 )
@@ -169,7 +170,7 @@
 
 // shed says whether the upstream stated that it did not run the request.
 func shed(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == "1"
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.Shed) == "1"
 }
 
 func retryAfterOf(resp *http.Response) time.Duration {
@@ -215,12 +216,12 @@
 
 // readPeer reads the answer of another agent.
 func (h *Handler) readPeer(ctx context.Context, resp *http.Response, end func(error)) result {
-	switch retry.ParseOutcome(resp.Header.Get(HeaderOutcome)) {
+	switch retry.ParseOutcome(resp.Header.Get(header.Outcome)) {
 	case retry.NotRun:
 		_ = resp.Body.Close()
 		res := refused(resp.Header.Get(HeaderReason), retryAfterOf(resp))
 		res.status = resp.StatusCode
-		res.tried = resp.Header.Get(HeaderShed) == "1"
+		res.tried = resp.Header.Get(header.Shed) == "1"
 		if res.tried {
 			end(errShed)
 		}
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -8,20 +8,14 @@
 
 	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/config"
-	"endiveflow.example/endiveflow/header"
 )
 
-// Headers between callers, agents and upstreams.
+// Header fields between agents, besides those of package header. HeaderReason goes to callers too.
 const (
-	HeaderOutcome    = header.Outcome
-	HeaderKey        = header.Key
-	HeaderDeadline   = header.Deadline
-	HeaderShed       = header.Shed
-	HeaderRetryAfter = header.RetryAfter
-	HeaderLoad       = "Endiveflow-Load"
-	HeaderReason     = "Endiveflow-Reason"
-	HeaderHandover   = "Endiveflow-Handover"
-	HeaderClass      = "Endiveflow-Class"
+	HeaderLoad     = "Endiveflow-Load"
+	HeaderReason   = "Endiveflow-Reason"
+	HeaderHandover = "Endiveflow-Handover"
+	HeaderClass    = "Endiveflow-Class"
 )
 
 // Values of HeaderHandover.
--- a/dispatch/fleet_test.go
+++ b/dispatch/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 )
 
 var errNetwork = errors.New("network fault")
@@ -140,7 +141,7 @@
 	case "notSent":
 		return nil, &dispatch.NotSentError{Err: errNetwork}
 	case "shed":
-		return &http.Response{StatusCode: 503, Header: http.Header{dispatch.HeaderShed: {"1"}}, Body: http.NoBody}, nil
+		return &http.Response{StatusCode: 503, Header: http.Header{header.Shed: {"1"}}, Body: http.NoBody}, nil
 	}
 	n.fleet.mu.Lock()
 	n.fleet.runs[name]++
@@ -191,7 +192,7 @@
 		copied := r.Clone(ctx)
 		copied.Body = io.NopCloser(strings.NewReader(string(body)))
 		resp, err := to.serve(to.handler.PeerHandler(), copied)
-		if err == nil && resp.Header.Get(dispatch.HeaderOutcome) != "not-run" {
+		if err == nil && resp.Header.Get(header.Outcome) != "not-run" {
 			n.fleet.mu.Lock()
 			defer n.fleet.mu.Unlock()
 			n.fleet.handovers[r.Header.Get(dispatch.HeaderHandover)]++
@@ -252,8 +253,8 @@
 	r.Header.Set("X-Request", name)
 	r.Header.Set("X-Peer", peerFault)
 	r.Header.Set("X-Upstream", upstreamFault)
-	r.Header.Set(dispatch.HeaderKey, key)
-	r.Header.Set(dispatch.HeaderDeadline, fmt.Sprint(deadline))
+	r.Header.Set(header.Key, key)
+	r.Header.Set(header.Deadline, fmt.Sprint(deadline))
 	resp, err := n.serve(n.handler, r)
 	if err != nil {
 		return
@@ -261,7 +262,7 @@
 	body, err := io.ReadAll(resp.Body)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch resp.Header.Get(dispatch.HeaderOutcome) {
+	switch resp.Header.Get(header.Outcome) {
 	case "answered":
 		require.NoError(f.t, err)
 		require.Equal(f.t, answerTo(name), string(body), "an answer that is not the whole answer to its request")
@@ -269,7 +270,7 @@
 	case "not-run":
 		f.refused[name] = true
 	default:
-		require.Equal(f.t, "unknown", resp.Header.Get(dispatch.HeaderOutcome))
+		require.Equal(f.t, "unknown", resp.Header.Get(header.Outcome))
 	}
 }
 
--- a/dispatch/handler_test.go
+++ b/dispatch/handler_test.go
@@ -19,6 +19,7 @@
 	"endiveflow.example/endiveflow/admit"
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 )
 
 var errUpstream = errors.New("upstream failed")
@@ -30,13 +31,13 @@
 		var told string
 		ended := make(chan error, 1)
 		h := dispatch.New(agentConfig(func(r *http.Request) (*http.Response, error) {
-			told = r.Header.Get(dispatch.HeaderDeadline)
+			told = r.Header.Get(header.Deadline)
 			<-r.Context().Done()
 			ended <- r.Context().Err()
 			return nil, r.Context().Err()
 		}))
 		begin := time.Now()
-		resp := call(h, http.MethodGet, "/", map[string]string{dispatch.HeaderDeadline: "700"})
+		resp := call(h, http.MethodGet, "/", map[string]string{header.Deadline: "700"})
 		require.Equal(t, 700*time.Millisecond, time.Since(begin))
 		require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
 		require.Equal(t, "unknown", outcome(resp))
@@ -68,7 +69,7 @@
 				return answer(http.StatusCreated, "claim "+strconv.Itoa(runs)), nil
 			}
 		}))
-		header := map[string]string{dispatch.HeaderKey: call(h, http.MethodPost, "/claims", nil).Header.Get(dispatch.HeaderKey)}
+		header := map[string]string{header.Key: call(h, http.MethodPost, "/claims", nil).Header.Get(header.Key)}
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
 		require.Equal(t, "unknown", outcome(callContext(ctx, h, http.MethodPost, "/claims", header)))
@@ -123,7 +124,7 @@
 		"notSent": func() (*http.Response, error) { return nil, &dispatch.NotSentError{Err: errUpstream} },
 		"shed": func() (*http.Response, error) {
 			resp := answer(http.StatusServiceUnavailable, "")
-			resp.Header.Set(dispatch.HeaderShed, "1")
+			resp.Header.Set(header.Shed, "1")
 			return resp, nil
 		},
 	} {
@@ -178,7 +179,7 @@
 					}
 					lying++
 					resp := answer(status, "")
-					resp.Header.Set(dispatch.HeaderShed, "1")
+					resp.Header.Set(header.Shed, "1")
 					return resp, nil
 				})
 				for range 500 {
@@ -250,7 +251,7 @@
 	h := dispatch.New(cfg)
 	for key, want := range map[string]string{"": "not-run", "a key": "unknown"} {
 		r := httptest.NewRequest(http.MethodPut, "/", strings.NewReader("more than ten bytes"))
-		r.Header.Set(dispatch.HeaderKey, key)
+		r.Header.Set(header.Key, key)
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, r)
 		require.Equal(t, http.StatusRequestEntityTooLarge, w.Code)
@@ -264,15 +265,15 @@
 		require.Empty(t, r.Header.Get(dispatch.HeaderHandover))
 		require.Empty(t, r.Header.Get("X-Hop"))
 		resp := answer(http.StatusOK, "")
-		resp.Header.Set(dispatch.HeaderOutcome, "not-run")
-		resp.Header.Set(dispatch.HeaderKey, "forged")
+		resp.Header.Set(header.Outcome, "not-run")
+		resp.Header.Set(header.Key, "forged")
 		return resp, nil
 	}))
 	resp := call(h, http.MethodGet, "/", map[string]string{
 		dispatch.HeaderHandover: "home", "Connection": "x-hop", "X-Hop": "1",
 	})
-	require.Equal(t, []string{"answered"}, resp.Header.Values(dispatch.HeaderOutcome))
-	require.Empty(t, resp.Header.Get(dispatch.HeaderKey))
+	require.Equal(t, []string{"answered"}, resp.Header.Values(header.Outcome))
+	require.Empty(t, resp.Header.Get(header.Key))
 }
 
 // Guards against a panic of the functions that carry a request: one in a run with a key would end
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"endiveflow.example/endiveflow/admit"
@@ -15,9 +14,9 @@
 // upstream takes no work. Without it, callers of a draining agent were refused
 // while all slots of its peers were busy, and waited a second for nothing.
 func (h *Handler) queueOnPeer(ctx context.Context, j *job, reason string) result {
-	res, ran := h.offer(ctx, j, maxQueueProbes, handoverQueue, func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool) {
-		return h.peers.chooseQueue(h.cfg.Peers(), skip, j.class, h.cfg.Now(), h.random)
-	})
+	res, ran := h.offer(ctx, j, offer{handover: handoverQueue, probes: maxQueueProbes, choose: func(peers []admit.PeerLoad) admit.Choice {
+		return admit.ChooseQueue(peers, h.cfg.Now(), h.random)
+	}})
 	switch {
 	case ran:
 		return res
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -15,6 +15,7 @@
 
 	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 )
 
 // Guards against callers of a draining agent that are refused, and wait a
@@ -109,7 +110,7 @@
 // reply is an answer of a peer.
 func reply(outcome, load string) *http.Response {
 	resp := answer(http.StatusOK, "peer")
-	resp.Header.Set(dispatch.HeaderOutcome, outcome)
+	resp.Header.Set(header.Outcome, outcome)
 	resp.Header.Set(dispatch.HeaderLoad, load)
 	return resp
 }
--- a/dispatch/helpers_test.go
+++ b/dispatch/helpers_test.go
@@ -14,6 +14,7 @@
 	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 )
 
 func quietTrail() *audit.Trail {
@@ -57,13 +58,13 @@
 }
 
 // call serves one request and returns its answer.
-func call(h http.Handler, method, path string, header map[string]string) *http.Response {
-	return callContext(context.Background(), h, method, path, header)
+func call(h http.Handler, method, path string, fields map[string]string) *http.Response {
+	return callContext(context.Background(), h, method, path, fields)
 }
 
-func callContext(ctx context.Context, h http.Handler, method, path string, header map[string]string) *http.Response {
+func callContext(ctx context.Context, h http.Handler, method, path string, fields map[string]string) *http.Response {
 	r := httptest.NewRequestWithContext(ctx, method, path, nil)
-	for k, v := range header {
+	for k, v := range fields {
 		r.Header.Set(k, v)
 	}
 	w := httptest.NewRecorder()
@@ -72,16 +73,16 @@
 }
 
 // post serves one request that must not run twice, with a new key.
-func post(h http.Handler, header map[string]string) *http.Response {
-	key := call(h, http.MethodPost, "/claims", nil).Header.Get(dispatch.HeaderKey)
-	all := map[string]string{dispatch.HeaderKey: key}
-	for k, v := range header {
+func post(h http.Handler, fields map[string]string) *http.Response {
+	key := call(h, http.MethodPost, "/claims", nil).Header.Get(header.Key)
+	all := map[string]string{header.Key: key}
+	for k, v := range fields {
 		all[k] = v
 	}
 	return call(h, http.MethodPost, "/claims", all)
 }
 
-func outcome(r *http.Response) string { return r.Header.Get(dispatch.HeaderOutcome) }
+func outcome(r *http.Response) string { return r.Header.Get(header.Outcome) }
 
 func answer(status int, body string) *http.Response {
 	return &http.Response{StatusCode: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"endiveflow.example/endiveflow/admit"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/retry"
 )
 
@@ -40,7 +41,7 @@
 			status, reason = http.StatusRequestEntityTooLarge, "request body too large"
 		}
 		res := result{outcome: retry.NotRun, status: status, reason: reason}
-		if r.Header.Get(HeaderKey) != "" {
+		if r.Header.Get(header.Key) != "" {
 			// An earlier attempt with the key may have run.
 			res.outcome = retry.Unknown
 		}
@@ -54,8 +55,8 @@
 		url:        &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
 		header:     forwarded(r.Header),
 		body:       body,
-		key:        r.Header.Get(HeaderKey),
-		deadline:   h.deadline(r.Header.Get(HeaderDeadline)),
+		key:        r.Header.Get(header.Key),
+		deadline:   h.deadline(r.Header.Get(header.Deadline)),
 		repeatable: retry.Repeatable(r.Method, r.URL.Path, service.Repeatable),
 	}
 	j.class = h.slots.classify(j, service)
@@ -136,7 +137,7 @@
 	if len(j.body) > 0 || !j.repeatable {
 		r.Body = io.NopCloser(bytes.NewReader(j.body))
 	}
-	r.Header.Set(HeaderDeadline, strconv.FormatInt(j.remaining(now), 10))
+	r.Header.Set(header.Deadline, strconv.FormatInt(j.remaining(now), 10))
 	return r.WithContext(withAttempt(ctx, Attempt{Repeatable: j.repeatable, Long: j.class == admit.Long}))
 }
 
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"endiveflow.example/endiveflow/audit"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/ledger"
 	"endiveflow.example/endiveflow/retry"
 )
@@ -179,14 +180,14 @@
 func (h *Handler) ask(ctx context.Context, j *job, addr netip.AddrPort) (res result, asked bool) {
 	r := j.request(ctx, h.cfg.Now())
 	r.Header.Set(HeaderHandover, handoverHome)
-	r.Header.Set(HeaderKey, j.key)
+	r.Header.Set(header.Key, j.key)
 	resp, err := h.callPeer(ctx, addr, r)
 	if err != nil {
 		return result{}, false
 	}
 	h.peers.report(addr, resp.Header, h.cfg.Now())
 	res = h.readPeer(ctx, resp, func(error) {})
-	return res, res.outcome != retry.Unknown || resp.Header.Get(HeaderOutcome) != ""
+	return res, res.outcome != retry.Unknown || resp.Header.Get(header.Outcome) != ""
 }
 
 // SealLedger ends the issue and the use of keys of this agent. To leave, seal the ledger, wait
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -52,8 +52,8 @@
 }
 
 // report notes the in-band load of an answer.
-func (t *peerTable) report(addr netip.AddrPort, header http.Header, now time.Time) {
-	text := header.Get(HeaderLoad)
+func (t *peerTable) report(addr netip.AddrPort, from http.Header, now time.Time) {
+	text := from.Get(HeaderLoad)
 	if text == "" {
 		return
 	}
@@ -74,54 +74,49 @@
 	t.loads[addr] = reported{held: now}
 }
 
-// choose picks a peer and counts the request in its load until the next report.
-func (t *peerTable) choose(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
-	return t.pick(infos, skip, c, now, func(list []admit.PeerLoad) admit.Choice {
-		return admit.ChoosePeer(list, c, now, random)
-	})
+// selection describes the choice of a peer for one request.
+type selection struct {
+	// infos are the agents of the service; those in skip are left out.
+	infos []PeerInfo
+	skip  map[netip.AddrPort]bool
+	class admit.Class
+	now   time.Time
+	// choose picks one of the rest.
+	choose func([]admit.PeerLoad) admit.Choice
 }
 
-// chooseLighter is choose among the peers that are less loaded than the local upstream.
-func (t *peerTable) chooseLighter(local admit.Load, infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
-	return t.pick(infos, skip, c, now, func(list []admit.PeerLoad) admit.Choice {
-		return admit.ChooseLighter(local, list, c, now, random)
-	})
-}
-
-// chooseQueue picks a peer for a request that may wait.
-func (t *peerTable) chooseQueue(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, random func(int) int) (netip.AddrPort, bool) {
-	return t.pick(infos, skip, c, now, func(list []admit.PeerLoad) admit.Choice {
-		return admit.ChooseQueue(list, now, random)
-	})
-}
-
-func (t *peerTable) pick(infos []PeerInfo, skip map[netip.AddrPort]bool, c admit.Class, now time.Time, choose func([]admit.PeerLoad) admit.Choice) (netip.AddrPort, bool) {
+// pick picks a peer and counts the request in its load until the next report.
+func (t *peerTable) pick(s selection) (netip.AddrPort, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]admit.PeerLoad, 0, len(infos))
-	for _, p := range infos {
-		if skip[p.Addr] {
-			continue
-		}
-		r := t.loads[p.Addr]
-		weight := 100
-		if v, ok := t.verdicts[p.Addr]; ok {
-			weight = v.Weight
+	list := make([]admit.PeerLoad, 0, len(s.infos))
+	for _, p := range s.infos {
+		if !s.skip[p.Addr] {
+			list = append(list, t.loadOf(p))
 		}
-		list = append(list, admit.PeerLoad{
-			Addr: p.Addr, Slots: p.Slots, Load: r.load, Reported: r.at, Held: r.held, Weight: weight, Draining: p.Draining,
-		})
 	}
-	choice := choose(list)
+	choice := s.choose(list)
 	if choice.Index < 0 {
 		return netip.AddrPort{}, false
 	}
 	addr := list[choice.Index].Addr
 	r := t.loads[addr]
-	t.loads[addr] = reported{load: r.load.WithRun(c), at: r.at, held: now}
+	t.loads[addr] = reported{load: r.load.WithRun(s.class), at: r.at, held: s.now}
 	return addr, true
 }
 
+// loadOf returns what is known of a peer. The caller holds mu.
+func (t *peerTable) loadOf(p PeerInfo) admit.PeerLoad {
+	weight := 100
+	if v, ok := t.verdicts[p.Addr]; ok {
+		weight = v.Weight
+	}
+	r := t.loads[p.Addr]
+	return admit.PeerLoad{
+		Addr: p.Addr, Slots: p.Slots, Load: r.load, Reported: r.at, Held: r.held, Weight: weight, Draining: p.Draining,
+	}
+}
+
 // judged stores new verdicts, the first of which is that of the local upstream, and
 // returns those that have become ejections.
 func (t *peerTable) judged(verdicts []outlier.Verdict) []outlier.Verdict {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -136,31 +136,41 @@
 
 // askPeers offers a request to peers with a free slot. ran is false when it is proven that none ran it.
 func (h *Handler) askPeers(ctx context.Context, j *job, probes int) (res result, ran bool) {
-	return h.offer(ctx, j, probes, handoverSlot, func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool) {
-		return h.peers.choose(h.cfg.Peers(), skip, j.class, h.cfg.Now(), h.random)
-	})
+	return h.offer(ctx, j, offer{handover: handoverSlot, probes: probes, choose: func(peers []admit.PeerLoad) admit.Choice {
+		return admit.ChoosePeer(peers, j.class, h.cfg.Now(), h.random)
+	}})
 }
 
 // askLighterPeers offers a request that may have a free local slot to peers that are less loaded.
 func (h *Handler) askLighterPeers(ctx context.Context, j *job) (res result, ran bool) {
-	return h.offer(ctx, j, admit.LighterProbes(j.class), handoverLighter, func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool) {
-		return h.peers.chooseLighter(h.slots.load(), h.cfg.Peers(), skip, j.class, h.cfg.Now(), h.random)
-	})
+	local, probes := h.slots.load(), admit.LighterProbes(j.class)
+	return h.offer(ctx, j, offer{handover: handoverLighter, probes: probes, choose: func(peers []admit.PeerLoad) admit.Choice {
+		return admit.ChooseLighter(local, peers, j.class, h.cfg.Now(), h.random)
+	}})
+}
+
+// offer describes how a request is offered to peers.
+type offer struct {
+	// handover is a value of HeaderHandover.
+	handover string
+	// probes is the largest number of peers that are asked.
+	probes int
+	choose func([]admit.PeerLoad) admit.Choice
 }
 
 // offer offers a request to peers until one runs it. Otherwise it returns the last refusal, if any.
-func (h *Handler) offer(ctx context.Context, j *job, probes int, handover string, choose func(skip map[netip.AddrPort]bool) (netip.AddrPort, bool)) (res result, ran bool) {
+func (h *Handler) offer(ctx context.Context, j *job, o offer) (res result, ran bool) {
 	skip := map[netip.AddrPort]bool{h.cfg.Self.Peer: true}
-	for range probes {
+	for range o.probes {
 		if ctx.Err() != nil {
 			return res, false
 		}
-		addr, ok := choose(skip)
+		addr, ok := h.peers.pick(selection{infos: h.cfg.Peers(), skip: skip, class: j.class, now: h.cfg.Now(), choose: o.choose})
 		if !ok {
 			return res, false
 		}
 		skip[addr] = true
-		res = h.runOnPeer(ctx, j, addr, handover)
+		res = h.runOnPeer(ctx, j, addr, o.handover)
 		if res.outcome != retry.NotRun || res.tried {
 			placedPeer.Inc()
 			return res, true
--- a/dispatch/story_test.go
+++ b/dispatch/story_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 )
 
 // story drives a fleet by random steps.
@@ -49,7 +49,7 @@
 	if err != nil || resp.StatusCode != http.StatusPreconditionRequired {
 		return "", errNetwork
 	}
-	return resp.Header.Get(dispatch.HeaderKey), nil
+	return resp.Header.Get(header.Key), nil
 }
 
 func (n *node) frozen() bool {
--- a/dispatch/write.go
+++ b/dispatch/write.go
@@ -13,6 +13,7 @@
 
 	"endiveflow.example/endiveflow/admit"
 	"endiveflow.example/endiveflow/audit"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/outlier"
 	"endiveflow.example/endiveflow/retry"
 )
@@ -49,7 +50,7 @@
 	}
 	setLoad(w.Header(), l)
 	if res.outcome == retry.NotRun && res.tried {
-		w.Header().Set(HeaderShed, "1")
+		w.Header().Set(header.Shed, "1")
 	}
 	h.send(w, res)
 }
@@ -61,18 +62,18 @@
 }
 
 func (h *Handler) send(w http.ResponseWriter, res result) {
-	w.Header().Set(HeaderOutcome, res.outcome.String())
+	w.Header().Set(header.Outcome, res.outcome.String())
 	if res.outcome == retry.Answered {
 		h.sendAnswer(w, res.answer)
 		return
 	}
 	w.Header().Set(HeaderReason, res.reason)
 	if res.key != "" {
-		w.Header().Set(HeaderKey, res.key)
+		w.Header().Set(header.Key, res.key)
 	}
 	if res.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(h.wholeSeconds(res.retryAfter)))
-		w.Header().Set(HeaderRetryAfter, strconv.FormatInt(res.retryAfter.Milliseconds(), 10))
+		w.Header().Set(header.RetryAfter, strconv.FormatInt(res.retryAfter.Milliseconds(), 10))
 	}
 	http.Error(w, res.reason, res.status)
 }
