dispatch: pass on the milliseconds of a peer's Retry-After

Cause: of a refusal by a peer only the whole seconds were read, so a caller that was told to return after 150 ms by an agent was told 1 s through another one. TestRefusalOfPeerKeepsItsMilliseconds failed with 1000.

Change: endiveflow-retry-after-ms goes first, bounded like the seconds by 1 min. retry takes the values of outcomes from package header.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -173,12 +173,20 @@
 	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.Shed) == "1"
 }
 
+// maxRetryAfter bounds the Retry-After of a peer or an upstream.
+const maxRetryAfter = time.Minute
+
+// retryAfterOf reads the milliseconds that agents send besides the whole seconds of the standard field.
 func retryAfterOf(resp *http.Response) time.Duration {
-	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || seconds < 1 {
-		return time.Second
+	for _, field := range []struct {
+		name string
+		unit time.Duration
+	}{{header.RetryAfter, time.Millisecond}, {"Retry-After", time.Second}} {
+		if n, err := strconv.ParseInt(resp.Header.Get(field.name), 10, 32); err == nil && n > 0 {
+			return min(time.Duration(n)*field.unit, maxRetryAfter)
+		}
 	}
-	return time.Duration(min(seconds, 60)) * time.Second
+	return time.Second
 }
 
 // runOnPeer attempts a request on a free slot of a peer, or in its queue. A result that is not-run
--- a/dispatch/handover.go
+++ b/dispatch/handover.go
@@ -22,7 +22,7 @@
 		return res
 	case ctx.Err() != nil:
 		return h.endedBeforeRun(ctx)
-	case res.reason == "":
+	case res.status == 0: // no peer was asked
 		return refused(reason, time.Second)
 	}
 	return res
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -207,3 +207,15 @@
 		})
 	}
 }
+
+// Guards against callers that wait for a whole second because a peer's refusal was passed on
+// without its milliseconds.
+func TestRefusalOfPeerKeepsItsMilliseconds(t *testing.T) {
+	h, _, _ := queueFleet(func(int, string) (*http.Response, error) {
+		resp := reply("not-run", "2,1,2,0,0,0,2000")
+		resp.Header.Set("Retry-After", "1")
+		resp.Header.Set(header.RetryAfter, "150")
+		return resp, nil
+	})
+	require.Equal(t, "150", call(h, http.MethodGet, "/", nil).Header.Get(header.RetryAfter))
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -64,6 +64,7 @@
 }
 
 // deadline returns the earlier of the caller's deadline, in milliseconds from now, and the policy's.
+// Unlike in header.ReadDeadline, 0 is valid: the agent before sends it when no time is left.
 func (h *Handler) deadline(text string) time.Time {
 	limit := h.cfg.Policy().Deadline
 	if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms < limit.Milliseconds() {
--- a/retry/outcome.go
+++ b/retry/outcome.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/header"
 )
 
 // Outcome says what is known about the execution of a request.
@@ -23,20 +24,20 @@
 func (o Outcome) String() string {
 	switch o {
 	case Answered:
-		return "answered"
+		return header.OutcomeAnswered
 	case NotRun:
-		return "not-run"
+		return header.OutcomeNotRun
 	}
-	return "unknown"
+	return header.OutcomeUnknown
 }
 
 // ParseOutcome reads the header endiveflow-outcome. Any other text is Unknown:
 // a missing statement proves nothing.
 func ParseOutcome(text string) Outcome {
 	switch text {
-	case "answered":
+	case header.OutcomeAnswered:
 		return Answered
-	case "not-run":
+	case header.OutcomeNotRun:
 		return NotRun
 	}
 	return Unknown
