--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/ledger"
 	"endiveflow.example/endiveflow/member"
 )
@@ -28,7 +29,7 @@
 	for _, peer := range a[1:] {
 		requireBooked(t, peer.post(key))
 		resp := peer.post(unused)
-		require.NotEqual(t, "answered", resp.Header.Get(dispatch.HeaderOutcome))
+		require.NotEqual(t, "answered", resp.Header.Get(header.Outcome))
 	}
 	requireRuns(t, 1, a...)
 }
--- a/agent/helpers_test.go
+++ b/agent/helpers_test.go
@@ -18,6 +18,7 @@
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
 	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/member"
 	"endiveflow.example/endiveflow/node"
 	"endiveflow.example/endiveflow/settings"
@@ -131,7 +132,7 @@
 func (a *testAgent) post(key string, headers ...string) *http.Response {
 	r := httptest.NewRequest(http.MethodPost, "/claims", strings.NewReader("lawn 3"))
 	if key != "" {
-		r.Header.Set(dispatch.HeaderKey, key)
+		r.Header.Set(header.Key, key)
 	}
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
@@ -143,7 +144,7 @@
 func (a *testAgent) newKey(t *testing.T) string {
 	resp := a.post("")
 	require.Equal(t, http.StatusPreconditionRequired, resp.StatusCode)
-	return resp.Header.Get(dispatch.HeaderKey)
+	return resp.Header.Get(header.Key)
 }
 
 // book runs a request with a new key and returns the key.
@@ -159,12 +160,12 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusCreated, resp.StatusCode, string(body))
 	require.Equal(t, "booked", string(body))
-	require.Equal(t, "answered", resp.Header.Get(dispatch.HeaderOutcome))
+	require.Equal(t, "answered", resp.Header.Get(header.Outcome))
 }
 
 func requireUnknown(t *testing.T, resp *http.Response) {
 	t.Helper()
-	require.Equal(t, "unknown", resp.Header.Get(dispatch.HeaderOutcome))
+	require.Equal(t, "unknown", resp.Header.Get(header.Outcome))
 }
 
 func requireRuns(t *testing.T, want int64, agents ...*testAgent) {
--- a/agent/peerhandler.go
+++ b/agent/peerhandler.go
@@ -8,6 +8,7 @@
 
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/retry"
 )
 
@@ -49,8 +50,8 @@
 // or its successor knows whether an earlier attempt has run.
 func rejectOtherService(w http.ResponseWriter, r *http.Request) {
 	otherServiceTotal.Inc()
-	if r.Header.Get(dispatch.HeaderHandover) != "" && r.Header.Get(dispatch.HeaderKey) == "" {
-		w.Header().Set(dispatch.HeaderOutcome, retry.NotRun.String())
+	if r.Header.Get(dispatch.HeaderHandover) != "" && r.Header.Get(header.Key) == "" {
+		w.Header().Set(header.Outcome, retry.NotRun.String())
 		w.Header().Set(dispatch.HeaderReason, reasonOtherService)
 		http.Error(w, reasonOtherService, http.StatusServiceUnavailable)
 		return
--- a/agent/requests_test.go
+++ b/agent/requests_test.go
@@ -14,6 +14,7 @@
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
 	"endiveflow.example/endiveflow/flowid"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/testkit"
 	"endiveflow.example/endiveflow/upstream"
 )
@@ -55,12 +56,12 @@
 		if key != "" {
 			r = httptest.NewRequest(http.MethodPost, "/claims", strings.NewReader("lawn 3"))
 			r.Header.Set(dispatch.HeaderHandover, "home")
-			r.Header.Set(dispatch.HeaderKey, key)
+			r.Header.Set(header.Key, key)
 		}
 		setService(r, config.TagOf("draws"))
 		resp := serveOn(a[0].served, r)
 		require.GreaterOrEqual(t, resp.StatusCode, http.StatusBadRequest)
-		require.Equal(t, name, resp.Header.Get(dispatch.HeaderOutcome))
+		require.Equal(t, name, resp.Header.Get(header.Outcome))
 	}
 	requireRuns(t, 0, a...)
 }
@@ -102,7 +103,7 @@
 	require.Equal(t, http.StatusOK, serveOn(h, r).StatusCode)
 	for name := range seen {
 		if strings.HasPrefix(name, "Endiveflow-") {
-			require.Equal(t, dispatch.HeaderDeadline, name)
+			require.Equal(t, header.Deadline, name)
 		}
 	}
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -213,6 +213,25 @@
 	require.Equal(t, []string{"", "first", "second"}, used)
 }
 
+// Refusals in a row must not use up the attempts: a caller gave up after
+// as many refusals of a few milliseconds as it has attempts, long before its deadline.
+func TestManyShortRefusalsAreWaitedOut(t *testing.T) {
+	refusals := 5
+	packets, _, clientTLS := startService(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if refusals > 0 {
+			refusals--
+			w.Header().Set(header.RetryAfter, "1")
+			refuse(w, "1")
+			return
+		}
+		w.Header().Set(header.Outcome, header.OutcomeAnswered)
+	}))
+	answer, err := newCaller(t, packets, caller.Config{TLS: clientTLS, Attempts: 2}).
+		Do(t.Context(), caller.Request{Method: http.MethodGet, Path: "/slots"})
+	require.NoError(t, err)
+	require.Equal(t, header.OutcomeAnswered, answer.Outcome)
+}
+
 // A refusal must be waited out within the deadline, and reported at once as
 // not run when the deadline leaves no time for it.
 func TestRefusals(t *testing.T) {
--- a/caller/do.go
+++ b/caller/do.go
@@ -29,6 +29,9 @@
 	key string
 	// attempts counts all, pending those without result.
 	attempts, pending int
+	// refusals counts the attempts that the balancer refused. They cost it
+	// little and are bounded by the deadline alone.
+	refusals int
 	// maybeRun tells that an attempt ended without saying whether the request ran.
 	maybeRun bool
 	// results has room for two events of each attempt.
@@ -83,7 +86,7 @@
 		if op.pending > 0 && !res.silent {
 			continue
 		}
-		if op.attempts < op.client.cfg.Attempts && wait(ctx, v.pause) {
+		if op.attempts-op.refusals < op.client.cfg.Attempts && wait(ctx, v.pause) {
 			op.launch(ctx)
 			continue
 		}
@@ -137,8 +140,9 @@
 	case header.OutcomeNotRun:
 		refusedTotal.Inc()
 		op.takeKey(res.answer)
+		op.refusals++
 		return verdict{
-			pause: retryAfter(res.answer.Header),
+			pause: op.refusalPause(retryAfter(res.answer.Header)),
 			err:   fmt.Errorf("refused with status %d", res.answer.Status),
 		}
 	case header.OutcomeUnknown:
@@ -196,6 +200,19 @@
 	return jitter(min(retryPause<<(op.attempts-2), time.Second))
 }
 
+// maxRefusalPause bounds the growth of the pause between refusals.
+const maxRefusalPause = time.Second
+
+// refusalPause doubles the time that the balancer asks for with each refusal
+// in a row: many callers that return after some milliseconds would only be
+// refused again.
+func (op *operation) refusalPause(asked time.Duration) time.Duration {
+	if asked >= maxRefusalPause {
+		return asked
+	}
+	return min(asked<<min(op.refusals-1, 10), maxRefusalPause)
+}
+
 func jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
--- a/cmd/endiveflow/e2e_test.go
+++ b/cmd/endiveflow/e2e_test.go
@@ -22,7 +22,9 @@
 	"github.com/stretchr/testify/require"
 
 	"endiveflow.example/endiveflow/caller"
+	"endiveflow.example/endiveflow/member"
 	"endiveflow.example/endiveflow/standin"
+	"endiveflow.example/endiveflow/status"
 )
 
 const (
@@ -128,9 +130,37 @@
 	for _, host := range []string{"11", "12", "13", "21", "22", "23"} {
 		f.awaitReady(host)
 	}
+	for _, entry := range []string{"11", "12", "13"} {
+		f.awaitFullWeight(entry)
+	}
 	return started
 }
 
+// awaitFullWeight waits until an entry knows every upstream as ready after its
+// slow start. Before that, all flows may open at one of them.
+func (f *fleet) awaitFullWeight(entry string) {
+	f.t.Helper()
+	const upstreams = 3
+	require.Eventually(f.t, func() bool {
+		resp, err := http.Get("http://" + f.prefix + entry + ":7004" + status.Path)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		var report status.Report
+		if err := json.NewDecoder(resp.Body).Decode(&report); err != nil {
+			return false
+		}
+		ready := 0
+		for _, u := range report.Upstreams {
+			if u.Weight == member.FullWeight {
+				ready++
+			}
+		}
+		return ready == upstreams
+	}, e2eTimeout, 50*time.Millisecond, "entry %s does not know all upstreams", entry)
+}
+
 // executed returns how often each request ran, over all upstreams.
 func (f *fleet) executed() map[string]int {
 	f.t.Helper()
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"endiveflow.example/endiveflow/admit"
+	"endiveflow.example/endiveflow/header"
 	"endiveflow.example/endiveflow/outlier"
 	"endiveflow.example/endiveflow/retry"
 )
@@ -169,15 +170,23 @@
 
 // shed says whether the upstream stated that it did not run the request.
 func shed(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == "1"
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(header.Shed) == "1"
 }
 
+// maxRetryAfter bounds the Retry-After of a peer or an upstream.
+const maxRetryAfter = time.Minute
+
+// retryAfterOf reads the milliseconds that agents send besides the whole seconds of the standard field.
 func retryAfterOf(resp *http.Response) time.Duration {
-	seconds, err := strconv.Atoi(resp.Header.Get("Retry-After"))
-	if err != nil || seconds < 1 {
-		return time.Second
+	for _, field := range []struct {
+		name string
+		unit time.Duration
+	}{{header.RetryAfter, time.Millisecond}, {"Retry-After", time.Second}} {
+		if n, err := strconv.ParseInt(resp.Header.Get(field.name), 10, 32); err == nil && n > 0 {
+			return min(time.Duration(n)*field.unit, maxRetryAfter)
+		}
 	}
-	return time.Duration(min(seconds, 60)) * time.Second
+	return time.Second
 }
 
 // runOnPeer attempts a request on a free slot of a peer, or in its queue. A result that is not-run
@@ -215,12 +224,12 @@
 
 // readPeer reads the answer of another agent.
 func (h *Handler) readPeer(ctx context.Context, resp *http.Response, end func(error)) result {
-	switch retry.ParseOutcome(resp.Header.Get(HeaderOutcome)) {
+	switch retry.ParseOutcome(resp.Header.Get(header.Outcome)) {
 	case retry.NotRun:
 		_ = resp.Body.Close()
 		res := refused(resp.Header.Get(HeaderReason), retryAfterOf(resp))
 		res.status = resp.StatusCode
-		res.tried = resp.Header.Get(HeaderShed) == "1"
+		res.tried = resp.Header.Get(header.Shed) == "1"
 		if res.tried {
 			end(errShed)
 		}
--- a/dispatch/handover_test.go
+++ b/dispatch/handover_test.go
@@ -15,6 +15,7 @@
 
 	"endiveflow.example/endiveflow/audit"
 	"endiveflow.example/endiveflow/dispatch"
+	"endiveflow.example/endiveflow/header"
 )
 
 // Guards against callers of a draining agent that are refused, and wait a
@@ -109,7 +110,7 @@
 // reply is an answer of a peer.
 func reply(outcome, load string) *http.Response {
 	resp := answer(http.StatusOK, "peer")
-	resp.Header.Set(dispatch.HeaderOutcome, outcome)
+	resp.Header.Set(header.Outcome, outcome)
 	resp.Header.Set(dispatch.HeaderLoad, load)
 	return resp
 }
@@ -206,3 +207,15 @@
 		})
 	}
 }
+
+// Guards against callers that wait for a whole second because a peer's refusal was passed on
+// without its milliseconds.
+func TestRefusalOfPeerKeepsItsMilliseconds(t *testing.T) {
+	h, _, _ := queueFleet(func(int, string) (*http.Response, error) {
+		resp := reply("not-run", "2,1,2,0,0,0,2000")
+		resp.Header.Set("Retry-After", "1")
+		resp.Header.Set(header.RetryAfter, "150")
+		return resp, nil
+	})
+	require.Equal(t, "150", call(h, http.MethodGet, "/", nil).Header.Get(header.RetryAfter))
+}
