control: random faults in combination

Loss, repetition, delay, partitions, pauses and changes together must neither revert a record in any view nor keep views apart afterwards.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -262,3 +262,34 @@
 	f.within(10*time.Second, "in effect", func() bool { return f.inEffect(f.entries[0]) })
 	f.close()
 }
+
+// Faults in random combination must neither bring an older state back in any
+// view nor leave views apart once they end.
+func TestRandomFaultsConverge(t *testing.T) {
+	for seed := range uint64(2) {
+		simulate(t, 100+seed, 9, 40, func(f *fleet) {
+			f.net.set(func(n *network) { n.loss, n.repeat, n.delay = 0.2, 0.2, 200*time.Millisecond })
+			seen := make(map[*node]map[member.ID]member.Brief)
+			for round := range 6 {
+				f.net.setCut(splitBy(isOneOf(f.anyOf(f.entries), f.anyOf(f.entries), f.anyOf(f.agents), f.anyOf(f.agents))))
+				f.anyOf(f.agents).set(func(r member.Record) member.Record { return r.WithWeight(uint8(round * 10)) })
+				resume := f.anyOf(f.agents).pause()
+				time.Sleep(time.Duration(f.rand.IntN(90)) * time.Second)
+				resume()
+				f.net.setCut(nil)
+				for _, e := range f.entries {
+					now := make(map[member.ID]member.Brief)
+					for _, r := range e.view.Records() {
+						now[r.ID] = r.Brief()
+						require.False(t, seen[e][r.ID].Newer(r.Brief()), "%s went back from %v to %v", e.addr, seen[e][r.ID], r.Brief())
+					}
+					seen[e] = now
+				}
+			}
+			f.net.set(func(n *network) { n.loss, n.repeat, n.delay = 0, 0, time.Millisecond })
+			f.within(time.Minute, "views converge", f.converged)
+		})
+	}
+}
+
+func (f *fleet) anyOf(nodes []*node) *node { return nodes[f.rand.IntN(len(nodes))] }
