caller, entry, agent: errors that name their cause at once

Cause: a newcomer's trial: an address in use printed the wiring of all parts with a stack, and a wrong service name kept 'standin call' busy for its whole 10 s before the certificate's error showed. Ruled out: shorter timeouts. Result: TestWrongCertificateIsFinal: one attempt, three before. Conclusion: both mistakes are now told in one line.

--- a/agent/role.go
+++ b/agent/role.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"endiveflow.example/endiveflow/admin"
@@ -78,7 +79,7 @@
 		fx.StopTimeout(cfg.Settings.ShutdownGrace+stopMargin),
 	)
 	if err := r.app.Err(); err != nil {
-		return nil, fmt.Errorf("wiring agent: %w", err)
+		return nil, fmt.Errorf("preparing: %w", dig.RootCause(err))
 	}
 	return r, nil
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -213,6 +214,21 @@
 	require.Equal(t, []string{"", "first", "second"}, used)
 }
 
+// A service that shows a wrong certificate will show it again: a caller that
+// tried until its deadline hid the reason for that long.
+func TestWrongCertificateIsFinal(t *testing.T) {
+	packets, _, clientTLS := startService(t, http.NotFoundHandler())
+	clientTLS = clientTLS.Clone()
+	clientTLS.ServerName = "another.service"
+	attempts := metrics.GetOrCreateCounter("endiveflow_caller_attempts_total")
+	before := attempts.Get()
+	_, err := newCaller(t, packets, caller.Config{TLS: clientTLS, Attempts: 3}).
+		Do(t.Context(), caller.Request{Method: http.MethodGet, Path: "/"})
+	require.ErrorContains(t, err, "another.service")
+	require.True(t, caller.NotRun(err))
+	require.Equal(t, before+1, attempts.Get())
+}
+
 // Refusals in a row must not use up the attempts: a caller gave up after
 // as many refusals of a few milliseconds as it has attempts, long before its deadline.
 func TestManyShortRefusalsAreWaitedOut(t *testing.T) {
--- a/caller/do.go
+++ b/caller/do.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -157,6 +158,10 @@
 }
 
 func (op *operation) judgeError(err error) verdict {
+	if mismatch := new(tls.CertificateVerificationError); errors.As(err, &mismatch) {
+		// Another attempt would meet the same certificate.
+		return verdict{final: true, err: op.fail(err)}
+	}
 	if errors.Is(err, h3conn.ErrNotSent) {
 		return verdict{pause: op.backoff(), err: err}
 	}
--- a/entry/role.go
+++ b/entry/role.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"endiveflow.example/endiveflow/admin"
@@ -67,7 +68,7 @@
 		fx.StopTimeout(cfg.Settings.ShutdownGrace+fabricGrace),
 	)
 	if err := r.app.Err(); err != nil {
-		return nil, fmt.Errorf("wiring entry: %w", err)
+		return nil, fmt.Errorf("preparing: %w", dig.RootCause(err))
 	}
 	return r, nil
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -35,11 +35,13 @@
 	return resp, nil
 }
 
-// FxLogger returns the logger of fx events: its routine events are of no use to operators.
+// FxLogger returns the logger of fx events. They are of no use to operators:
+// errors are returned, and their events hold stacks.
 func FxLogger(log *slog.Logger) func() fxevent.Logger {
 	return func() fxevent.Logger {
 		l := &fxevent.SlogLogger{Logger: log}
 		l.UseLogLevel(slog.LevelDebug)
+		l.UseErrorLevel(slog.LevelDebug)
 		return l
 	}
 }
