agent, demo, cmd/endiveflow: overloaded agents pass new flows on; planned stop as a process

Cause: first flights were passed on by draining agents only, and the planned stop of an agent was proved within one process only. Ruled out: the number of flows as a measure of overload: idle flows cost no slot.

--- a/agent/flows.go
+++ b/agent/flows.go
@@ -8,6 +8,7 @@
 
 	"github.com/quic-go/quic-go"
 
+	"endiveflow.example/endiveflow/admit"
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
 	"endiveflow.example/endiveflow/fleetkey"
@@ -28,7 +29,7 @@
 )
 
 func provideFlows(cfg RoleConfig, ring *fleetkey.Ring, sockets node.Sockets, b *node.Board, h *dispatch.Handler) (*flowserver.Server, error) {
-	conn, err := tunnelConn(ring, sockets, b)
+	conn, err := tunnelConn(ring, sockets, b, h.Load)
 	if err != nil {
 		return nil, err
 	}
@@ -62,7 +63,7 @@
 	return server, nil
 }
 
-func tunnelConn(ring *fleetkey.Ring, sockets node.Sockets, b *node.Board) (*tunnel.Conn, error) {
+func tunnelConn(ring *fleetkey.Ring, sockets node.Sockets, b *node.Board, load func() admit.Load) (*tunnel.Conn, error) {
 	codec, err := tunnel.NewCodec(ring)
 	if err != nil {
 		return nil, fmt.Errorf("making tunnel codec: %w", err)
@@ -74,7 +75,7 @@
 		Service:      self.Service,
 		Incarnation:  self.Incarnation.Tag(),
 		Entries:      b.LiveEntryTunnels,
-		AcceptsFlows: func() bool { return b.Self.Record().State == member.StateReady },
+		AcceptsFlows: func() bool { return acceptsFlows(b.Self.Record().State, load()) },
 		ResetToken:   flowid.NewResetTokens(ring).Token,
 	})
 	if err != nil {
@@ -83,6 +84,14 @@
 	return conn, nil
 }
 
+// acceptsFlows says whether the agent opens new flows. An agent that does not
+// passes them on to their second candidate. It is overloaded when as many
+// requests wait as it has slots: a new flow finds shorter queues elsewhere.
+func acceptsFlows(state member.State, load admit.Load) bool {
+	overloaded := load.Slots > 0 && load.Queued() >= load.Slots
+	return state == member.StateReady && !overloaded
+}
+
 // flowKeys are the keys that all agents of a service share.
 type flowKeys struct {
 	reset   quic.StatelessResetKey
--- a/agent/state_test.go
+++ b/agent/state_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/admit"
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
 	"endiveflow.example/endiveflow/member"
@@ -184,3 +185,14 @@
 	require.True(t, s.board.Config.Apply(defaults(1, map[config.Setting]string{config.SettingSlowStart: "0s"})))
 	s.requireRecord(member.StateReady, member.FullWeight, 4)
 }
+
+// A draining or overloaded agent must pass new flows on, and an agent whose
+// queue is short must not.
+func TestAcceptsFlows(t *testing.T) {
+	busy := admit.Load{Slots: 4, ShortInUse: 4, ShortQueued: 3}
+	overloaded := admit.Load{Slots: 4, ShortInUse: 4, ShortQueued: 3, LongQueued: 1}
+	require.True(t, acceptsFlows(member.StateReady, busy))
+	require.False(t, acceptsFlows(member.StateReady, overloaded))
+	require.False(t, acceptsFlows(member.StateDraining, admit.Load{Slots: 4}))
+	require.True(t, acceptsFlows(member.StateReady, admit.Load{}), "without announced slots nothing is known of the load")
+}
--- a/cmd/endiveflow/e2e_faults_test.go
+++ b/cmd/endiveflow/e2e_faults_test.go
@@ -78,3 +78,25 @@
 	requireAtMostOnce(t, f, rota)
 	require.Contains(t, strings.Join(rota.faults, "\n"), "stateless reset", "no flow was ended by the next incarnation")
 }
+
+// The planned stop of an agent as a process must cost no caller an answer: its
+// flows end by GOAWAY when nothing is in flight, and callers go on elsewhere.
+func TestAgentStopsGracefully(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts eleven processes")
+	}
+	t.Parallel()
+	f := newFleet(t)
+	processes := f.startAll()
+	rota, end := f.startTraffic("rota", 8441)
+	rota.progress(t)
+
+	requireGraceful(t, processes["agent-rota-1"])
+	rota.progress(t)
+
+	end()
+	requireAtMostOnce(t, f, rota)
+	for _, fault := range rota.faults {
+		require.Contains(t, fault, "flow broke", "a planned stop cost an answer")
+	}
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -7,12 +7,10 @@
 	"log/slog"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"endiveflow.example/endiveflow/agent"
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/entry"
 	"endiveflow.example/endiveflow/fleetkey"
@@ -79,33 +77,6 @@
 	stopped []*Host
 }
 
-// Host is an upstream with its agent.
-type Host struct {
-	IP       netip.Addr
-	Upstream *standin.Upstream
-	agent    *process[*agent.Role]
-	upstream *process[*standin.Upstream]
-}
-
-// process is a part that runs until it is stopped.
-type process[T any] struct {
-	part T
-	stop context.CancelFunc
-	done <-chan error
-}
-
-// start runs a part under a context of its own.
-func start[T any](ctx context.Context, part T, run func(context.Context) <-chan error) *process[T] {
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	return &process[T]{part: part, stop: cancel, done: run(runCtx)}
-}
-
-// end stops the part and returns its error.
-func (p *process[T]) end() error {
-	p.stop()
-	return <-p.done
-}
-
 // NewFleet starts the platform, the fabrics, the hosts and the entries.
 func NewFleet(ctx context.Context, cfg FleetConfig) (*Fleet, error) {
 	f := &Fleet{
@@ -308,68 +279,6 @@
 	return failed
 }
 
-// endAll stops entries at the same time and returns an error of one that failed.
-func endAll(entries []*process[*entry.Role]) error {
-	ended := make(chan error, len(entries))
-	for _, e := range entries {
-		go func() { ended <- e.end() }()
-	}
-	var failed error
-	for range entries {
-		if err := <-ended; err != nil {
-			failed = fmt.Errorf("stopping an entry: %w", err)
-		}
-	}
-	return failed
-}
-
-func (f *Fleet) startHosts(ctx context.Context, s *service) error {
-	for range s.cfg.Hosts {
-		h, err := f.startHost(ctx, s)
-		if err != nil {
-			return err
-		}
-		s.hosts = append(s.hosts, h)
-	}
-	return nil
-}
-
-func (f *Fleet) startHost(ctx context.Context, s *service) (*Host, error) {
-	n := 0
-	for _, other := range f.services {
-		n += len(other.hosts) + len(other.stopped)
-	}
-	ip := f.loopback(firstHostIP + n + 1)
-	role, err := agent.New(agent.RoleConfig{
-		Settings: settings.Agent{
-			Node:    f.nodeSettings(ip, n),
-			Service: s.cfg.Name,
-			TLS: settings.TLS{
-				CertFile: filepath.Join(f.dir, standin.CertificateFile),
-				KeyFile:  filepath.Join(f.dir, standin.PrivateKeyFile),
-			},
-		},
-		Log: f.cfg.Log.With("process", fmt.Sprintf("agent-%d", n)),
-	})
-	if err != nil {
-		return nil, fmt.Errorf("starting agent: %w", err)
-	}
-	up, err := standin.NewUpstream(standin.UpstreamConfig{
-		Service:  s.cfg.Name,
-		Address:  netip.AddrPortFrom(ip, 0),
-		Slots:    s.cfg.Slots,
-		Work:     s.cfg.Work,
-		AgentURL: "http://" + role.AdminAddress().String(),
-	})
-	if err != nil {
-		return nil, fmt.Errorf("starting upstream: %w", err)
-	}
-	h := &Host{IP: ip, Upstream: up}
-	h.agent = start(ctx, role, role.Run)
-	h.upstream = start(ctx, up, up.Run)
-	return h, nil
-}
-
 // awaitReady waits until each entry is ready and knows each host as ready.
 func (f *Fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/demo/host.go
+++ b/demo/host.go
@@ -3,8 +3,69 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
+	"path/filepath"
+
+	"endiveflow.example/endiveflow/agent"
+	"endiveflow.example/endiveflow/settings"
+	"endiveflow.example/endiveflow/standin"
 )
 
+// Host is an upstream with its agent.
+type Host struct {
+	IP       netip.Addr
+	Upstream *standin.Upstream
+	agent    *process[*agent.Role]
+	upstream *process[*standin.Upstream]
+}
+
+func (f *Fleet) startHosts(ctx context.Context, s *service) error {
+	for range s.cfg.Hosts {
+		h, err := f.startHost(ctx, s)
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, h)
+	}
+	return nil
+}
+
+func (f *Fleet) startHost(ctx context.Context, s *service) (*Host, error) {
+	n := 0
+	for _, other := range f.services {
+		n += len(other.hosts) + len(other.stopped)
+	}
+	ip := f.loopback(firstHostIP + n + 1)
+	role, err := agent.New(agent.RoleConfig{
+		Settings: settings.Agent{
+			Node:    f.nodeSettings(ip, n),
+			Service: s.cfg.Name,
+			TLS: settings.TLS{
+				CertFile: filepath.Join(f.dir, standin.CertificateFile),
+				KeyFile:  filepath.Join(f.dir, standin.PrivateKeyFile),
+			},
+		},
+		Log: f.cfg.Log.With("process", fmt.Sprintf("agent-%d", n)),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("starting agent: %w", err)
+	}
+	up, err := standin.NewUpstream(standin.UpstreamConfig{
+		Service:  s.cfg.Name,
+		Address:  netip.AddrPortFrom(ip, 0),
+		Slots:    s.cfg.Slots,
+		Work:     s.cfg.Work,
+		AgentURL: "http://" + role.AdminAddress().String(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("starting upstream: %w", err)
+	}
+	h := &Host{IP: ip, Upstream: up}
+	h.agent = start(ctx, role, role.Run)
+	h.upstream = start(ctx, up, up.Run)
+	return h, nil
+}
+
 // StopHost stops the agent and then the upstream of a host as a planned
 // replacement does, and returns when both have ended.
 func (f *Fleet) StopHost(ctx context.Context, name string, h *Host) error {
