--- a/agent/state_test.go
+++ b/agent/state_test.go
@@ -196,3 +196,19 @@
 	require.False(t, acceptsFlows(member.StateDraining, admit.Load{Slots: 4}))
 	require.True(t, acceptsFlows(member.StateReady, admit.Load{}), "without announced slots nothing is known of the load")
 }
+
+// An announcement that names another host would send the agent's requests there.
+func TestAnnouncementsOfOtherHostsAreRejected(t *testing.T) {
+	host := netip.MustParseAddr("10.0.0.7")
+	for address, accepted := range map[string]bool{
+		"127.0.0.1:8000": true,
+		"10.0.0.7:8000":  true,
+		"10.0.0.8:8000":  false,
+	} {
+		announced := upstream.NewAnnouncements(upstream.AnnouncementsConfig{Service: "rota"})
+		body := fmt.Sprintf(`{"service":"rota","address":%q,"slots":4,"state":"ready"}`, address)
+		err := announce(announced, host, []byte(body))
+		require.Equal(t, accepted, err == nil, "%s: %v", address, err)
+		require.Equal(t, accepted, announced.Current().State == upstream.StateReady, address)
+	}
+}
--- a/fleetkey/ring_test.go
+++ b/fleetkey/ring_test.go
@@ -107,3 +107,17 @@
 	_, err = io.ReadAll(tlsConn)
 	return err
 }
+
+// Arbitrary datagrams must be rejected with a kind of error, never a panic.
+func FuzzOpen(f *testing.F) {
+	s := newSealer(f, 1, 2)
+	f.Add([]byte{}, []byte{})
+	f.Add([]byte{1, 2, 3}, []byte("header"))
+	f.Add(s.Seal(nil, []byte("plain"), []byte("header")), []byte("header"))
+	f.Fuzz(func(t *testing.T, sealed, header []byte) {
+		if _, err := s.Open(nil, sealed, header); err != nil {
+			known := errors.Is(err, errors.NotFound) || errors.Is(err, errors.NotValid) || errors.Is(err, errors.Unauthorized)
+			require.True(t, known, "%v", err)
+		}
+	})
+}
--- a/upstream/announce_test.go
+++ b/upstream/announce_test.go
@@ -62,3 +62,21 @@
 	}
 	require.Equal(t, upstream.StateReady, a.Current().State)
 }
+
+// An announcement from a faulty upstream must be rejected whole, never taken in part.
+func FuzzParseAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"service":"rota","address":"127.0.0.1:8000","slots":4,"state":"ready"}`))
+	f.Add([]byte(`{"service":"rota","address":"nowhere","slots":-1,"state":"gone"}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a, err := upstream.ParseAnnouncement(body)
+		if err != nil {
+			require.ErrorIs(t, err, errors.NotValid)
+			return
+		}
+		require.True(t, a.Address.IsValid())
+		require.Positive(t, a.Slots)
+		require.NotEmpty(t, a.Service)
+		require.Contains(t, []upstream.State{upstream.StateStarting, upstream.StateReady, upstream.StateDraining}, a.State)
+	})
+}
