entry, status: explain where the packets of a flow go

Cause: operators could ask why an agent gets new flows, but not where a captured packet goes. Ruled out: a trace of flows, since entries keep none: the connection ID tells.

--- a/cmd/endiveflow/explain.go
+++ b/cmd/endiveflow/explain.go
@@ -10,7 +10,7 @@
 	"net/url"
 	"slices"
 
-	"endiveflow.example/endiveflow/config"
+	"endiveflow.example/endiveflow/status"
 )
 
 type explainCommand struct {
@@ -18,22 +18,7 @@
 	outputFlags
 	Service string     `required:"" help:"Name of the service to explain; an agent answers for its own service and host."`
 	Host    netip.Addr `help:"IP address of a host, whose own exceptions are then taken into account."`
-}
-
-// explanation is the answer of an entry. An agent answers with the policy alone.
-type explanation struct {
-	Service string               `json:"service"`
-	Agents  []agentExplanation   `json:"agents"`
-	Policy  []config.Explanation `json:"policy"`
-}
-
-type agentExplanation struct {
-	Address  netip.AddrPort `json:"address"`
-	Zone     string         `json:"zone"`
-	State    string         `json:"state"`
-	Weight   uint8          `json:"weight"`
-	NewFlows bool           `json:"newFlows"`
-	Reason   string         `json:"reason"`
+	Flow    string     `placeholder:"HEX" help:"Connection ID of a packet in hexadecimal digits, as a capture shows it: says which agent it goes to."`
 }
 
 // Help returns an example of the command.
@@ -50,11 +35,15 @@
 	if c.Host.IsValid() {
 		query.Set("host", c.Host.String())
 	}
+	if c.Flow != "" {
+		query.Set("flow", c.Flow)
+	}
 	body, err := c.get(ctx, "/explain", query)
 	if err != nil {
 		return err
 	}
-	var e explanation
+	// An agent answers with the policy alone.
+	var e status.Explanation
 	var into any = &e
 	if bytes.HasPrefix(bytes.TrimSpace(body), []byte("[")) {
 		into = &e.Policy
@@ -62,16 +51,19 @@
 	if err := json.Unmarshal(body, into); err != nil {
 		return fmt.Errorf("reading the answer: %w", err)
 	}
-	slices.SortFunc(e.Agents, func(a, b agentExplanation) int { return a.Address.Compare(b.Address) })
+	slices.SortFunc(e.Agents, func(a, b status.AgentExplanation) int { return a.Address.Compare(b.Address) })
 	return c.print(out, json.RawMessage(body), func(w io.Writer) { printExplanation(w, e) })
 }
 
-func printExplanation(w io.Writer, e explanation) {
+func printExplanation(w io.Writer, e status.Explanation) {
 	if e.Service == "" {
 		_, _ = fmt.Fprintln(w, "settings at this agent, for its own service and host")
 	} else {
 		printAgents(w, e)
 	}
+	if e.Flow != nil {
+		_, _ = fmt.Fprintf(w, "\nFLOW\tAGENT\tREASON\n%s\t%s\t%s\n", e.Flow.ConnectionID, e.Flow.Agent, e.Flow.Reason)
+	}
 	_, _ = fmt.Fprintf(w, "\nSETTING\tVALUE\tSOURCE\tVERSION\tREASON\n")
 	for _, p := range e.Policy {
 		version := "-"
@@ -82,7 +74,7 @@
 	}
 }
 
-func printAgents(w io.Writer, e explanation) {
+func printAgents(w io.Writer, e status.Explanation) {
 	_, _ = fmt.Fprintf(w, "service %s\n", e.Service)
 	_, _ = fmt.Fprintf(w, "\nAGENT\tZONE\tSTATE\tWEIGHT\tNEW FLOWS\tREASON\n")
 	for _, a := range e.Agents {
--- a/entry/role.go
+++ b/entry/role.go
@@ -16,6 +16,7 @@
 	"endiveflow.example/endiveflow/confsync"
 	"endiveflow.example/endiveflow/control"
 	"endiveflow.example/endiveflow/fleetkey"
+	"endiveflow.example/endiveflow/flowid"
 	"endiveflow.example/endiveflow/member"
 	"endiveflow.example/endiveflow/node"
 	"endiveflow.example/endiveflow/peer"
@@ -165,13 +166,18 @@
 	return &readiness{board: b, now: time.Now}
 }
 
-func provideAdmin(cfg RoleConfig, b *node.Board, ready *readiness, collector *statusCollector) (*admin.Server, error) {
+func provideAdmin(cfg RoleConfig, b *node.Board, ready *readiness, collector *statusCollector, ring *fleetkey.Ring) (*admin.Server, error) {
+	ids, err := flowid.New(flowid.Config{Ring: ring})
+	if err != nil {
+		return nil, fmt.Errorf("making connection ID codec: %w", err)
+	}
+	why := &explainer{board: b, ids: ids}
 	server, err := admin.New(admin.Config{
 		Address: cfg.Settings.AdminAddress,
 		Ready:   ready.reasons,
 		Audit:   b.Trail,
 		Status:  collector.report,
-		Explain: collector.explain,
+		Explain: why.explain,
 		Log:     cfg.Log,
 	})
 	if err != nil {
--- a/entry/status.go
+++ b/entry/status.go
@@ -12,7 +12,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
-	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/member"
 	"endiveflow.example/endiveflow/node"
 	"endiveflow.example/endiveflow/peer"
@@ -142,56 +141,3 @@
 	}
 	_, _ = w.Write(body)
 }
-
-// explanation says why new flows of a service go where they go.
-type explanation struct {
-	Service string               `json:"service"`
-	Agents  []agentExplanation   `json:"agents"`
-	Policy  []config.Explanation `json:"policy"`
-}
-
-// agentExplanation says how the entry treats one agent.
-type agentExplanation struct {
-	Address  netip.AddrPort `json:"address"`
-	Zone     string         `json:"zone"`
-	State    string         `json:"state"`
-	Weight   uint8          `json:"weight"`
-	NewFlows bool           `json:"newFlows"`
-	Reason   string         `json:"reason"`
-}
-
-// explain answers "explain": for a service, which agents get new flows and why,
-// and where each setting comes from.
-func (c *statusCollector) explain(_ context.Context, query map[string]string) (any, error) {
-	name := query["service"]
-	tag := config.TagOf(name)
-	if _, _, ok := c.board.Config.Service(tag); !ok {
-		return nil, errors.NotFoundf("service %q", name)
-	}
-	host, _ := netip.ParseAddr(query["host"])
-	out := explanation{Service: name, Policy: c.board.Config.Explain(name, host)}
-	for _, r := range c.board.Members.OfService(tag) {
-		newFlows, reason := c.newFlows(r)
-		out.Agents = append(out.Agents, agentExplanation{
-			Address: r.Tunnel, Zone: r.Zone, State: r.State.String(), Weight: r.Weight, NewFlows: newFlows, Reason: reason,
-		})
-	}
-	return out, nil
-}
-
-// newFlows says whether an agent gets new flows from this entry, and why.
-func (c *statusCollector) newFlows(r member.Record) (bool, string) {
-	switch {
-	case !c.board.Config.AllowsHost(r.Service, r.Tunnel.Addr()):
-		return false, "no Upstream of the service allows the host"
-	case c.board.Members.Suspect(r.ID):
-		return false, "this entry misses its heartbeats"
-	case r.State != member.StateReady:
-		return false, "state is " + r.State.String()
-	case r.Weight == 0:
-		return false, "weight is 0"
-	case r.Weight < member.FullWeight:
-		return true, fmt.Sprintf("slow start at %d%%", r.Weight)
-	}
-	return true, "ready"
-}
