--- a/agent/requests.go
+++ b/agent/requests.go
@@ -34,8 +34,8 @@
 	return server, nil
 }
 
-func provideAnnouncements(cfg RoleConfig) *upstream.Announcements {
-	return upstream.NewAnnouncements(upstream.AnnouncementsConfig{Service: cfg.Settings.Service})
+func provideAnnouncements(cfg RoleConfig, b *node.Board) *upstream.Announcements {
+	return upstream.NewAnnouncements(upstream.AnnouncementsConfig{Service: cfg.Settings.Service, Host: b.Host()})
 }
 
 func provideUpstream(announced *upstream.Announcements) (*upstream.Client, error) {
--- a/agent/role.go
+++ b/agent/role.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/juju/errors"
 	"go.uber.org/dig"
 	"go.uber.org/fx"
 
@@ -46,10 +45,8 @@
 type parts struct {
 	fx.In
 	Config     RoleConfig
-	Ring       *fleetkey.Ring
 	Sockets    node.Sockets
 	Board      *node.Board
-	Upstream   *upstream.Client
 	Announced  *upstream.Announcements
 	Handler    *dispatch.Handler
 	Flows      *flowserver.Server
@@ -147,7 +144,7 @@
 		Explain: func(context.Context, map[string]string) (any, error) {
 			return b.Config.Explain(cfg.Settings.Service, b.Host()), nil
 		},
-		Announce: func(body []byte) error { return announce(announced, b.Host(), body) },
+		Announce: announced.Accept,
 		Log:      cfg.Log,
 	})
 	if err != nil {
@@ -170,19 +167,3 @@
 	}
 	return reasons
 }
-
-// announce takes the announcement of the upstream on this VM. One that names
-// another host would send this agent's requests there.
-func announce(announced *upstream.Announcements, host netip.Addr, body []byte) error {
-	a, err := upstream.ParseAnnouncement(body)
-	if err != nil {
-		return fmt.Errorf("reading announcement: %w", err)
-	}
-	if ip := a.Address.Addr(); !ip.IsLoopback() && ip != host {
-		return errors.NotValidf("announcement of %s, which is not on this host %s,", a.Address, host)
-	}
-	if err := announced.Accept(body); err != nil {
-		return fmt.Errorf("taking announcement: %w", err)
-	}
-	return nil
-}
--- a/agent/state_test.go
+++ b/agent/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -14,6 +15,8 @@
 	"endiveflow.example/endiveflow/config"
 	"endiveflow.example/endiveflow/dispatch"
 	"endiveflow.example/endiveflow/member"
+	"endiveflow.example/endiveflow/node"
+	"endiveflow.example/endiveflow/settings"
 	"endiveflow.example/endiveflow/upstream"
 )
 
@@ -205,9 +208,10 @@
 		"10.0.0.7:8000":  true,
 		"10.0.0.8:8000":  false,
 	} {
-		announced := upstream.NewAnnouncements(upstream.AnnouncementsConfig{Service: "rota"})
+		cfg := RoleConfig{Settings: settings.Agent{Service: "rota"}}
+		announced := provideAnnouncements(cfg, node.NewBoard(member.Record{Tunnel: netip.AddrPortFrom(host, 7001)}, slog.New(slog.DiscardHandler)))
 		body := fmt.Sprintf(`{"service":"rota","address":%q,"slots":4,"state":"ready"}`, address)
-		err := announce(announced, host, []byte(body))
+		err := announced.Accept([]byte(body))
 		require.Equal(t, accepted, err == nil, "%s: %v", address, err)
 		require.Equal(t, accepted, announced.Current().State == upstream.StateReady, address)
 	}
--- a/cmd/endiveflow/e2e_faults_test.go
+++ b/cmd/endiveflow/e2e_faults_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -13,6 +14,15 @@
 // agent of a small fleet dead.
 const pauseFor = 6 * time.Second
 
+// loadedFleet starts the fleet with callers of rota, and returns a function that ends them.
+func loadedFleet(t *testing.T) (f *fleet, processes map[string]*exec.Cmd, rota *traffic, end func()) {
+	t.Helper()
+	f, processes = startedFleet(t)
+	rota, end = f.startTraffic("rota", 8441)
+	rota.progress(t)
+	return f, processes, rota, end
+}
+
 // requireAtMostOnce checks that no request that may not be repeated ran twice,
 // and that callers got every answer but those whose outcome is honestly unknown.
 func requireAtMostOnce(t *testing.T, f *fleet, c *traffic) {
@@ -35,14 +45,7 @@
 // A paused agent still believes that it holds its keys when it resumes. Neither
 // its old requests nor their repeats elsewhere may run twice.
 func TestPausedAgentRunsNothingTwice(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts eleven processes")
-	}
-	t.Parallel()
-	f := newFleet(t)
-	processes := f.startAll()
-	rota, end := f.startTraffic("rota", 8441)
-	rota.progress(t)
+	f, processes, rota, end := loadedFleet(t)
 
 	agent := processes["agent-rota-1"].Process
 	require.NoError(t, agent.Signal(syscall.SIGSTOP))
@@ -59,14 +62,7 @@
 // Callers of a killed agent must not wait for their timeouts: its next
 // incarnation ends their flows, they open new ones and go on.
 func TestKilledAgentIsReplaced(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts eleven processes")
-	}
-	t.Parallel()
-	f := newFleet(t)
-	processes := f.startAll()
-	rota, end := f.startTraffic("rota", 8441)
-	rota.progress(t)
+	f, processes, rota, end := loadedFleet(t)
 
 	require.NoError(t, processes["agent-rota-1"].Process.Kill())
 	_ = processes["agent-rota-1"].Wait()
@@ -82,14 +78,7 @@
 // The planned stop of an agent as a process must cost no caller an answer: its
 // flows end by GOAWAY when nothing is in flight, and callers go on elsewhere.
 func TestAgentStopsGracefully(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts eleven processes")
-	}
-	t.Parallel()
-	f := newFleet(t)
-	processes := f.startAll()
-	rota, end := f.startTraffic("rota", 8441)
-	rota.progress(t)
+	f, processes, rota, end := loadedFleet(t)
 
 	requireGraceful(t, processes["agent-rota-1"])
 	rota.progress(t)
--- a/cmd/endiveflow/e2e_test.go
+++ b/cmd/endiveflow/e2e_test.go
@@ -70,6 +70,17 @@
 	return f
 }
 
+// startedFleet starts all processes of the examples.
+func startedFleet(t *testing.T) (*fleet, map[string]*exec.Cmd) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts eleven processes")
+	}
+	t.Parallel()
+	f := newFleet(t)
+	return f, f.startAll()
+}
+
 // run runs a command to its end.
 func (f *fleet) run(args ...string) {
 	f.t.Helper()
@@ -277,12 +288,7 @@
 // Flows and requests must survive the loss of one entry and the planned stop
 // of another, as separate processes with the settings of the examples.
 func TestSeparateProcesses(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts eleven processes")
-	}
-	t.Parallel()
-	f := newFleet(t)
-	processes := f.startAll()
+	f, processes := startedFleet(t)
 	rota, endRota := f.startTraffic("rota", 8441)
 	draws, endDraws := f.startTraffic("draws", 8442)
 	rota.progress(t)
--- a/control/agent.go
+++ b/control/agent.go
@@ -56,18 +56,7 @@
 		return errors.NotValidf("agent control without configuration functions")
 	}
 	c.Retention = orDefault(c.Retention, member.DefaultRetention)
-	if c.Refute == nil {
-		c.Refute = func(member.Brief) {}
-	}
-	if c.Seeds == nil {
-		c.Seeds = func() []netip.AddrPort { return nil }
-	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
-	if c.Rand == nil {
-		c.Rand = newRand()
-	}
+	setDefaults(&c.Refute, &c.Seeds, &c.Now, &c.Rand)
 	return nil
 }
 
--- a/control/agent_loop.go
+++ b/control/agent_loop.go
@@ -63,7 +63,7 @@
 		select {
 		case d, ok := <-inbox:
 			if !ok {
-				l.finish(ctx)
+				l.beats.finish(ctx, l.cfg.Now())
 				return <-readDone
 			}
 			l.receive(d)
@@ -77,13 +77,6 @@
 	}
 }
 
-// finish sends the own record once more, so that an announced departure is not lost with the process.
-func (l *agentLoop) finish(ctx context.Context) {
-	if ctx.Err() != nil && !l.cfg.Self().Alive() {
-		l.beats.push(l.cfg.Now())
-	}
-}
-
 func (l *agentLoop) tick() {
 	now := l.cfg.Now()
 	if now.Sub(l.prunedAt) >= pruneEvery {
--- a/control/beater.go
+++ b/control/beater.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -176,6 +177,14 @@
 	}
 }
 
+// finish sends the own record once more, so that an announced departure is not
+// lost with the process.
+func (b *beater) finish(ctx context.Context, now time.Time) {
+	if ctx.Err() != nil && !b.link.self().Alive() {
+		b.push(now)
+	}
+}
+
 // answered takes the answer of a target. An answer of another process, as to
 // a probe, changes nothing but that the process is no longer avoided.
 func (b *beater) answered(from netip.AddrPort, a Answer, now time.Time) {
--- a/control/entry.go
+++ b/control/entry.go
@@ -98,18 +98,7 @@
 	c.Retention = orDefault(c.Retention, member.DefaultRetention)
 	c.GossipBytes = orDefault(c.GossipBytes, DefaultGossipBytes)
 	c.ConfigBytes = orDefault(c.ConfigBytes, DefaultConfigBytes)
-	if c.Refute == nil {
-		c.Refute = func(member.Brief) {}
-	}
-	if c.Seeds == nil {
-		c.Seeds = func() []netip.AddrPort { return nil }
-	}
-	if c.Now == nil {
-		c.Now = time.Now
-	}
-	if c.Rand == nil {
-		c.Rand = newRand()
-	}
+	setDefaults(&c.Refute, &c.Seeds, &c.Now, &c.Rand)
 	return nil
 }
 
@@ -120,7 +109,21 @@
 	return value
 }
 
-func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+// setDefaults sets the optional fields that both configurations have.
+func setDefaults(refute *func(member.Brief), seeds *func() []netip.AddrPort, now *func() time.Time, random **rand.Rand) {
+	if *refute == nil {
+		*refute = func(member.Brief) {}
+	}
+	if *seeds == nil {
+		*seeds = func() []netip.AddrPort { return nil }
+	}
+	if *now == nil {
+		*now = time.Now
+	}
+	if *random == nil {
+		*random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+}
 
 // byteCap returns a limiter of bytes per second that saves up for a time.
 func byteCap(perSecond int, saved time.Duration) *rate.Limiter {
--- a/control/entry_loop.go
+++ b/control/entry_loop.go
@@ -92,7 +92,7 @@
 		select {
 		case d, ok := <-inbox:
 			if !ok {
-				l.finish(ctx)
+				l.beats.finish(ctx, l.cfg.Now())
 				return <-readDone
 			}
 			l.receive(d)
@@ -118,13 +118,6 @@
 	}
 }
 
-// finish sends the own record once more, so that an announced departure is not lost with the process.
-func (l *entryLoop) finish(ctx context.Context) {
-	if ctx.Err() != nil && !l.cfg.Self().Alive() {
-		l.beats.push(l.cfg.Now())
-	}
-}
-
 func (l *entryLoop) tick() {
 	now := l.cfg.Now()
 	if now.Sub(l.prunedAt) >= pruneEvery {
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -70,6 +70,9 @@
 type AnnouncementsConfig struct {
 	// Service is the service of the agent; announcements of others are rejected. Empty accepts any.
 	Service string
+	// Host is the agent's own VM. An announcement that names another host would
+	// send the agent's requests there and is rejected; the zero value accepts any.
+	Host netip.Addr
 	// Interval is the time between announcements; 0 means DefaultInterval.
 	Interval time.Duration
 	// Missed is the number of missed announcements; 0 means DefaultMissed.
@@ -109,8 +112,8 @@
 // are of kind errors.NotValid.
 func (a *Announcements) Accept(body []byte) error {
 	next, err := ParseAnnouncement(body)
-	if err == nil && a.cfg.Service != "" && next.Service != a.cfg.Service {
-		err = errors.NotValidf("announcement of service %q to an agent of %q", next.Service, a.cfg.Service)
+	if err == nil {
+		err = a.foreign(next)
 	}
 	if err != nil {
 		announceTotal("rejected").Inc()
@@ -124,6 +127,17 @@
 	return nil
 }
 
+// foreign returns why an announcement is not one of the agent's own upstream, or nil.
+func (a *Announcements) foreign(next Announcement) error {
+	if a.cfg.Service != "" && next.Service != a.cfg.Service {
+		return errors.NotValidf("announcement of service %q to an agent of %q", next.Service, a.cfg.Service)
+	}
+	if ip := next.Address.Addr(); a.cfg.Host.IsValid() && !ip.IsLoopback() && ip != a.cfg.Host {
+		return errors.NotValidf("announcement of %s, which is not on this host %s,", next.Address, a.cfg.Host)
+	}
+	return nil
+}
+
 // Current returns the newest announcement; its state is StateGone when there is none.
 func (a *Announcements) Current() Announcement {
 	a.mu.Lock()
