platform, standin: the store's client speaks the platform's protocol

The project had an object API of its own (keys in paths, ETag, If-Match). The users' platform has one store with kinds, names, revisions in bodies and watches as lists; one client for both would be two. The client, its users and the stand-in move to the platform's protocol; keys keep the form KIND/NAME, slashes of a name travel as ~.

Existing tests of the store run against the stand-in as before; values in them are JSON now, which the protocol asks for.

--- a/apply/applier.go
+++ b/apply/applier.go
@@ -99,7 +99,7 @@
 
 // Objects returns all objects in the store, deleted ones included, ordered by key.
 func (a *Applier) Objects(ctx context.Context) ([]config.Object, error) {
-	l, err := a.cfg.Client.List(ctx, config.StorePrefix)
+	l, err := a.cfg.Client.List(ctx, config.StorePrefix, platform.Current)
 	if err != nil {
 		return nil, fmt.Errorf("reading the configuration: %w", err)
 	}
--- a/apply/applier_test.go
+++ b/apply/applier_test.go
@@ -169,7 +169,7 @@
 }
 
 func (b *beforeRead) RoundTrip(r *http.Request) (*http.Response, error) {
-	if hook := b.hook; hook != nil && r.Method == http.MethodGet && r.URL.Path != "/objects" {
+	if hook := b.hook; hook != nil && r.Method == http.MethodGet && strings.Count(r.URL.Path, "/") > 2 {
 		b.hook = nil
 		hook()
 	}
--- a/config/codec.go
+++ b/config/codec.go
@@ -80,8 +80,9 @@
 	return w.Object, w.check()
 }
 
-// StorePrefix starts the keys of all objects in the store.
-const StorePrefix = "config/"
+// StorePrefix starts the keys of all objects in the store. It is the name of a
+// kind of the store that belongs to this project.
+const StorePrefix = "endiveflow-config/"
 
 // StoreKey returns the key of an object in the store.
 func (k Key) StoreKey() string { return StorePrefix + k.String() }
--- a/confsync/page.go
+++ b/confsync/page.go
@@ -17,7 +17,7 @@
 )
 
 // pagePrefix starts the keys of the pages of entries.
-const pagePrefix = "entries/"
+const pagePrefix = "endiveflow-pages/"
 
 // Page lists the live entries of an availability zone as its writer saw them.
 type Page struct {
@@ -98,7 +98,7 @@
 
 // readPages reads the pages of all zones of the region in one call.
 func (s *Sync) readPages(ctx context.Context, now time.Time) error {
-	l, err := s.cfg.Client.List(ctx, PageKey(s.cfg.Region, ""))
+	l, err := s.cfg.Client.List(ctx, PageKey(s.cfg.Region, ""), platform.Current)
 	count("page_reads", resultOf(err))
 	if err != nil {
 		return fmt.Errorf("reading the pages of the region: %w", err)
--- a/confsync/watch.go
+++ b/confsync/watch.go
@@ -29,7 +29,7 @@
 // follow lists and watches until a call fails. It calls progress after each
 // call that succeeded.
 func (s *Sync) follow(ctx context.Context, progress func()) error {
-	l, err := s.cfg.Client.List(ctx, config.StorePrefix)
+	l, err := s.cfg.Client.List(ctx, config.StorePrefix, platform.Current)
 	count("lists", resultOf(err))
 	if err != nil {
 		return fmt.Errorf("listing the configuration: %w", err)
--- /dev/null
+++ b/flow/key.go
@@ -0,0 +1,61 @@
+package flow
+
+import (
+	"encoding/binary"
+	"net/netip"
+)
+
+// Endpoint is an IPv4 address with a port. Unlike netip.AddrPort it holds no
+// pointer, so that tables of millions of flows cost the garbage collector nothing.
+type Endpoint struct {
+	IP   uint32
+	Port uint16
+}
+
+// EndpointOf returns the endpoint of an IPv4 address; others give the zero Endpoint.
+func EndpointOf(a netip.AddrPort) Endpoint {
+	addr := a.Addr().Unmap()
+	if !addr.Is4() {
+		return Endpoint{}
+	}
+	b := addr.As4()
+	return Endpoint{IP: binary.BigEndian.Uint32(b[:]), Port: a.Port()}
+}
+
+// Addr returns the address without the port.
+func (e Endpoint) Addr() netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], e.IP)
+	return netip.AddrFrom4(b)
+}
+
+// AddrPort returns the endpoint as a netip.AddrPort.
+func (e Endpoint) AddrPort() netip.AddrPort { return netip.AddrPortFrom(e.Addr(), e.Port) }
+
+// String returns ADDRESS:PORT.
+func (e Endpoint) String() string { return e.AddrPort().String() }
+
+// Key identifies a flow.
+type Key struct {
+	// Caller is the caller's end.
+	Caller Endpoint
+	// Service is the address and port of the route.
+	Service Endpoint
+}
+
+// String returns the ID that logs and commands show.
+func (k Key) String() string { return k.Caller.String() + ">" + k.Service.String() }
+
+// Hash spreads keys over shards and candidates.
+func (k Key) Hash() uint64 {
+	return Mix(uint64(k.Caller.IP)<<32|uint64(k.Caller.Port)<<16|uint64(k.Service.Port)) ^ Mix(uint64(k.Service.IP)+1)
+}
+
+// Mix is the finalizer of MurmurHash3. It spreads every input bit over the output.
+func Mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -179,7 +180,8 @@
 func (p *Platform) at(key string, revision uint64) (platform.Object, bool) {
 	versions := p.versions[key]
 	i := sort.Search(len(versions), func(i int) bool { return versions[i].Version > revision })
-	if i == 0 {
+	// A version without a value is a deletion.
+	if i == 0 || versions[i-1].Value == nil {
 		return platform.Object{}, false
 	}
 	return versions[i-1], true
@@ -192,29 +194,32 @@
 	return p.at(key, p.asOf())
 }
 
-// list returns one page of the objects under a prefix, from a key on.
-func (p *Platform) list(prefix, from string, limit int) platform.Listing {
+// page is one answer to a list: objects in key order.
+type page struct {
+	revision uint64
+	objects  []platform.Object
+	more     bool
+}
+
+// list returns one page of the objects under a prefix, after a key.
+func (p *Platform) list(prefix, after string) page {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	revision := p.asOf()
-	out := platform.Listing{Revision: revision, Objects: []platform.Object{}}
+	out := page{revision: p.asOf()}
 	var keys []string
 	for key := range p.versions {
-		if _, ok := p.at(key, revision); ok && strings.HasPrefix(key, prefix) && key >= from {
+		if _, ok := p.at(key, out.revision); ok && strings.HasPrefix(key, prefix) && key > after {
 			keys = append(keys, key)
 		}
 	}
 	sort.Strings(keys)
-	if limit <= 0 || limit > p.cfg.PageObjects {
-		limit = p.cfg.PageObjects
-	}
-	if len(keys) > limit {
-		out.Next = keys[limit]
-		keys = keys[:limit]
+	if len(keys) > p.cfg.PageObjects {
+		out.more = true
+		keys = keys[:p.cfg.PageObjects]
 	}
 	for _, key := range keys {
-		o, _ := p.at(key, revision)
-		out.Objects = append(out.Objects, o)
+		o, _ := p.at(key, out.revision)
+		out.objects = append(out.objects, o)
 	}
 	return out
 }
@@ -228,6 +233,9 @@
 	if current.Version != base {
 		return current.Version, false
 	}
+	if base > 0 && bytes.Equal(current.Value, value) {
+		return current.Version, true
+	}
 	p.revision++
 	p.versions[key] = append(p.versions[key], platform.Object{Key: key, Version: p.revision, Value: value})
 	p.changes = append(p.changes, change{revision: p.revision, key: key})
@@ -240,33 +248,48 @@
 }
 
 // changed returns the newest versions of the keys under a prefix that changed
-// after a revision, and the channel that is closed when there may be more.
-func (p *Platform) changed(prefix string, after uint64) (l platform.Listing, woken <-chan struct{}, kept bool) {
+// after a revision, and the channel that is closed when there may be more. A
+// deleted key has no value.
+func (p *Platform) changed(prefix string, after uint64) (l page, woken <-chan struct{}, kept bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if after < p.dropped {
-		return platform.Listing{}, nil, false
+		return page{}, nil, false
 	}
-	revision := p.asOf()
-	l = platform.Listing{Revision: revision, Objects: []platform.Object{}}
+	l = page{revision: p.asOf()}
 	for _, c := range p.changes {
-		if c.revision <= after || c.revision > revision || !strings.HasPrefix(c.key, prefix) {
+		if c.revision <= after || c.revision > l.revision || !strings.HasPrefix(c.key, prefix) {
 			continue
 		}
 		// A key that changed again comes later, with its newest version.
-		o, _ := p.at(c.key, revision)
+		o := p.newest(c.key, l.revision)
 		if o.Version != c.revision {
 			continue
 		}
-		if len(l.Objects) == p.cfg.PageObjects {
-			l.Revision = l.Objects[len(l.Objects)-1].Version
+		if len(l.objects) == p.cfg.PageObjects {
+			l.revision = l.objects[len(l.objects)-1].Version
 			break
 		}
-		l.Objects = append(l.Objects, o)
+		l.objects = append(l.objects, o)
 	}
 	return l, p.woken, true
 }
 
+// newest returns the newest version of a key as of a revision, which may be a
+// deletion; p.mu is held.
+func (p *Platform) newest(key string, revision uint64) platform.Object {
+	if o, ok := p.at(key, revision); ok {
+		return o
+	}
+	versions := p.versions[key]
+	for i := len(versions) - 1; i >= 0; i-- {
+		if versions[i].Version <= revision {
+			return versions[i]
+		}
+	}
+	return platform.Object{}
+}
+
 // enter counts a call and says whether it is refused.
 func (p *Platform) enter(op string) (Switches, bool) {
 	p.mu.Lock()
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -14,17 +14,22 @@
 	"endiveflow.example/endiveflow/platform"
 )
 
-// maxWatchWait bounds how long a watch is held.
-const maxWatchWait = time.Minute
+const (
+	// maxWatchWaitMs bounds how long a watch is held, in milliseconds.
+	maxWatchWaitMs = 30_000
+	// maxMetaBytes is the room for all but the value in the body of a write.
+	maxMetaBytes = 4 << 10
+)
 
 // Handler serves the object API and, for trials by hand, GET and PUT /switches
 // and GET /calls.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /objects", p.guard("list", p.serveList))
-	mux.HandleFunc("GET /objects/{key...}", p.guard("get", p.serveGet))
-	mux.HandleFunc("PUT /objects/{key...}", p.guard("put", p.servePut))
-	mux.HandleFunc("GET /watch", p.guard("watch", p.serveWatch))
+	mux.HandleFunc("GET /objects/{kind}", p.serveKind)
+	mux.HandleFunc("POST /objects/{kind}", p.guard("put", p.servePut))
+	mux.HandleFunc("GET /objects/{kind}/{name}", p.guard("get", p.serveGet))
+	mux.HandleFunc("PUT /objects/{kind}/{name}", p.guard("put", p.servePut))
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.guard("delete", p.serveDelete))
 	mux.HandleFunc("GET /switches", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Switches()) })
 	mux.HandleFunc("PUT /switches", p.serveSwitches)
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Calls()) })
@@ -61,76 +66,143 @@
 	writeJSON(w, s)
 }
 
+// keyOf returns the key of the object that a path names.
+func keyOf(r *http.Request, name string) string {
+	return r.PathValue("kind") + "/" + strings.ReplaceAll(name, "~", "/")
+}
+
+// object is the form of an object in bodies.
+type object struct {
+	Meta meta            `json:"meta"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type meta struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+func objectOf(o platform.Object) object {
+	_, name, _ := strings.Cut(o.Key, "/")
+	return object{Meta: meta{Name: strings.ReplaceAll(name, "/", "~"), Revision: o.Version}, Spec: o.Value}
+}
+
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
-	o, ok := p.get(r.PathValue("key"))
+	o, ok := p.get(keyOf(r, r.PathValue("name")))
 	if !ok {
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
-	w.Header().Set("ETag", strconv.Quote(fmt.Sprint(o.Version)))
-	_, _ = w.Write(o.Value)
+	writeJSON(w, objectOf(o))
+}
+
+func (p *Platform) serveKind(w http.ResponseWriter, r *http.Request) {
+	if r.FormValue("watch") != "" {
+		p.guard("watch", p.serveWatch)(w, r)
+		return
+	}
+	p.guard("list", p.serveList)(w, r)
 }
 
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
-	limit, _ := strconv.Atoi(r.FormValue("limit"))
-	writeJSON(w, p.list(r.FormValue("prefix"), r.FormValue("from"), limit))
+	l := p.list(keyOf(r, ""), keyOf(r, r.FormValue("after")))
+	items := []object{}
+	for _, o := range l.objects {
+		items = append(items, objectOf(o))
+	}
+	writeJSON(w, struct {
+		Items         []object `json:"items"`
+		HasMore       bool     `json:"hasMore"`
+		StoreRevision uint64   `json:"storeRevision"`
+	}{items, l.more, l.revision})
 }
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
-	base, err := baseVersion(r.Header)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes+maxMetaBytes))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		http.Error(w, "value is too large or incomplete", http.StatusRequestEntityTooLarge)
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
-	if err != nil {
-		http.Error(w, "value is too large or incomplete", http.StatusRequestEntityTooLarge)
+	var o object
+	if err := json.Unmarshal(body, &o); err != nil || len(o.Spec) == 0 {
+		http.Error(w, "body is no object", http.StatusBadRequest)
 		return
 	}
-	version, ok := p.put(r.PathValue("key"), value, base)
+	if r.Method == http.MethodPost {
+		o.Meta.Revision = 0
+	}
+	key := keyOf(r, o.Meta.Name)
+	version, ok := p.put(key, o.Spec, o.Meta.Revision)
 	if !ok {
-		http.Error(w, fmt.Sprintf("object has version %d", version), http.StatusPreconditionFailed)
+		http.Error(w, fmt.Sprintf("object has version %d", version), http.StatusConflict)
 		return
 	}
 	if p.loseAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("ETag", strconv.Quote(fmt.Sprint(version)))
+	writeJSON(w, objectOf(platform.Object{Key: key, Version: version, Value: o.Spec}))
 }
 
-// baseVersion reads the condition of a write, which must have one.
-func baseVersion(h http.Header) (uint64, error) {
-	if h.Get("If-None-Match") == "*" {
-		return 0, nil
+func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
+	key := keyOf(r, r.PathValue("name"))
+	o, ok := p.get(key)
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
 	}
-	version, err := strconv.ParseUint(strings.Trim(h.Get("If-Match"), `"`), 10, 64)
-	if err != nil {
-		return 0, fmt.Errorf("reading If-Match: %w", err)
+	if want := r.FormValue("revision"); want != "" && want != fmt.Sprint(o.Version) {
+		http.Error(w, fmt.Sprintf("object has version %d", o.Version), http.StatusConflict)
+		return
+	}
+	if _, ok := p.put(key, nil, o.Version); !ok {
+		http.Error(w, "object changed", http.StatusConflict)
+		return
+	}
+	writeJSON(w, objectOf(o))
+}
+
+// event is one change in the answer to a watch.
+type event struct {
+	Object  object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+func writeEvents(w http.ResponseWriter, l page) {
+	events := []event{}
+	for _, o := range l.objects {
+		deleted := o.Value == nil
+		if deleted {
+			o.Value = []byte("null")
+		}
+		events = append(events, event{Object: objectOf(o), Deleted: deleted})
 	}
-	return version, nil
+	writeJSON(w, struct {
+		Events        []event `json:"events"`
+		StoreRevision uint64  `json:"storeRevision"`
+	}{events, l.revision})
 }
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	after, err := strconv.ParseUint(r.FormValue("watch"), 10, 64)
 	if err != nil {
-		http.Error(w, "after is not a revision", http.StatusBadRequest)
+		http.Error(w, "watch is not a revision", http.StatusBadRequest)
 		return
 	}
-	wait, err := time.ParseDuration(r.FormValue("wait"))
-	if err != nil || wait < 0 || wait > maxWatchWait {
-		http.Error(w, "wait is not a duration up to "+maxWatchWait.String(), http.StatusBadRequest)
+	wait, err := strconv.Atoi(r.FormValue("waitMs"))
+	if err != nil || wait < 0 || wait > maxWatchWaitMs {
+		http.Error(w, fmt.Sprintf("waitMs is not a number up to %d", maxWatchWaitMs), http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		l, woken, kept := p.changed(r.FormValue("prefix"), after)
+		l, woken, kept := p.changed(keyOf(r, ""), after)
 		if !kept {
 			http.Error(w, "revision is no longer kept", http.StatusGone)
 			return
 		}
-		if len(l.Objects) > 0 {
-			writeJSON(w, l)
+		if len(l.objects) > 0 {
+			writeEvents(w, l)
 			return
 		}
 		select {
@@ -140,7 +212,7 @@
 				return
 			}
 		case <-timer.C:
-			writeJSON(w, l)
+			writeEvents(w, l)
 			return
 		case <-r.Context().Done():
 			return
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -24,22 +24,22 @@
 	base := "http://" + p.Addr().String()
 	c, err := platform.New(platform.Config{URL: base, Backoff: platform.Backoff{Max: time.Millisecond}})
 	require.NoError(t, err)
-	version, err := c.Put(ctx, "a", []byte("1"), 0)
+	version, err := c.Put(ctx, "a/a", []byte("1"), 0)
 	require.NoError(t, err)
 
 	set(t, base, `{"outage": true}`)
-	_, err = c.Get(ctx, "a")
+	_, err = c.Get(ctx, "a/a")
 	require.ErrorIs(t, err, platform.Unavailable)
 	set(t, base, `{"loseAnswers": 1}`)
-	_, err = c.Put(ctx, "a", []byte("2"), version)
+	_, err = c.Put(ctx, "a/a", []byte("2"), version)
 	require.ErrorIs(t, err, platform.Unclear)
-	o, err := c.Get(ctx, "a")
+	o, err := c.Get(ctx, "a/a")
 	require.NoError(t, err)
 	require.Equal(t, "2", string(o.Value))
 
 	watched := make(chan error, 1)
 	go func() {
-		_, err := c.Watch(t.Context(), "a", o.Version)
+		_, err := c.Watch(t.Context(), "a/", o.Version)
 		watched <- err
 	}()
 	require.Eventually(t, func() bool { return p.Calls()["watch"] == 1 }, 10*time.Second, time.Millisecond)
