--- a/flow/segment.go
+++ b/flow/segment.go
@@ -19,10 +19,9 @@
 // Opens says whether a caller asks for a new flow with the packet.
 func (s Segment) Opens() bool { return s.Opening && !s.Acking }
 
-// Window is the largest distance between acknowledgement numbers of one flow
-// that still counts as the same numbering.
-const Window = 1 << 30
+// Window is the largest distance between numbers of one flow that are in use
+// at the same time. It is far above the 16 packets that an end may have in flight.
+const Window = 1 << 20
 
-// Follows says whether an acknowledgement number belongs to a numbering that
-// started at start.
-func Follows(start, ack uint32) bool { return ack-start <= Window }
+// Near says whether two numbers lie within Window of each other.
+func Near(a, b uint32) bool { return a-b <= Window || b-a <= Window }
--- /dev/null
+++ b/host/tracker_test.go
@@ -0,0 +1,68 @@
+package host_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/host"
+)
+
+func report(id string, born int64, sequence uint64, state host.State) host.Report {
+	return host.Report{ID: id, Born: born, Sequence: sequence, State: state, Slots: 4}
+}
+
+// Guards against a late heartbeat of a dead incarnation that revives it.
+func TestDelayedHeartbeatOfFormerHost(t *testing.T) {
+	var tr host.Tracker
+	require.Equal(t, host.Replaced, tr.Take(report("a", 100, 5, host.Ready)))
+	require.Equal(t, host.Replaced, tr.Take(report("b", 200, 1, host.Ready)))
+	require.Equal(t, host.Outdated, tr.Take(report("a", 100, 6, host.Ready)))
+	now, _ := tr.Current()
+	require.Equal(t, "b", now.ID)
+}
+
+// Guards against a host that starts again under its ID and is taken for late,
+// because its sequence starts anew.
+func TestRestartUnderSameID(t *testing.T) {
+	var tr host.Tracker
+	tr.Take(report("a", 100, 50, host.Draining))
+	require.Equal(t, host.Replaced, tr.Take(report("a", 300, 1, host.Ready)))
+	require.Equal(t, host.Outdated, tr.Take(report("a", 100, 51, host.Draining)))
+	now, _ := tr.Current()
+	require.Equal(t, host.Ready, now.State)
+}
+
+// Guards against new work for a host that said goodbye, brought back by a
+// heartbeat that was under way.
+func TestGoneIsFinal(t *testing.T) {
+	var tr host.Tracker
+	tr.Take(report("a", 100, 5, host.Draining))
+	require.False(t, tr.Leave("b"))
+	require.True(t, tr.Leave("a"))
+	require.Equal(t, host.Outdated, tr.Take(report("a", 100, 6, host.Ready)))
+	require.Equal(t, host.Replaced, tr.Take(report("c", 101, 1, host.Ready)))
+}
+
+// Guards against an end state that depends on the order of arrival.
+func TestOrderOfArrival(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []host.Report
+		for born := int64(1); born <= 3; born++ {
+			for sequence := uint64(1); sequence <= 4; sequence++ {
+				reports = append(reports, report("h", born, sequence, host.Ready))
+			}
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		rand.New(rand.NewPCG(seed, 0)).Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+		var tr host.Tracker
+		for _, r := range reports {
+			tr.Take(r)
+		}
+		now, ok := tr.Current()
+		require.True(t, ok)
+		require.Equal(t, report("h", 3, 4, host.Ready), now)
+	})
+}
--- /dev/null
+++ b/mesh/message_test.go
@@ -0,0 +1,80 @@
+package mesh_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
+)
+
+func endpoint(t *rapid.T, name string) flow.Endpoint {
+	return flow.Endpoint{IP: rapid.Uint32().Draw(t, name+"IP"), Port: rapid.Uint16().Draw(t, name+"Port")}
+}
+
+// Guards against fields that overlap in the head or get lost on the way.
+func TestMessageRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.Uint8Range(1, mesh.MaxCandidates).Draw(t, "count")
+		in := mesh.Message{
+			Kind: mesh.Kind(rapid.Uint8Range(1, 10).Draw(t, "kind")), Service: rapid.Uint32().Draw(t, "service"),
+			ConfigVersion: rapid.Uint64().Draw(t, "version"), Entry: rapid.Uint32().Draw(t, "entry"),
+			Flow: flow.Key{Caller: endpoint(t, "caller"), Service: endpoint(t, "route")},
+			Offered: mesh.Terms{
+				At: rapid.Uint8Range(0, count-1).Draw(t, "at"), Best: rapid.Uint8().Draw(t, "best"),
+				BestWait: mesh.Wait(rapid.Uint16().Draw(t, "bestWait")), MustTake: rapid.Bool().Draw(t, "mustTake"),
+				Copy: rapid.Bool().Draw(t, "copy"), Priority: rapid.Uint8().Draw(t, "priority"),
+				Target: mesh.Wait(rapid.Uint16().Draw(t, "target")), Usual: mesh.Wait(rapid.Uint16().Draw(t, "usual")),
+			},
+			Load: mesh.Load{
+				Busy: rapid.Uint16().Draw(t, "busy"), Slots: rapid.Uint16().Draw(t, "slots"),
+				Service: mesh.Wait(rapid.Uint16().Draw(t, "mean")), Open: rapid.Bool().Draw(t, "open"),
+			},
+			Count: count, Body: rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "body"),
+		}
+		for i := range count {
+			in.Candidates[i] = rapid.Uint32().Draw(t, "candidate")
+		}
+		var out mesh.Message
+		require.NoError(t, out.Decode(in.Append(nil)))
+		require.ElementsMatch(t, in.Body, out.Body)
+		in.Body, out.Body = nil, nil
+		require.Equal(t, in, out)
+	})
+}
+
+// Guards against a panic or a read beyond the datagram on any bytes that arrive.
+func FuzzMessage(f *testing.F) {
+	m := mesh.Message{Kind: mesh.Offer, Count: 2, Body: []byte("x")}
+	f.Add(m.Append(nil))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m mesh.Message
+		if m.Decode(b) != nil {
+			return
+		}
+		require.LessOrEqual(t, int(m.Count), mesh.MaxCandidates)
+		_, _ = mesh.DecodeReport[mesh.Agent](m.Body)
+		_, _ = mesh.DecodeReport[mesh.Entry](m.Body)
+	})
+}
+
+// Guards against a report that loses the incarnation or the state of a host.
+func TestReportRoundTrip(t *testing.T) {
+	in := mesh.Agent{IP: 7, Incarnation: 9, Version: 3, Service: "rota", Zone: "a", Host: host.Draining, HostID: "i", Born: 5, Warm: true}
+	b, err := mesh.EncodeReport(in)
+	require.NoError(t, err)
+	out, err := mesh.DecodeReport[mesh.Agent](b)
+	require.NoError(t, err)
+	require.Equal(t, in, out)
+}
+
+// Guards against times that wrap around in a message.
+func TestWait(t *testing.T) {
+	require.Equal(t, mesh.Wait(0xffff), mesh.WaitOf(time.Hour))
+	require.Zero(t, mesh.WaitOf(-time.Second))
+	require.Equal(t, 26*time.Millisecond, mesh.WaitOf(26*time.Millisecond).Duration())
+}
--- /dev/null
+++ b/packetagent/hoststate.go
@@ -0,0 +1,202 @@
+package packetagent
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
+)
+
+// Heartbeat takes a report of the host. When it returns nil the report is in force.
+func (a *Agent) Heartbeat(r host.Report) error {
+	if r.Service != a.cfg.Service || r.Address != a.cfg.Host {
+		return errors.NotValidf("heartbeat of %s for service %q at %s, expected service %q at %s:",
+			r, r.Service, r.Address, a.cfg.Service, a.cfg.Host)
+	}
+	before, known := a.host.Current()
+	outcome := a.host.Take(r)
+	if outcome == host.Outdated {
+		a.cfg.Log.Warn("late heartbeat ignored", "host", r.String(), "current", before.String(), "state", before.State.String())
+		return nil
+	}
+	now := a.cfg.Now()
+	a.silent.Store(0)
+	a.load.SetSlots(r.Slots)
+	a.load.SetOpen(r.State == host.Ready)
+	a.warmUntil.Store(int64(now + r.Warmup))
+	if outcome == host.Replaced {
+		a.replaced(known, r)
+	}
+	if outcome == host.Replaced || before.State != r.State || before.Slots != r.Slots {
+		a.cfg.Log.Info("host", "host", r.String(), "outcome", outcome.String(), "state", r.State.String(), "before", before.State.String(),
+			"slots", r.Slots, "warmupMs", r.Warmup.Milliseconds(), "software", r.Software)
+		a.cfg.Changed()
+	}
+	return nil
+}
+
+// replaced ends the flows of the host's former incarnation. A host that
+// started after this process has no flow that the agent doesn't know.
+func (a *Agent) replaced(known bool, r host.Report) {
+	if known {
+		a.endAll("another incarnation of the host is at its address")
+		a.load.Restarted()
+	}
+	if known || r.Born > a.cfg.Incarnation {
+		a.knowsAll.Store(true)
+	}
+}
+
+// Leave takes the host's goodbye.
+func (a *Agent) Leave(id string) error {
+	if !a.host.Leave(id) {
+		a.cfg.Log.Warn("goodbye of a host that isn't the current one", "id", id)
+		return nil
+	}
+	a.load.SetOpen(false)
+	a.cfg.Log.Info("host", "id", id, "outcome", "left")
+	a.cfg.Changed()
+	a.endAll("the host left")
+	return nil
+}
+
+// HostDown marks the host as certainly gone: nothing listens at its address.
+func (a *Agent) HostDown() {
+	r, known := a.host.Current()
+	if known {
+		a.host.Leave(r.ID)
+	}
+	a.load.SetOpen(false)
+	a.cfg.Log.Warn("host", "host", r.String(), "outcome", "down", "why", "its port refuses connections")
+	a.cfg.Changed()
+	a.endAll("the host is down")
+}
+
+// HostSilent closes a host that doesn't answer until it is heard from.
+func (a *Agent) HostSilent() {
+	if !a.load.Load().Open {
+		return
+	}
+	a.load.SetOpen(false)
+	a.cfg.Log.Warn("host", "outcome", "silent", "openings", a.silent.Load())
+	a.cfg.Changed()
+}
+
+// Suspect says whether the host left opening packets unanswered.
+func (a *Agent) Suspect() bool { return a.silent.Load() >= silentLimit }
+
+// endAll resets all flows of a host that is certainly gone, so that callers try again at once.
+func (a *Agent) endAll(why string) {
+	n := 0
+	type lostFlow struct {
+		key flow.Key
+		ack uint32
+	}
+	var lost []lostFlow
+	now := a.cfg.Now()
+	a.flows.Sweep(func(key flow.Key, r *record) bool {
+		if r.phase != ended {
+			if !(r.callerEnded && r.hostEnded) {
+				lost = append(lost, lostFlow{key, r.callerAck})
+			}
+			r.moveTo(ended, now, a.load)
+			n++
+		}
+		return false
+	})
+	for _, f := range lost {
+		a.reset(f.key, f.ack)
+		resets.Inc()
+	}
+	if n > 0 {
+		a.cfg.Log.Warn("flows ended", "why", why, "flows", n)
+	}
+}
+
+// Stop lets the host's flows end while new ones go elsewhere.
+func (a *Agent) Stop() {
+	a.leaving.Store(true)
+	a.load.SetOpen(false)
+	a.cfg.Changed()
+}
+
+// Report returns what the agent says of itself.
+func (a *Agent) Report() mesh.Agent {
+	r, _ := a.host.Current()
+	return mesh.Agent{
+		IP: a.cfg.IP, Incarnation: a.cfg.Incarnation, Version: a.reports.Add(1), Service: a.cfg.Service, Zone: a.cfg.Zone,
+		Leaving: a.leaving.Load(), Host: r.State, HostID: r.ID, Born: r.Born,
+		Warm: a.cfg.Now() >= time.Duration(a.warmUntil.Load()),
+	}
+}
+
+// ReportMessage returns the message that carries the report.
+func (a *Agent) ReportMessage() ([]byte, error) {
+	body, err := mesh.EncodeReport(a.Report())
+	if err != nil {
+		return nil, err
+	}
+	m := a.message(mesh.AgentReport, 0, flow.Key{})
+	m.Body = body
+	return m.Append(nil), nil
+}
+
+// Tick does what is due: it sends on the offers that the host did not answer.
+// It returns the time until something else is due, or 0 when nothing waits.
+func (a *Agent) Tick() time.Duration {
+	now := a.cfg.Now()
+	for {
+		a.waitMu.Lock()
+		if len(a.waits) == 0 {
+			a.waits = nil
+			a.waitMu.Unlock()
+			return 0
+		}
+		w := a.waits[0]
+		if w.due > now {
+			a.waitMu.Unlock()
+			return w.due - now
+		}
+		a.waits = a.waits[1:]
+		a.waitMu.Unlock()
+		a.unanswered(w.key, now)
+	}
+}
+
+func (a *Agent) unanswered(key flow.Key, now time.Duration) {
+	shard := a.flows.Lock(key)
+	r := shard.Get(key)
+	if r == nil || r.phase != opening || r.offer == nil || now-r.since < a.cfg.AnswerTimeout {
+		shard.Unlock()
+		return
+	}
+	held := r.offer
+	r.moveTo(ended, now, a.load)
+	shard.Delete(key)
+	shard.Unlock()
+	a.silent.Add(1)
+	a.decline(key, held, "no answer")
+}
+
+// Sweep forgets what is over. It is called about once a second.
+func (a *Agent) Sweep() {
+	now := a.cfg.Now()
+	a.flows.Sweep(func(_ flow.Key, r *record) bool {
+		if r.phase == awaited && now-r.since > a.cfg.RequestTimeout {
+			r.moveTo(idle, now, a.load)
+		}
+		keep := a.cfg.IdleTimeout + endedLinger
+		if r.phase == ended {
+			keep = endedLinger
+		}
+		if now-r.touched <= keep {
+			return true
+		}
+		r.moveTo(ended, now, a.load)
+		return false
+	})
+	a.searches.Sweep(func(_ flow.Key, s *search) bool { return now-s.at < searchMemory })
+}
--- /dev/null
+++ b/packetagent/metrics.go
@@ -0,0 +1,28 @@
+package packetagent
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"endiveflow.example/endiveflow/placement"
+)
+
+// Metrics are documented in docs/metrics/packetagent.md.
+var (
+	badDatagrams = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="datagram"}`)
+	badPackets   = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="packet"}`)
+	wrongService = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="service"}`)
+	bounces      = metrics.NewCounter(`endiveflow_packetagent_bounced_total`)
+	declined     = metrics.NewCounter(`endiveflow_packetagent_declined_total`)
+	missing      = metrics.NewCounter(`endiveflow_packetagent_missing_total`)
+	learnedFlows = metrics.NewCounter(`endiveflow_packetagent_learned_total`)
+	resets       = metrics.NewCounter(`endiveflow_packetagent_resets_total`)
+
+	// decisions counts offers by the action taken.
+	decisions = func() map[placement.Action]*metrics.Counter {
+		m := make(map[placement.Action]*metrics.Counter)
+		for _, a := range []placement.Action{placement.Take, placement.Pass, placement.Return, placement.Refuse} {
+			m[a] = metrics.NewCounter(`endiveflow_packetagent_offers_total{action="` + a.String() + `"}`)
+		}
+		return m
+	}()
+)
--- /dev/null
+++ b/packetagent/record.go
@@ -0,0 +1,128 @@
+package packetagent
+
+import (
+	"time"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/placement"
+)
+
+// phase is where a flow stands at its host.
+type phase uint8
+
+const (
+	// opening: the opening packet was given to the host, which has not answered.
+	opening phase = iota
+	// awaited: the host answered, and a request is expected.
+	awaited
+	// running: a request is in the host.
+	running
+	// idle: no request is in the host.
+	idle
+	// ended: both ends closed the flow, or one reset it.
+	ended
+)
+
+// busy says whether a flow in the phase counts as busy.
+func (p phase) busy() bool { return p == opening || p == awaited || p == running }
+
+// record is what the agent knows of one flow.
+type record struct {
+	phase phase
+	// since is when the phase began, touched when the last packet passed.
+	since, touched time.Duration
+	// hostSeq is the newest sequence number of the host; hasSeq says whether it is known.
+	hostSeq uint32
+	hasSeq  bool
+	// confirmed says that the caller acknowledged the host's numbers: the flow is open here.
+	confirmed bool
+	// callerAck is the caller's last acknowledgement number, callerNext the number after its newest data.
+	callerAck, callerNext uint32
+	hasCallerNext         bool
+	// callerEnded and hostEnded say which ends have closed.
+	callerEnded, hostEnded bool
+	// offer is what has to go on if the host doesn't answer; nil unless opening.
+	offer *heldOffer
+}
+
+// heldOffer is an offer that its host may still decline.
+type heldOffer struct {
+	message mesh.Message
+	packet  []byte
+}
+
+// moveTo changes the phase and keeps the load in step.
+func (r *record) moveTo(p phase, now time.Duration, load *placement.Host) {
+	switch {
+	case r.phase == p:
+		return
+	case r.phase == running && p == idle:
+		load.Answered(now - r.since)
+	case r.phase.busy() && !p.busy():
+		load.Ended()
+	case !r.phase.busy() && p.busy():
+		load.Began()
+	}
+	r.phase, r.since = p, now
+	if p != opening {
+		r.offer = nil
+	}
+}
+
+// holds says whether a packet of the caller belongs to the flow as this host
+// opened it. Another host may have answered a copy of the opening packet, and then
+// the caller acknowledges that host's numbers.
+func (r *record) holds(s flow.Segment) bool {
+	return !r.hasSeq || !s.Acking || flow.Near(r.hostSeq, s.Ack)
+}
+
+// fromCaller notes a packet that is given to the host.
+func (r *record) fromCaller(s flow.Segment, now time.Duration, load *placement.Host) {
+	r.touched = now
+	if s.Acking {
+		r.callerAck = s.Ack
+		r.confirmed = r.confirmed || r.hasSeq
+	}
+	r.callerEnded = r.callerEnded || s.Ending
+	fresh := r.freshData(s)
+	switch {
+	case r.phase == ended:
+	case s.Resetting:
+		r.moveTo(ended, now, load)
+	case fresh && r.phase != running:
+		r.moveTo(running, now, load)
+	case r.callerEnded && r.hostEnded:
+		r.moveTo(ended, now, load)
+	}
+}
+
+// freshData says whether a packet carries data that no packet before it did.
+// Data that is sent again is no further request.
+func (r *record) freshData(s flow.Segment) bool {
+	if s.Data == 0 || r.hasCallerNext && r.callerNext-s.Seq-1 < flow.Window {
+		return false
+	}
+	r.callerNext, r.hasCallerNext = s.Seq+uint32(s.Data), true
+	return true
+}
+
+// fromHost notes a packet of the host.
+func (r *record) fromHost(s flow.Segment, now time.Duration, load *placement.Host) {
+	r.touched = now
+	if !r.hasSeq || s.Seq-r.hostSeq < flow.Window {
+		r.hostSeq, r.hasSeq = s.Seq, true
+	}
+	r.hostEnded = r.hostEnded || s.Ending
+	switch {
+	case r.phase == ended:
+	case s.Resetting:
+		r.moveTo(ended, now, load)
+	case s.Opening && r.phase == opening:
+		r.moveTo(awaited, now, load)
+	case s.Data > 0 && r.phase != idle:
+		r.moveTo(idle, now, load)
+	case r.callerEnded && r.hostEnded:
+		r.moveTo(ended, now, load)
+	}
+}
--- /dev/null
+++ b/packetentry/metrics.go
@@ -0,0 +1,16 @@
+package packetentry
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Metrics are documented in docs/metrics/packetentry.md.
+var (
+	badDatagrams = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="datagram"}`)
+	badPackets   = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="packet"}`)
+	noAgents     = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="noAgent"}`)
+	noRoutes     = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noRoute"}`)
+	offersSent   = metrics.NewCounter(`endiveflow_packetentry_offers_total`)
+	silentOffers = metrics.NewCounter(`endiveflow_packetentry_silent_total`)
+	gaveUp       = metrics.NewCounter(`endiveflow_packetentry_gave_up_total`)
+	forwarded    = metrics.NewCounter(`endiveflow_packetentry_forwarded_total`)
+	searches     = metrics.NewCounter(`endiveflow_packetentry_searches_total`)
+)
--- /dev/null
+++ b/packetentry/receive.go
@@ -0,0 +1,248 @@
+package packetentry
+
+import (
+	"time"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/platform"
+)
+
+// Receive takes a datagram of another process.
+func (e *Entry) Receive(datagram []byte) {
+	var m mesh.Message
+	if err := m.Decode(datagram); err != nil {
+		badDatagrams.Inc()
+		return
+	}
+	if m.ConfigVersion > e.cfg.Routes.Version() && m.Entry != 0 {
+		e.cfg.NewerConfig(m.Entry)
+	}
+	switch m.Kind {
+	case mesh.AgentReport:
+		e.agentReport(&m)
+	case mesh.EntryReport:
+		e.entryReport(&m)
+	case mesh.Taken, mesh.Passed, mesh.Refused, mesh.Missing:
+		if a := e.roster.agent(m.Entry); a != nil {
+			a.told(m.Load, e.cfg.Now())
+		}
+		e.notice(&m)
+	default:
+		badDatagrams.Inc()
+	}
+}
+
+func (e *Entry) agentReport(m *mesh.Message) {
+	report, err := mesh.DecodeReport[mesh.Agent](m.Body)
+	if err != nil || report.IP != m.Entry || report.Service == "" {
+		badDatagrams.Inc()
+		return
+	}
+	fresh, changed := e.roster.takeAgent(report, m.Load)
+	if changed {
+		e.cfg.Log.Info("agent", "agent", addr(report.IP), "incarnation", report.Incarnation, "report", report.Version, "service", report.Service,
+			"host", report.HostID, "state", report.Host.String(), "leaving", report.Leaving, "warm", report.Warm, "slots", m.Load.Slots)
+	}
+	if fresh {
+		e.cfg.Met(report.IP)
+	}
+}
+
+func (e *Entry) entryReport(m *mesh.Message) {
+	report, err := mesh.DecodeReport[mesh.Entry](m.Body)
+	if err != nil || report.IP != m.Entry {
+		badDatagrams.Inc()
+		return
+	}
+	if e.roster.takeEntry(report) {
+		e.cfg.Log.Info("entry", "entry", addr(report.IP), "incarnation", report.Incarnation, "zone", report.Zone)
+		e.cfg.Met(report.IP)
+	}
+	for _, ip := range report.Agents {
+		if e.roster.agent(ip) == nil {
+			e.cfg.Met(ip)
+		}
+	}
+}
+
+// notice takes what an agent says of a flow.
+func (e *Entry) notice(m *mesh.Message) {
+	shard := e.flows.Lock(m.Flow)
+	r := shard.Get(m.Flow)
+	now := e.cfg.Now()
+	switch m.Kind {
+	case mesh.Taken:
+		if r == nil {
+			r = &record{touched: now}
+			shard.Put(m.Flow, r)
+		}
+		r.agent, r.taken, r.opening = m.Entry, true, nil
+	case mesh.Passed:
+		if r != nil && !r.taken && m.Offered.At < m.Count {
+			r.agent, r.asked = m.Candidates[m.Offered.At], now
+		}
+	case mesh.Refused:
+		if r != nil && !r.taken {
+			shard.Delete(m.Flow)
+		}
+	default:
+		e.missing(m, r, shard.Delete)
+		shard.Unlock()
+		e.searchAgain(m)
+		return
+	}
+	shard.Unlock()
+}
+
+// missing forgets where a flow was when that agent says that it isn't there.
+func (e *Entry) missing(m *mesh.Message, r *record, forget func(flow.Key)) {
+	if r != nil && r.taken && r.agent == m.Entry {
+		forget(m.Flow)
+	}
+}
+
+// searchAgain looks for the flow of a packet that an agent gave back. The
+// agents that don't have it won't give it back again.
+func (e *Entry) searchAgain(m *mesh.Message) {
+	s, err := platform.DecodePacket(m.Body, platform.FromCaller)
+	if err != nil || s.Opening {
+		return
+	}
+	shard := e.flows.Lock(s.Key)
+	r := shard.Get(s.Key)
+	elsewhere := uint32(0)
+	if r != nil && r.taken && r.agent != m.Entry {
+		elsewhere = r.agent
+	}
+	asked := r != nil && !r.taken && e.cfg.Now()-r.asked < e.cfg.SearchTimeout
+	shard.Unlock()
+	switch {
+	case elsewhere != 0:
+		e.forward(mesh.Deliver, elsewhere, s, m.Body)
+	case !asked:
+		e.search(s, m.Body)
+	}
+}
+
+// Tick does what is due: it offers flows again whose agent stayed silent. It
+// returns the time until something else is due, or 0 when nothing waits.
+func (e *Entry) Tick() time.Duration {
+	now := e.cfg.Now()
+	next := time.Duration(0)
+	for _, list := range []*[]wait{&e.offers, &e.searches} {
+		for {
+			w, left := e.due(list, now)
+			if left != 0 {
+				if next == 0 || left < next {
+					next = left
+				}
+				break
+			}
+			if w == nil {
+				break
+			}
+			e.overdue(w.key, now, list == &e.searches)
+		}
+	}
+	return next
+}
+
+// due takes the first wait that is due, or returns the time until the next one.
+func (e *Entry) due(list *[]wait, now time.Duration) (*wait, time.Duration) {
+	e.waitMu.Lock()
+	defer e.waitMu.Unlock()
+	if len(*list) == 0 {
+		*list = nil
+		return nil, 0
+	}
+	w := (*list)[0]
+	if w.due > now {
+		return nil, w.due - now
+	}
+	*list = (*list)[1:]
+	return &w, 0
+}
+
+// overdue offers a flow again that wasn't taken in time.
+func (e *Entry) overdue(key flow.Key, now time.Duration, searched bool) {
+	shard := e.flows.Lock(key)
+	r := shard.Get(key)
+	if r == nil || r.taken || r.opening == nil {
+		shard.Unlock()
+		return
+	}
+	if left := r.asked + e.cfg.OfferTimeout - now; !searched && left > 0 {
+		// An agent passed the offer on meanwhile.
+		shard.Unlock()
+		e.await(&e.offers, wait{key, now + left})
+		return
+	}
+	if !searched {
+		e.blame(key, r)
+	}
+	route, ok := e.cfg.Routes.Current().Find(key.Service)
+	if !ok || r.offers >= maxOffers {
+		shard.Delete(key)
+		shard.Unlock()
+		gaveUp.Inc()
+		if e.cfg.Log.Rare() {
+			e.cfg.Log.Warn("open", "flow", key.String(), "outcome", "gave up", "offers", maxOffers)
+		}
+		return
+	}
+	e.offer(shard, key, r, route)
+}
+
+// blame notes that the agent that has an offer stayed silent.
+func (e *Entry) blame(key flow.Key, r *record) {
+	if r.offers > 0 {
+		r.tried[r.offers-1] = r.agent
+	}
+	silentOffers.Inc()
+	if a := e.roster.agent(r.agent); a != nil {
+		a.markSilent()
+	}
+	if e.cfg.Log.Rare() {
+		e.cfg.Log.Warn("agent", "agent", addr(r.agent), "outcome", "silent", "flow", key.String(), "afterMs", e.cfg.OfferTimeout.Milliseconds(), "attempt", r.offers)
+	}
+}
+
+// Ready says whether the entry can place flows, or why it can't.
+func (e *Entry) Ready() (bool, string) {
+	switch {
+	case e.leaving.Load():
+		return false, "leaving"
+	case e.cfg.Routes.Current() == nil:
+		return false, "no configuration"
+	case len(e.roster.all()) == 0:
+		return false, "no agents"
+	}
+	return true, ""
+}
+
+// Stop makes the entry not ready; it goes on forwarding.
+func (e *Entry) Stop() { e.leaving.Store(true) }
+
+// Known returns the addresses of the processes that were heard from lately.
+func (e *Entry) Known() (entries, agents []uint32) { return e.roster.heardFrom() }
+
+// ReportMessage returns the message that carries what the entry says of itself.
+func (e *Entry) ReportMessage() ([]byte, error) {
+	entries, agents := e.roster.heardFrom()
+	body, err := mesh.EncodeReport(mesh.Entry{IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone, Entries: entries, Agents: agents})
+	if err != nil {
+		return nil, err
+	}
+	m := mesh.Message{Kind: mesh.EntryReport, ConfigVersion: e.cfg.Routes.Version(), Entry: e.cfg.IP, Body: body}
+	return m.Append(nil), nil
+}
+
+// Sweep forgets flows without packets and processes that have been silent for long. It is called about once a second.
+func (e *Entry) Sweep() {
+	now := e.cfg.Now()
+	e.flows.Sweep(func(_ flow.Key, r *record) bool { return now-r.touched <= e.cfg.IdleTimeout })
+	for _, ip := range e.roster.sweep() {
+		e.cfg.Log.Warn("process forgotten", "process", addr(ip), "silentS", e.cfg.Forget.Seconds())
+	}
+}
--- /dev/null
+++ b/packetnode/http.go
@@ -0,0 +1,80 @@
+package packetnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"endiveflow.example/endiveflow/routing"
+)
+
+// Paths that processes serve to each other and to operators.
+const (
+	configPath  = "/config"
+	metricsPath = "/metrics"
+)
+
+// Bounds of the calls that a process serves.
+const (
+	// headerTimeout keeps a stuck client from holding a connection.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes connections without calls, which cost descriptors.
+	idleTimeout = 30 * time.Second
+	// keepAlive finds clients that went away without a word.
+	keepAlive = 5 * time.Second
+)
+
+// serve serves HTTP until ctx ends.
+func serve(ctx context.Context, address netip.AddrPort, handler http.Handler) (<-chan error, error) {
+	listener, err := (&net.ListenConfig{KeepAlive: keepAlive}).Listen(ctx, "tcp4", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listening for calls at %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	done := make(chan error, 1)
+	go func() {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return done, nil
+}
+
+// internalHandler serves other processes and operators.
+func internalHandler(routes *routing.Holder) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
+		table := routes.Current()
+		if table == nil {
+			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write(table.Encoded)
+	})
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	return mux
+}
+
+// newHTTPClient returns a client that gives up on connections that went silent.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// dialTimeout bounds the opening of a connection between VMs.
+const dialTimeout = 500 * time.Millisecond
--- /dev/null
+++ b/packetnode/report.go
@@ -0,0 +1,71 @@
+package packetnode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"endiveflow.example/endiveflow/eventlog"
+)
+
+// reporter sends a process's report to those it knows: at an interval, at
+// once after a change, and to each process that it meets.
+type reporter struct {
+	message  func() ([]byte, error)
+	audience func() []uint32
+	send     func(uint32, []byte)
+	now      <-chan struct{}
+	met      <-chan uint32
+	// each is called before each regular report.
+	each func()
+	log  *eventlog.Log
+}
+
+func (r reporter) run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		defer func() { done <- nil }()
+		ticker := time.NewTicker(reportInterval)
+		defer ticker.Stop()
+		r.report(r.audience())
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				r.each()
+				r.report(r.audience())
+			case <-r.now:
+				r.report(r.audience())
+			case ip := <-r.met:
+				r.report([]uint32{ip})
+			}
+		}
+	}()
+	return done
+}
+
+func (r reporter) report(to []uint32) {
+	b, err := r.message()
+	if err != nil {
+		r.log.Error("report not sent", "error", err.Error())
+		return
+	}
+	for _, ip := range to {
+		r.send(ip, b)
+	}
+}
+
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// union returns the values of all lists, each once.
+func union(lists ...[]uint32) []uint32 {
+	all := slices.Concat(lists...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- /dev/null
+++ b/placement/doc.go
@@ -0,0 +1,14 @@
+// Package placement decides where a new flow goes and whether it is refused.
+// It does no I/O.
+//
+// An entry orders the agents of a service with Order. Each agent decides about
+// an offer for its own host with Host.Decide: it takes the flow, passes the offer
+// on to the next candidate, sends it back to the candidate with the shortest expected wait,
+// or refuses it. The decision rests on the number of requests in the host and
+// their measured time, which the agent knows exactly for its own host.
+//
+// It answers these loads: random bursts below capacity (a free slot is found
+// within a few visits), a host that is slow or cold (its longer time counts as wait),
+// and load above capacity (a flow that no host can serve within its target is
+// refused at once, so that those that are taken are served in time).
+package placement
--- /dev/null
+++ b/placement/host_test.go
@@ -0,0 +1,129 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/placement"
+)
+
+func terms(at uint8) mesh.Terms {
+	return mesh.Terms{At: at, Best: mesh.NoCandidate, Target: mesh.WaitOf(150 * time.Millisecond)}
+}
+
+// busyHost returns a host with slots for 4 requests that has n of 30 ms.
+func busyHost(n int) *placement.Host {
+	h := placement.NewHost(placement.HostConfig{Slots: 4})
+	for range n {
+		h.Began()
+	}
+	return h
+}
+
+// walk sends an offer through hosts as agents do, and returns who took it.
+func walk(t require.TestingT, hosts []*placement.Host, o mesh.Terms) (taken int, visits int) {
+	for visits = 1; visits <= len(hosts)+1; visits++ {
+		at := int(o.At)
+		d := hosts[at].Decide(o, uint8(len(hosts)))
+		switch d.Action {
+		case placement.Take:
+			return at, visits
+		case placement.Refuse:
+			return -1, visits
+		default:
+			o = d.Terms
+		}
+	}
+	require.FailNow(t, "an offer without end")
+	return -1, visits
+}
+
+// Guards against a flow that queues at one host while another has a free slot.
+func TestFreeSlotIsFound(t *testing.T) {
+	hosts := []*placement.Host{busyHost(4), busyHost(9), busyHost(3)}
+	taken, _ := walk(t, hosts, terms(0))
+	require.Equal(t, 2, taken)
+	require.EqualValues(t, 4, hosts[2].Load().Busy)
+}
+
+// Guards against a queue at any but the host with the shortest wait.
+func TestShortestQueue(t *testing.T) {
+	hosts := []*placement.Host{busyHost(6), busyHost(4), busyHost(5)}
+	taken, visits := walk(t, hosts, terms(0))
+	require.Equal(t, 1, taken)
+	require.Equal(t, 4, visits)
+}
+
+// Guards against flows that are taken although they can't be served within the target.
+func TestRefusalBeyondTarget(t *testing.T) {
+	hosts := []*placement.Host{busyHost(16), busyHost(18)}
+	taken, _ := walk(t, hosts, terms(0))
+	require.Equal(t, -1, taken)
+	for _, h := range hosts {
+		h.Ended()
+	}
+	patient := terms(0)
+	patient.Target = mesh.WaitOf(5 * time.Second)
+	taken, _ = walk(t, hosts, patient)
+	require.Equal(t, 0, taken)
+}
+
+// Guards against new flows for a host that drains or is down, also one
+// that was the best before it closed.
+func TestClosedHost(t *testing.T) {
+	closed := busyHost(0)
+	closed.SetOpen(false)
+	taken, _ := walk(t, []*placement.Host{closed, busyHost(6)}, terms(0))
+	require.Equal(t, 1, taken)
+	taken, _ = walk(t, []*placement.Host{closed, closed}, terms(0))
+	require.Equal(t, -1, taken)
+	must := terms(0)
+	must.MustTake = true
+	require.Equal(t, placement.Refuse, closed.Decide(must, 1).Action)
+}
+
+// Guards against a slow host that takes flows while others are free.
+func TestSlowHost(t *testing.T) {
+	slow := busyHost(1)
+	for range 100 {
+		slow.Began()
+		slow.Answered(300 * time.Millisecond)
+	}
+	o := terms(0)
+	o.Usual = mesh.WaitOf(30 * time.Millisecond)
+	taken, _ := walk(t, []*placement.Host{slow, busyHost(2)}, o)
+	require.Equal(t, 1, taken)
+	taken, _ = walk(t, []*placement.Host{slow, busyHost(6)}, o)
+	require.Equal(t, 1, taken, "a short queue at a fast host beats a free slot at a slow one")
+}
+
+// Guards against an offer that visits agents without end, and against a count
+// of busy flows that differs from those taken.
+func TestWalksEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts []*placement.Host
+		before := 0
+		for range rapid.IntRange(1, mesh.MaxCandidates).Draw(t, "hosts") {
+			n := rapid.IntRange(0, 20).Draw(t, "busy")
+			before += n
+			h := busyHost(n)
+			h.SetOpen(rapid.Bool().Draw(t, "open"))
+			hosts = append(hosts, h)
+		}
+		taken, visits := walk(t, hosts, terms(0))
+		require.LessOrEqual(t, visits, len(hosts)+1)
+		after := 0
+		for _, h := range hosts {
+			after += int(h.Load().Busy)
+		}
+		if taken >= 0 {
+			before++
+			require.True(t, hosts[taken].Load().Open)
+		}
+		require.Equal(t, before, after)
+	})
+}
--- /dev/null
+++ b/routing/table_test.go
@@ -0,0 +1,50 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/routing"
+)
+
+// Guards against a process that goes back to an older configuration.
+func TestHolderIsMonotone(t *testing.T) {
+	var h routing.Holder
+	versions := rand.New(rand.NewPCG(1, 2)).Perm(200)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			last := uint64(0)
+			for _, v := range versions[i*50 : i*50+50] {
+				h.Offer(routing.NewTable(uint64(v+1), 0, nil, nil))
+				now := h.Version()
+				if now < last || now < uint64(v+1) {
+					t.Errorf("version %d after %d", now, last)
+				}
+				last = now
+			}
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, 200, h.Version())
+	require.False(t, h.Offer(routing.NewTable(200, 0, nil, nil)))
+}
+
+// Guards against a split route that moves a flow between services or ignores its weights.
+func TestSharesOfRoute(t *testing.T) {
+	r := routing.Route{Shares: []routing.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	count := map[string]int{}
+	for i := range 10000 {
+		key := flow.Key{Caller: flow.Endpoint{IP: uint32(i), Port: uint16(i * 7)}, Service: flow.Endpoint{IP: 9, Port: 443}}
+		s := r.Service(key)
+		require.Equal(t, s, r.Service(key))
+		count[s]++
+	}
+	require.InDelta(t, 9000, count["a"], 200)
+	require.InDelta(t, 1000, count["b"], 200)
+	require.Zero(t, count["c"])
+}
