packetagent: a search does not pass on a host's reset

The log of every decision on the flow showed: a fresh agent's host bounced the opening packet, another host took the flow; at a change of the entry the packets were searched for, the fresh agent gave one to its host, which answered with a reset for a flow that it had declined, and the agent passed that on to the caller. Ruled out: a refused second offer (no offer was overdue) and a loss at the flow's host (it sent nothing).

An agent now remembers what its host bounced, drops a reset that answers a search, and closes a host that bounces before its first heartbeat, which cost each new flow a visit.

--- /dev/null
+++ b/packetagent/agent_test.go
@@ -0,0 +1,314 @@
+package packetagent_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/eventlog"
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/packetagent"
+	"endiveflow.example/endiveflow/packettest"
+	"endiveflow.example/endiveflow/platform"
+)
+
+const (
+	ownIP    = 0x0a010001
+	peerIP   = 0x0a010002
+	entryIP  = 0x0a020001
+	hostSeq  = 50_000
+	service  = "rota"
+	bornAt   = 2_000_000
+	startsAt = 1_000_000
+)
+
+var hostAddress = flow.Endpoint{IP: ownIP, Port: 8165}
+
+// bench is an agent whose datagrams are collected.
+type bench struct {
+	*packetagent.Agent
+	t        *testing.T
+	now      time.Duration
+	toHost   [][]byte
+	toCaller [][]byte
+	toMember []sent
+}
+
+type sent struct {
+	to uint32
+	mesh.Message
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t}
+	b.Agent = packetagent.New(packetagent.Config{
+		IP: ownIP, Service: service, Host: hostAddress, Zone: "a", CallerPort: 9000, Incarnation: startsAt,
+		Now:    func() time.Duration { return b.now },
+		ToHost: func(p []byte) { b.toHost = append(b.toHost, append([]byte(nil), p...)) },
+		ToCaller: func(_ flow.Endpoint, p []byte) {
+			b.toCaller = append(b.toCaller, append([]byte(nil), p...))
+		},
+		ToMember: func(ip uint32, d []byte) {
+			var m mesh.Message
+			require.NoError(t, m.Decode(append([]byte(nil), d...)))
+			b.toMember = append(b.toMember, sent{ip, m})
+		},
+		ConfigVersion: func() uint64 { return 1 }, NewerConfig: func(uint32) {}, Changed: func() {}, Waiting: func(time.Duration) {},
+		Log: eventlog.New(eventlog.Config{Out: io.Discard}),
+	})
+	return b
+}
+
+func (b *bench) heartbeat(id string, born int64, sequence uint64, s host.State) {
+	b.t.Helper()
+	require.NoError(b.t, b.Heartbeat(host.Report{
+		ID: id, Born: born, Sequence: sequence, State: s, Slots: 4, Service: service, Address: hostAddress,
+	}))
+}
+
+// message sends the agent a message of an entry with a packet.
+func (b *bench) message(k mesh.Kind, packet []byte) {
+	m := mesh.Message{
+		Kind: k, Service: mesh.ServiceTag(service), Entry: entryIP, ConfigVersion: 1, Body: packet,
+		Offered:    mesh.Terms{Best: mesh.NoCandidate, Target: mesh.WaitOf(150 * time.Millisecond)},
+		Candidates: [mesh.MaxCandidates]uint32{ownIP, peerIP}, Count: 2,
+	}
+	b.Receive(m.Append(nil))
+}
+
+// takeHost returns what the host got since the last call.
+func (b *bench) takeHost() [][]byte {
+	got := b.toHost
+	b.toHost = nil
+	return got
+}
+
+func (b *bench) takeCaller() [][]byte {
+	got := b.toCaller
+	b.toCaller = nil
+	return got
+}
+
+func (b *bench) takeMember() []sent {
+	got := b.toMember
+	b.toMember = nil
+	return got
+}
+
+func (b *bench) kinds() []mesh.Kind {
+	var out []mesh.Kind
+	for _, s := range b.takeMember() {
+		out = append(out, s.Kind)
+	}
+	return out
+}
+
+// open opens a flow at the agent's host.
+func (b *bench) open(k flow.Key) {
+	b.t.Helper()
+	b.message(mesh.Offer, packettest.Open(k, 0))
+	b.FromHost(packettest.Accept(k, hostSeq))
+	b.message(mesh.Deliver, packettest.Request(k, hostSeq+1, 100))
+	require.Len(b.t, b.takeHost(), 2)
+	require.Len(b.t, b.takeCaller(), 1)
+	require.Equal(b.t, []mesh.Kind{mesh.Taken}, b.kinds())
+}
+
+func requireResets(t *testing.T, packets [][]byte, keys ...flow.Key) {
+	t.Helper()
+	var got []flow.Key
+	for _, p := range packets {
+		s, err := platform.DecodePacket(p, platform.FromHost)
+		require.NoError(t, err)
+		require.True(t, s.Resetting)
+		got = append(got, s.Key)
+	}
+	require.ElementsMatch(t, keys, got)
+}
+
+// Guards against a reset of an open flow: a host that the flow isn't at
+// answers data of a flow that it once declined with a reset. An agent that
+// searches passed it on, and the caller lost its flow at another host.
+func TestSearchDoesNotPassOnReset(t *testing.T) {
+	b := newBench(t)
+	k := packettest.Key(1)
+	b.message(mesh.Offer, packettest.Open(k, 0))
+	b.FromHost(packettest.Bounce(b.takeHost()[0]))
+	require.Equal(t, []mesh.Kind{mesh.Taken, mesh.Offer, mesh.Passed}, b.kinds())
+
+	request := packettest.Request(k, 90_001, 100)
+	b.message(mesh.Search, request)
+	require.Empty(t, b.takeHost(), "the host said that it doesn't have the flow")
+
+	other := packettest.Key(2)
+	b.message(mesh.Search, packettest.Request(other, 90_001, 100))
+	require.Len(t, b.takeHost(), 1)
+	b.FromHost(packettest.Packet{Flow: other, FromHost: true, Flags: packettest.RST, Seq: 90_001}.Bytes())
+	require.Empty(t, b.takeCaller())
+	require.Empty(t, b.takeMember())
+}
+
+// Guards against a host that isn't there yet and gets every new flow first,
+// only to bounce it.
+func TestHostBeforeItsFirstHeartbeat(t *testing.T) {
+	b := newBench(t)
+	b.message(mesh.Offer, packettest.Open(packettest.Key(1), 0))
+	b.FromHost(packettest.Bounce(b.takeHost()[0]))
+	require.False(t, b.Load().Open)
+	b.message(mesh.Offer, packettest.Open(packettest.Key(2), 0))
+	require.Empty(t, b.takeHost())
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	require.True(t, b.Load().Open)
+}
+
+// Guards against flows of a restarted host that stay silent until their
+// callers' deadlines, and against resets of flows that are at the new host.
+func TestNewIncarnationResetsFlows(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.open(packettest.Key(1))
+	b.open(packettest.Key(2))
+	b.heartbeat("h", bornAt, 2, host.Draining)
+	require.Empty(t, b.takeCaller())
+	b.heartbeat("h", bornAt+5000, 1, host.Ready)
+	requireResets(t, b.takeCaller(), packettest.Key(1), packettest.Key(2))
+	require.Zero(t, b.Load().Busy)
+	b.open(packettest.Key(3))
+}
+
+// Guards against new flows for a draining host, and against old ones that are cut off.
+func TestDrainingHost(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.open(packettest.Key(1))
+	b.heartbeat("h", bornAt, 2, host.Draining)
+	b.message(mesh.Offer, packettest.Open(packettest.Key(2), 0))
+	require.Empty(t, b.takeHost())
+	require.Equal(t, []mesh.Kind{mesh.Offer, mesh.Passed}, b.kinds())
+	b.message(mesh.Deliver, packettest.Request(packettest.Key(1), hostSeq+1, 100))
+	require.Len(t, b.takeHost(), 1)
+	b.FromHost(packettest.Answer(packettest.Key(1), hostSeq+1, 500))
+	require.Len(t, b.takeCaller(), 1)
+}
+
+// Guards against an opening packet that is lost in a host that doesn't answer.
+func TestSilentHost(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.message(mesh.Offer, packettest.Open(packettest.Key(1), 0))
+	require.Equal(t, []mesh.Kind{mesh.Taken}, b.kinds())
+	b.now += packetagent.DefaultAnswerTimeout - time.Millisecond
+	b.Tick()
+	require.Empty(t, b.kinds())
+	b.now += time.Millisecond
+	b.Tick()
+	moved := b.takeMember()
+	require.Len(t, moved, 2)
+	require.Equal(t, uint32(peerIP), moved[0].to)
+	require.Equal(t, packettest.Open(packettest.Key(1), 0), moved[0].Body)
+	require.Zero(t, b.Load().Busy)
+	require.False(t, b.Suspect())
+	b.message(mesh.Offer, packettest.Open(packettest.Key(2), 0))
+	b.now += packetagent.DefaultAnswerTimeout
+	b.Tick()
+	require.True(t, b.Suspect())
+}
+
+// Guards against a packet of a flow at another host that is delivered here,
+// because two hosts answered copies of the opening packet.
+func TestFlowThatOpenedElsewhere(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	k := packettest.Key(1)
+	b.message(mesh.Offer, packettest.Open(k, 0))
+	b.FromHost(packettest.Accept(k, hostSeq))
+	b.takeHost()
+	b.takeMember()
+	request := packettest.Request(k, hostSeq+1<<30, 100)
+	b.message(mesh.Search, request)
+	require.Empty(t, b.takeHost())
+	b.message(mesh.Deliver, request)
+	require.Empty(t, b.takeHost())
+	back := b.takeMember()
+	require.Len(t, back, 1)
+	require.Equal(t, mesh.Missing, back[0].Kind)
+	require.Equal(t, request, back[0].Body)
+}
+
+// Guards against an agent that starts beside a living host and cuts its flows off.
+func TestRestartedAgentLearnsFlows(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", startsAt-60_000, 40, host.Ready)
+	k := packettest.Key(1)
+	b.message(mesh.Search, packettest.Request(k, hostSeq+1, 100))
+	require.Len(t, b.takeHost(), 1)
+	require.Empty(t, b.takeMember())
+	b.FromHost(packettest.Answer(k, hostSeq+1, 500))
+	require.Len(t, b.takeCaller(), 1)
+	require.Equal(t, []mesh.Kind{mesh.Taken}, b.kinds())
+	b.message(mesh.Deliver, packettest.Request(k, hostSeq+501, 100))
+	require.Len(t, b.takeHost(), 1)
+
+	unknown := packettest.Key(2)
+	b.message(mesh.Deliver, packettest.Request(unknown, hostSeq, 100))
+	b.FromHost(packettest.Bounce(b.takeHost()[0]))
+	require.Equal(t, []mesh.Kind{mesh.Missing}, b.kinds())
+	b.message(mesh.Search, packettest.Request(unknown, hostSeq, 100))
+	require.Empty(t, b.takeHost(), "the host bounced the flow before")
+}
+
+// Guards against an agent that knows all flows of its host and still bothers it with others.
+func TestAgentOlderThanHostKnowsItsFlows(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.message(mesh.Search, packettest.Request(packettest.Key(1), hostSeq, 100))
+	require.Empty(t, b.takeHost())
+	require.Empty(t, b.takeMember())
+}
+
+// Guards against packets for the service that had the address before.
+func TestOtherService(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	m := mesh.Message{Kind: mesh.Offer, Service: mesh.ServiceTag("draws"), Entry: entryIP, Count: 1, Body: packettest.Open(packettest.Key(1), 0)}
+	b.Receive(m.Append(nil))
+	m.Kind = mesh.Search
+	b.Receive(m.Append(nil))
+	require.Empty(t, b.takeHost())
+	require.Error(t, b.Heartbeat(host.Report{ID: "x", Service: "draws", Address: hostAddress, State: host.Ready, Slots: 1}))
+	require.Error(t, b.Heartbeat(host.Report{ID: "x", Service: service, Address: flow.Endpoint{IP: 1, Port: 2}, State: host.Ready, Slots: 1}))
+}
+
+// Guards against a load that drifts from the requests in the host.
+func TestLoadFollowsFlows(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	k := packettest.Key(1)
+	b.open(k)
+	require.EqualValues(t, 1, b.Load().Busy)
+	b.message(mesh.Deliver, packettest.Request(k, hostSeq+1, 100))
+	b.now += 40 * time.Millisecond
+	b.FromHost(packettest.Answer(k, hostSeq+1, 500))
+	require.Zero(t, b.Load().Busy)
+	b.message(mesh.Deliver, packettest.Request(k, hostSeq+1, 100))
+	require.Zero(t, b.Load().Busy, "a request that is sent again is no new one")
+	for _, fromHost := range []bool{true, false} {
+		p := packettest.Packet{Flow: k, FromHost: fromHost, Flags: packettest.FIN | packettest.ACK, Seq: hostSeq + 501, Ack: hostSeq + 502}
+		if fromHost {
+			b.FromHost(p.Bytes())
+		} else {
+			b.message(mesh.Deliver, p.Bytes())
+		}
+	}
+	require.Zero(t, b.Flows())
+	b.message(mesh.Offer, packettest.Open(packettest.Key(2), 0))
+	b.FromHost(packettest.Accept(packettest.Key(2), hostSeq))
+	require.EqualValues(t, 1, b.Load().Busy)
+	b.now += 2 * time.Second
+	b.Sweep()
+	require.Zero(t, b.Load().Busy, "a caller that never sent its request")
+}
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -87,6 +87,12 @@
 	shard := a.flows.Lock(s.Key)
 	r := shard.Get(s.Key)
 	learned := r == nil
+	if learned && s.Resetting {
+		// The answer to a search: the host doesn't have the flow, which may be open elsewhere.
+		shard.Unlock()
+		a.notHere(s.Key)
+		return
+	}
 	if learned {
 		// The host opened the flow before this process started.
 		r = &record{phase: idle, since: now, confirmed: true}
@@ -120,14 +126,8 @@
 	bounces.Inc()
 	switch s.Context {
 	case contextSearch, contextProbe:
-		shard := a.searches.Lock(s.Key)
-		found := shard.Get(s.Key)
-		if found != nil {
-			found.bounced = true
-		}
-		shard.Unlock()
-		if found != nil && s.Context == contextProbe {
-			a.giveBack(found.entry, s.Key, packet)
+		if entry, asked := a.notHere(s.Key); asked && s.Context == contextProbe {
+			a.giveBack(entry, s.Key, packet)
 		}
 		return
 	case contextOffer, contextDeliver:
@@ -154,6 +154,11 @@
 	shard.Unlock()
 	switch {
 	case held != nil:
+		a.notHere(s.Key)
+		if _, known := a.host.Current(); !known {
+			// The host isn't there yet; its first heartbeat opens it.
+			a.load.SetOpen(false)
+		}
 		a.decline(s.Key, held, "bounced")
 	case lost:
 		// The host had the flow and has it no more, so no host has it.
@@ -164,3 +169,17 @@
 		}
 	}
 }
+
+// notHere remembers that the host doesn't have a flow, so that it isn't asked
+// again. It returns the entry that asked last, if one did.
+func (a *Agent) notHere(key flow.Key) (entry uint32, asked bool) {
+	shard := a.searches.Lock(key)
+	defer shard.Unlock()
+	found := shard.Get(key)
+	if asked = found != nil; !asked {
+		found = new(search)
+		shard.Put(key, found)
+	}
+	found.bounced, found.at = true, a.cfg.Now()
+	return found.entry, asked
+}
--- /dev/null
+++ b/packettest/packet.go
@@ -0,0 +1,84 @@
+// Package packettest makes packets of callers and hosts for tests of the packet path.
+package packettest
+
+import (
+	"encoding/binary"
+
+	"endiveflow.example/endiveflow/flow"
+)
+
+// Flags of packets.
+const (
+	ACK     = 1
+	RST     = 8
+	FIN     = 16
+	Bounced = 32
+	SYN     = 64
+)
+
+const headBytes = 36
+
+// Packet is a packet to make.
+type Packet struct {
+	Flow     flow.Key
+	FromHost bool
+	Flags    byte
+	Seq, Ack uint32
+	Data     int
+}
+
+// Bytes returns the packet as its sender writes it.
+func (p Packet) Bytes() []byte {
+	b := make([]byte, headBytes+p.Data)
+	source, target := p.Flow.Caller, p.Flow.Service
+	if p.FromHost {
+		source, target = target, source
+	}
+	// The sum is opaque to the system; it only has to arrive unchanged.
+	binary.LittleEndian.PutUint32(b[0:], 0xa1b2c3d5^p.Seq)
+	binary.LittleEndian.PutUint16(b[8:], target.Port)
+	binary.LittleEndian.PutUint16(b[10:], source.Port)
+	binary.LittleEndian.PutUint32(b[12:], target.IP)
+	binary.LittleEndian.PutUint32(b[16:], source.IP)
+	binary.LittleEndian.PutUint16(b[20:], uint16(p.Data))
+	b[22] = p.Flags
+	binary.LittleEndian.PutUint32(b[28:], p.Seq)
+	binary.LittleEndian.PutUint32(b[32:], p.Ack)
+	return b
+}
+
+// Key returns the key of the nth flow of a caller to a route.
+func Key(n int) flow.Key {
+	return flow.Key{
+		Caller:  flow.Endpoint{IP: 0x64400001 + uint32(n>>14), Port: uint16(1024 + n&0x3fff)},
+		Service: flow.Endpoint{IP: 0xc6120001, Port: 8443},
+	}
+}
+
+// Open returns the opening packet of a flow, or a copy of it.
+func Open(k flow.Key, copies uint32) []byte {
+	return Packet{Flow: k, Flags: SYN, Seq: 1000, Ack: copies}.Bytes()
+}
+
+// Accept returns a host's answer to an opening packet.
+func Accept(k flow.Key, seq uint32) []byte {
+	return Packet{Flow: k, FromHost: true, Flags: SYN | ACK, Seq: seq, Ack: 1001}.Bytes()
+}
+
+// Request returns a caller's data that acknowledges the host's numbers.
+func Request(k flow.Key, ack uint32, data int) []byte {
+	return Packet{Flow: k, Flags: ACK, Seq: 1001, Ack: ack, Data: data}.Bytes()
+}
+
+// Answer returns a host's data.
+func Answer(k flow.Key, seq uint32, data int) []byte {
+	return Packet{Flow: k, FromHost: true, Flags: ACK, Seq: seq, Ack: 1200, Data: data}.Bytes()
+}
+
+// Bounce returns a packet as a host sends it back.
+func Bounce(packet []byte) []byte {
+	b := append([]byte(nil), packet...)
+	b[22] |= Bounced
+	clear(b[23:28])
+	return b
+}
