placement, packetagent: agents hold flows; the mean time leaves out queueing

An agent now follows which requests run, lets in as many as the slots and the round trip take, and holds the rest in an order of its own: those in time first, urgent first.

Slots of callers that send nothing are free after 40 ms now.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -308,7 +308,37 @@
 	b.message(mesh.Offer, packettest.Open(packettest.Key(2), 0))
 	b.FromHost(packettest.Accept(packettest.Key(2), hostSeq))
 	require.EqualValues(t, 1, b.Load().Busy)
-	b.now += 2 * time.Second
-	b.Sweep()
+	b.now += packetagent.DefaultAnswerTimeout
+	b.Tick()
 	require.Zero(t, b.Load().Busy, "a caller that never sent its request")
+	b.message(mesh.Deliver, packettest.Request(packettest.Key(2), hostSeq+1, 100))
+	require.EqualValues(t, 1, b.Load().Busy, "it did send, late")
+}
+
+// Guards against callers that left while their flows were held: each kept a
+// slot for seconds, which stopped the host at a load above its capacity.
+func TestCallersThatLeftFreeTheirSlots(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	const callers = 40
+	for i := range callers {
+		m := mesh.Message{
+			Kind: mesh.Offer, Service: mesh.ServiceTag(service), Entry: entryIP, Body: packettest.Open(packettest.Key(i), 0), Count: 1,
+			Candidates: [mesh.MaxCandidates]uint32{ownIP},
+			Offered:    mesh.Terms{Best: mesh.NoCandidate, Target: mesh.WaitOf(2 * time.Second)},
+		}
+		b.Receive(m.Append(nil))
+	}
+	answered := 0
+	for b.now < 600*time.Millisecond {
+		for _, p := range b.takeHost() {
+			s, err := platform.DecodePacket(p, platform.FromCaller)
+			require.NoError(t, err)
+			b.FromHost(packettest.Accept(s.Key, hostSeq))
+			answered++
+		}
+		b.now += 10 * time.Millisecond
+		b.Tick()
+	}
+	require.Equal(t, callers, answered)
 }
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -11,11 +11,9 @@
 // Defaults of Config.
 const (
 	// DefaultAnswerTimeout is how long a host may take to answer an opening
-	// packet, which it does without running anything, before the packet goes to another host.
+	// packet, which it does without running anything, before the packet goes to another host. It is
+	// also how long a flow counts as busy before its request arrives.
 	DefaultAnswerTimeout = 40 * time.Millisecond
-	// DefaultRequestTimeout is how long a flow counts as busy before its request arrives; callers
-	// give up a flow that hasn't opened after 1.4 s.
-	DefaultRequestTimeout = 1500 * time.Millisecond
 	// DefaultIdleTimeout is how long a flow without packets is kept.
 	DefaultIdleTimeout = 15 * time.Second
 	// DefaultMaxFlowAge is the age of the oldest flow that a host may have.
@@ -44,8 +42,8 @@
 	Incarnation int64
 	// Load decides on offers; nil means one with default settings.
 	Load *placement.Host
-	// AnswerTimeout, RequestTimeout, IdleTimeout and MaxFlowAge: see the defaults, which 0 means.
-	AnswerTimeout, RequestTimeout, IdleTimeout, MaxFlowAge time.Duration
+	// AnswerTimeout, IdleTimeout and MaxFlowAge: see the defaults, which 0 means.
+	AnswerTimeout, IdleTimeout, MaxFlowAge time.Duration
 	// Now returns a time that never goes back, since any moment before the start.
 	Now func() time.Duration
 	// ToHost, ToCaller and ToMember send a datagram and keep no part of it.
@@ -70,7 +68,6 @@
 		fallback time.Duration
 	}{
 		{&c.AnswerTimeout, DefaultAnswerTimeout},
-		{&c.RequestTimeout, DefaultRequestTimeout},
 		{&c.IdleTimeout, DefaultIdleTimeout},
 		{&c.MaxFlowAge, DefaultMaxFlowAge},
 	} {
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -101,6 +101,7 @@
 	r.fromHost(s, now, a.load)
 	shard.Unlock()
 	a.cfg.ToCaller(s.Key.Caller, packet)
+	a.serveHeld()
 	if learned {
 		a.learn(s.Key)
 	}
@@ -143,8 +144,8 @@
 		shard.Unlock()
 		return
 	}
-	held, lost := r.offer, r.confirmed && !s.Opening && r.phase != ended
-	if s.Opening && held == nil {
+	kept, lost := r.offer, r.confirmed && !s.Opening && r.phase != ended
+	if s.Opening && kept == nil {
 		// A copy of an opening packet; the flow itself was accepted.
 		shard.Unlock()
 		return
@@ -152,14 +153,15 @@
 	r.moveTo(ended, a.cfg.Now(), a.load)
 	shard.Delete(s.Key)
 	shard.Unlock()
+	a.serveHeld()
 	switch {
-	case held != nil:
+	case kept != nil:
 		a.notHere(s.Key)
 		if _, known := a.host.Current(); !known {
 			// The host isn't there yet; its first heartbeat opens it.
 			a.load.SetOpen(false)
 		}
-		a.decline(s.Key, held, "bounced")
+		a.decline(s.Key, kept, "bounced")
 	case lost:
 		// The host had the flow and has it no more, so no host has it.
 		a.reset(s.Key, s.Ack)
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -30,6 +30,11 @@
 	if outcome == host.Replaced {
 		a.replaced(known, r)
 	}
+	if r.State == host.Ready {
+		a.serveHeld()
+	} else {
+		a.releaseHeld("the host is " + r.State.String())
+	}
 	if outcome == host.Replaced || before.State != r.State || before.Slots != r.Slots {
 		a.cfg.Log.Info("host", "host", r.String(), "outcome", outcome.String(), "state", r.State.String(), "before", before.State.String(),
 			"slots", r.Slots, "warmupMs", r.Warmup.Milliseconds(), "software", r.Software)
@@ -83,6 +88,7 @@
 	a.load.SetOpen(false)
 	a.cfg.Log.Warn("host", "outcome", "silent", "openings", a.silent.Load())
 	a.cfg.Changed()
+	a.releaseHeld("the host is silent")
 }
 
 // Suspect says whether the host left opening packets unanswered.
@@ -90,6 +96,7 @@
 
 // endAll resets all flows of a host that is certainly gone, so that callers try again at once.
 func (a *Agent) endAll(why string) {
+	a.releaseHeld(why)
 	n := 0
 	type lostFlow struct {
 		key flow.Key
@@ -121,6 +128,7 @@
 	a.leaving.Store(true)
 	a.load.SetOpen(false)
 	a.cfg.Changed()
+	a.releaseHeld("the agent stops")
 }
 
 // Report returns what the agent says of itself.
@@ -169,25 +177,32 @@
 func (a *Agent) unanswered(key flow.Key, now time.Duration) {
 	shard := a.flows.Lock(key)
 	r := shard.Get(key)
-	if r == nil || r.phase != opening || r.offer == nil || now-r.since < a.cfg.AnswerTimeout {
+	if r != nil && r.phase == awaited {
+		// A caller that is there sends its request within a round trip. One that has
+		// left must not keep a slot; if it does send, the request is counted then.
+		r.moveTo(idle, now, a.load)
 		shard.Unlock()
+		noRequest.Inc()
+		a.serveHeld()
 		return
 	}
-	held := r.offer
+	if r == nil || r.phase != opening || r.offer == nil || now-r.opened < a.cfg.AnswerTimeout {
+		shard.Unlock()
+		return
+	}
+	kept := r.offer
 	r.moveTo(ended, now, a.load)
 	shard.Delete(key)
 	shard.Unlock()
 	a.silent.Add(1)
-	a.decline(key, held, "no answer")
+	a.decline(key, kept, "no answer")
+	a.serveHeld()
 }
 
 // Sweep forgets what is over. It is called about once a second.
 func (a *Agent) Sweep() {
 	now := a.cfg.Now()
 	a.flows.Sweep(func(_ flow.Key, r *record) bool {
-		if r.phase == awaited && now-r.since > a.cfg.RequestTimeout {
-			r.moveTo(idle, now, a.load)
-		}
 		keep := a.cfg.IdleTimeout + endedLinger
 		if r.phase == ended {
 			keep = endedLinger
@@ -198,5 +213,7 @@
 		r.moveTo(ended, now, a.load)
 		return false
 	})
+	a.refuseExpired()
+	a.serveHeld()
 	a.searches.Sweep(func(_ flow.Key, s *search) bool { return now-s.at < searchMemory })
 }
--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -14,13 +14,17 @@
 	bounces      = metrics.NewCounter(`endiveflow_packetagent_bounced_total`)
 	declined     = metrics.NewCounter(`endiveflow_packetagent_declined_total`)
 	missing      = metrics.NewCounter(`endiveflow_packetagent_missing_total`)
+	noRequest    = metrics.NewCounter(`endiveflow_packetagent_no_request_total`)
 	learnedFlows = metrics.NewCounter(`endiveflow_packetagent_learned_total`)
 	resets       = metrics.NewCounter(`endiveflow_packetagent_resets_total`)
 
+	// holdTimes are the times that flows were held before they were given to the host, in seconds.
+	holdTimes = metrics.NewHistogram(`endiveflow_packetagent_hold_seconds`)
+
 	// decisions counts offers by the action taken.
 	decisions = func() map[placement.Action]*metrics.Counter {
 		m := make(map[placement.Action]*metrics.Counter)
-		for _, a := range []placement.Action{placement.Take, placement.Pass, placement.Return, placement.Refuse} {
+		for _, a := range []placement.Action{placement.Take, placement.Hold, placement.Pass, placement.Return, placement.Refuse} {
 			m[a] = metrics.NewCounter(`endiveflow_packetagent_offers_total{action="` + a.String() + `"}`)
 		}
 		return m
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -19,32 +19,45 @@
 	shard := a.flows.Lock(s.Key)
 	if r := shard.Get(s.Key); r != nil && r.phase != ended {
 		r.touched = a.cfg.Now()
+		waits := r.phase == held
 		shard.Unlock()
-		a.toHost(m.Body, contextDeliver)
+		if !waits {
+			a.toHost(m.Body, contextDeliver)
+		}
 		a.tell(mesh.Taken, m.Entry, s.Key)
 		return
 	}
-	d := a.load.Decide(m.Offered, m.Count)
-	if d.Action == placement.Take {
-		a.take(shard, m, s)
+	d := a.load.Decide(s.Key, m.Offered, m.Count, a.cfg.Now())
+	switch d.Action {
+	case placement.Take:
+		a.record(shard, m, s, opening)
 		shard.Unlock()
+		a.awaitAnswer(s.Key)
 		a.toHost(m.Body, contextOffer)
 		a.tell(mesh.Taken, m.Entry, s.Key)
-	} else {
+	case placement.Hold:
+		a.record(shard, m, s, held)
+		shard.Unlock()
+		a.tell(mesh.Taken, m.Entry, s.Key)
+	default:
 		shard.Unlock()
 		a.sendOn(m, s, d)
 	}
 	a.explainOffer(m, s, d)
 }
 
-// take records a flow that is given to the host; the shard is locked.
-func (a *Agent) take(shard *flowtable.Shard[record], m *mesh.Message, s flow.Segment) {
+// record keeps a flow that this agent took or holds; the shard is locked.
+func (a *Agent) record(shard *flowtable.Shard[record], m *mesh.Message, s flow.Segment, p phase) {
 	now := a.cfg.Now()
-	held := &heldOffer{message: *m, packet: bytes.Clone(m.Body)}
-	held.message.Body = nil
-	shard.Put(s.Key, &record{phase: opening, since: now, touched: now, offer: held})
+	kept := &heldOffer{message: *m, packet: bytes.Clone(m.Body)}
+	kept.message.Body = nil
+	shard.Put(s.Key, &record{phase: p, since: now, opened: now, touched: now, offer: kept})
+}
+
+// awaitAnswer makes Tick look whether the host answered an opening packet.
+func (a *Agent) awaitAnswer(key flow.Key) {
 	a.waitMu.Lock()
-	a.waits = append(a.waits, wait{key: s.Key, due: now + a.cfg.AnswerTimeout})
+	a.waits = append(a.waits, wait{key: key, due: a.cfg.Now() + a.cfg.AnswerTimeout})
 	first := len(a.waits) == 1
 	a.waitMu.Unlock()
 	if first {
@@ -52,26 +65,113 @@
 	}
 }
 
+// serveHeld gives held flows to the host while it has room. It is called
+// without any lock after a flow may have made room.
+func (a *Agent) serveHeld() {
+	for {
+		now := a.cfg.Now()
+		key, ok := a.load.Next(now)
+		if !ok {
+			return
+		}
+		shard := a.flows.Lock(key)
+		r := shard.Get(key)
+		if r == nil || r.phase != held {
+			shard.Unlock()
+			a.load.Ended(nil, now)
+			continue
+		}
+		waited := now - r.since
+		r.phase, r.since, r.opened = opening, now, now
+		packet := bytes.Clone(r.offer.packet)
+		shard.Unlock()
+		a.awaitAnswer(key)
+		a.toHost(packet, contextOffer)
+		holdTimes.Update(waited.Seconds())
+	}
+}
+
+// releaseHeld offers all held flows to other agents, for a host that no longer takes flows.
+func (a *Agent) releaseHeld(why string) {
+	for {
+		key, ok := a.load.TakeHeld()
+		if !ok {
+			return
+		}
+		if kept := a.dropHeld(key); kept != nil {
+			a.decline(key, kept, why)
+		}
+	}
+}
+
+// refuseExpired refuses the held flows whose callers are about to give up.
+func (a *Agent) refuseExpired() {
+	for {
+		key, ok := a.load.Expired(a.cfg.Now())
+		if !ok {
+			return
+		}
+		kept := a.dropHeld(key)
+		if kept == nil {
+			continue
+		}
+		s, err := platform.DecodePacket(kept.packet, platform.FromCaller)
+		if err != nil {
+			badPackets.Inc()
+			continue
+		}
+		a.refuse(kept.message.Entry, s)
+		if a.cfg.Log.Rare() {
+			a.cfg.Log.Warn("held flow refused", "flow", key.String(), "why", "held too long", "busy", a.load.Load().Busy)
+		}
+	}
+}
+
+// dropHeld forgets a held flow and returns its offer, nil if it is no longer held.
+func (a *Agent) dropHeld(key flow.Key) *heldOffer {
+	shard := a.flows.Lock(key)
+	defer shard.Unlock()
+	r := shard.Get(key)
+	if r == nil || r.phase != held {
+		return nil
+	}
+	shard.Delete(key)
+	return r.offer
+}
+
 // sendOn does what a decision other than to take the flow says.
 func (a *Agent) sendOn(m *mesh.Message, s flow.Segment, d placement.Decision) {
-	switch d.Action {
-	case placement.Pass, placement.Return:
-		m.Offered = d.Terms
-		a.send(m.Candidates[m.Offered.At], m)
-		notice := a.message(mesh.Passed, m.Entry, s.Key)
-		notice.Offered = d.Terms
-		notice.Candidates, notice.Count = m.Candidates, m.Count
-		a.send(m.Entry, &notice)
+	mustTake := m.Offered.MustTake
+	m.Offered = d.Terms
+	switch {
+	case d.Action == placement.Pass || d.Action == placement.Return:
+		a.passOn(m, s.Key)
+	case mustTake && placement.Rewalk(m, a.cfg.IP):
+		// This host was the best when the others were asked.
+		a.passOn(m, s.Key)
 	default:
-		a.reset(s.Key, s.Seq)
-		a.tell(mesh.Refused, m.Entry, s.Key)
+		a.refuse(m.Entry, s)
 	}
 }
 
+// passOn sends an offer to the candidate at Offered.At and tells the entry.
+func (a *Agent) passOn(m *mesh.Message, key flow.Key) {
+	a.send(m.Candidates[m.Offered.At], m)
+	notice := a.message(mesh.Passed, m.Entry, key)
+	notice.Offered, notice.Candidates, notice.Count = m.Offered, m.Candidates, m.Count
+	a.send(m.Entry, &notice)
+}
+
+// refuse resets a flow that no host can serve.
+func (a *Agent) refuse(entry uint32, s flow.Segment) {
+	a.reset(s.Key, s.Seq)
+	a.tell(mesh.Refused, entry, s.Key)
+}
+
 // decline takes back a flow that the host did not accept and sends its offer on.
-func (a *Agent) decline(key flow.Key, held *heldOffer, why string) {
-	m := held.message
-	m.Body = held.packet
+func (a *Agent) decline(key flow.Key, kept *heldOffer, why string) {
+	m := kept.message
+	m.Body = kept.packet
 	platform.ClearMarks(m.Body)
 	s, err := platform.DecodePacket(m.Body, platform.FromCaller)
 	if err != nil {
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -12,8 +12,10 @@
 type phase uint8
 
 const (
+	// held: the opening packet waits for room in the host.
+	held phase = iota
 	// opening: the opening packet was given to the host, which has not answered.
-	opening phase = iota
+	opening
 	// awaited: the host answered, and a request is expected.
 	awaited
 	// running: a request is in the host.
@@ -24,12 +26,16 @@
 	ended
 )
 
-// busy says whether a flow in the phase counts as busy.
-func (p phase) busy() bool { return p == opening || p == awaited || p == running }
+// expected says whether the flow's request is expected.
+func (p phase) expected() bool { return p == opening || p == awaited }
 
 // record is what the agent knows of one flow.
 type record struct {
 	phase phase
+	// request is set while running.
+	request *placement.Request
+	// opened is when the opening packet was given to the host.
+	opened time.Duration
 	// since is when the phase began, touched when the last packet passed.
 	since, touched time.Duration
 	// hostSeq is the newest sequence number of the host; hasSeq says whether it is known.
@@ -42,7 +48,7 @@
 	hasCallerNext         bool
 	// callerEnded and hostEnded say which ends have closed.
 	callerEnded, hostEnded bool
-	// offer is what has to go on if the host doesn't answer; nil unless opening.
+	// offer is what has to go on if the host doesn't take the flow; nil unless held or opening.
 	offer *heldOffer
 }
 
@@ -52,17 +58,24 @@
 	packet  []byte
 }
 
-// moveTo changes the phase and keeps the load in step.
+// moveTo changes the phase and keeps the load in step. A flow that the load
+// counts as held must not be moved.
 func (r *record) moveTo(p phase, now time.Duration, load *placement.Host) {
-	switch {
-	case r.phase == p:
+	if r.phase == p {
 		return
+	}
+	switch {
+	case p == running:
+		r.request = load.Began(now, r.phase.expected(), now-r.opened)
 	case r.phase == running && p == idle:
-		load.Answered(now - r.since)
-	case r.phase.busy() && !p.busy():
-		load.Ended()
-	case !r.phase.busy() && p.busy():
-		load.Began()
+		load.Answered(r.request, now)
+	case r.phase == running:
+		load.Ended(r.request, now)
+	case r.phase.expected() && !p.expected():
+		load.Ended(nil, now)
+	}
+	if p != running {
+		r.request = nil
 	}
 	r.phase, r.since = p, now
 	if p != opening {
@@ -74,7 +87,10 @@
 // opened it. Another host may have answered a copy of the opening packet, and then
 // the caller acknowledges that host's numbers.
 func (r *record) holds(s flow.Segment) bool {
-	return !r.hasSeq || !s.Acking || flow.Near(r.hostSeq, s.Ack)
+	if !s.Acking {
+		return true
+	}
+	return r.hasSeq && flow.Near(r.hostSeq, s.Ack)
 }
 
 // fromCaller notes a packet that is given to the host.
--- a/placement/host.go
+++ b/placement/host.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"time"
 
+	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
 )
 
@@ -13,12 +15,15 @@
 	DefaultSlots = 2
 	// DefaultServiceTime is the time of a request assumed before one was measured.
 	DefaultServiceTime = 30 * time.Millisecond
-	// DefaultTargetShare is the part of a route's target that the expected wait
-	// and service time of a flow may fill. The rest is for round trips and variance.
-	DefaultTargetShare = 0.6
 	// DefaultSlowFactor is how many times the usual time a host may take
 	// before other hosts with a free slot are asked first.
 	DefaultSlowFactor = 2.0
+	// DefaultTargetShare is the part of a route's target that the expected wait
+	// and service time of a flow may fill. The rest is for round trips and variance.
+	DefaultTargetShare = 0.7
+	// DefaultHoldLimit is how long a flow may be held. Callers give up a flow
+	// that has not opened after 1.4 s; the rest is for the way.
+	DefaultHoldLimit = 1200 * time.Millisecond
 	// serviceSamples is the number of requests that the mean time mostly rests on.
 	serviceSamples = 16
 )
@@ -27,22 +32,39 @@
 type HostConfig struct {
 	Slots       int
 	ServiceTime time.Duration
-	TargetShare float64
 	SlowFactor  float64
+	TargetShare float64
+	HoldLimit   time.Duration
 }
 
-// Host is the load of the host beside an agent and the decision on offers to
-// it. It is safe for concurrent use.
+// Host is the load of the host beside an agent, the decision on offers to
+// it, and the queue of flows held for it. It is safe for concurrent use.
+//
+// A flow is expected from the moment that it is given to the host until its
+// request arrives, then the request runs or waits in the host. The host serves requests in
+// the order of their arrival, so the time that one runs is known from the outside.
 type Host struct {
 	cfg HostConfig
 
 	mu sync.Mutex
-	// All below is guarded by mu. busy counts flows that were taken and have a
-	// request in the host or are expected to send one; it is never negative.
-	busy  int
-	slots int
-	open  bool
-	mean  time.Duration
+	// All below is guarded by mu. expected is never negative.
+	expected int
+	// requests are in the host, in order of arrival; the first slots of them run.
+	requests []*Request
+	held     queue
+	slots    int
+	open     bool
+	// mean is the mean time that a request runs, from samples requests.
+	mean    time.Duration
+	samples int
+	// gap is the mean time from the opening of a flow to its request.
+	gap time.Duration
+}
+
+// Request is a request in a host.
+type Request struct {
+	// started is when it began to run; negative while it waits.
+	started time.Duration
 }
 
 // NewHost returns the load of a host that takes flows and has none.
@@ -53,11 +75,14 @@
 	if cfg.ServiceTime <= 0 {
 		cfg.ServiceTime = DefaultServiceTime
 	}
+	if cfg.SlowFactor <= 0 {
+		cfg.SlowFactor = DefaultSlowFactor
+	}
 	if cfg.TargetShare <= 0 {
 		cfg.TargetShare = DefaultTargetShare
 	}
-	if cfg.SlowFactor <= 0 {
-		cfg.SlowFactor = DefaultSlowFactor
+	if cfg.HoldLimit <= 0 {
+		cfg.HoldLimit = DefaultHoldLimit
 	}
 	return &Host{cfg: cfg, slots: cfg.Slots, open: true, mean: cfg.ServiceTime}
 }
@@ -69,17 +94,19 @@
 const (
 	// Take gives the flow to the agent's host.
 	Take Action = iota + 1
+	// Hold keeps the flow until the host has room for it.
+	Hold
 	// Pass sends the offer to the next candidate.
 	Pass
-	// Return sends the offer to the best candidate, which must take it.
+	// Return sends the offer to the best candidate, which must take or hold it.
 	Return
-	// Refuse resets the flow: no candidate can serve it in time.
+	// Refuse resets the flow: no candidate can serve it while its caller waits.
 	Refuse
 )
 
 // String returns the name of the action.
 func (a Action) String() string {
-	names := [...]string{"none", "take", "pass", "return", "refuse"}
+	names := [...]string{"none", "take", "hold", "pass", "return", "refuse"}
 	if int(a) < len(names) {
 		return names[a]
 	}
@@ -97,26 +124,81 @@
 	Load mesh.Load
 }
 
-// Decide answers an offer with count candidates. Take counts the flow as busy
-// until Done.
-func (h *Host) Decide(t mesh.Terms, count uint8) Decision {
+// Decide answers an offer with count candidates. Take counts the flow as expected
+// until Began or Ended; a held flow comes back from Next.
+func (h *Host) Decide(key flow.Key, t mesh.Terms, count uint8, now time.Duration) Decision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	d := Decision{Terms: t, Expected: h.expected(), Load: h.load()}
-	if h.open && (t.MustTake || h.takesAtOnce(t)) {
-		h.busy++
+	d := Decision{Terms: t, Expected: h.wait() + h.mean, Load: h.load()}
+	switch {
+	case !t.MustTake && h.takesAtOnce(t):
+		h.expected++
 		d.Action = Take
-		return d
+	case t.MustTake:
+		d.Action = h.keep(key, t, now)
+	default:
+		if h.open && (t.Best == mesh.NoCandidate || mesh.WaitOf(d.Expected) < t.BestWait) {
+			d.Terms.Best, d.Terms.BestWait = t.At, mesh.WaitOf(d.Expected)
+		}
+		d.Action = h.afterVisit(key, &d.Terms, count, now)
 	}
-	if t.MustTake {
-		d.Action = Refuse
-		return d
+	return d
+}
+
+// takesAtOnce says whether a slot is free for the flow and no other host would be
+// clearly faster.
+func (h *Host) takesAtOnce(t mesh.Terms) bool {
+	slow := t.Usual > 0 && h.mean > time.Duration(h.cfg.SlowFactor*float64(t.Usual.Duration()))
+	return h.open && h.inside() < h.slots && len(h.held) == 0 && !slow
+}
+
+// inside is the number of flows that use the host or are about to.
+func (h *Host) inside() int { return h.expected + len(h.requests) }
+
+// room is the number of flows that may be inside. It exceeds the slots by those whose requests are
+// still on their way when a slot gets free.
+func (h *Host) room() int {
+	return h.slots + int(math.Ceil(float64(h.slots)*float64(h.gap)/float64(max(h.mean, time.Millisecond))))
+}
+
+// keep takes or holds a flow that no other host is better for.
+func (h *Host) keep(key flow.Key, t mesh.Terms, now time.Duration) Action {
+	switch {
+	case !h.open || h.tooLate(h.wait()+h.mean, t):
+		return Refuse
+	case h.inside() < h.room() && len(h.held) == 0:
+		h.expected++
+		return Take
 	}
-	if h.open && (t.Best == mesh.NoCandidate || mesh.WaitOf(d.Expected) < t.BestWait) {
-		d.Terms.Best, d.Terms.BestWait = t.At, mesh.WaitOf(d.Expected)
+	h.held = append(h.held, waiting{key: key, priority: t.Priority, target: t.Target.Duration(), since: now})
+	return Hold
+}
+
+// afterVisit decides about a flow that this host did not take at once.
+func (h *Host) afterVisit(key flow.Key, t *mesh.Terms, count uint8, now time.Duration) Action {
+	if t.At+1 < count {
+		t.At++
+		return Pass
 	}
-	d.Action = h.afterVisit(&d.Terms, count)
-	return d
+	if t.Best == mesh.NoCandidate || h.tooLate(t.BestWait.Duration(), *t) {
+		return Refuse
+	}
+	t.MustTake = true
+	if t.Best == t.At {
+		return h.keep(key, *t, now)
+	}
+	t.At = t.Best
+	return Return
+}
+
+// tooLate says whether a flow that is answered after the expected time is
+// better refused: its caller tries again at once, while there is still time to meet its target.
+func (h *Host) tooLate(expected time.Duration, t mesh.Terms) bool {
+	limit := h.cfg.HoldLimit
+	if t.Target > 0 {
+		limit = min(limit, time.Duration(h.cfg.TargetShare*float64(t.Target.Duration())))
+	}
+	return expected > limit
 }
 
 // Decline answers an offer that the host at Terms.At took and did not accept.
@@ -136,43 +218,37 @@
 	return d
 }
 
-// takesAtOnce says whether a slot is free for the flow and no other host would be
-// clearly faster.
-func (h *Host) takesAtOnce(t mesh.Terms) bool {
-	slow := t.Usual > 0 && h.mean > time.Duration(h.cfg.SlowFactor*float64(t.Usual.Duration()))
-	return h.busy < h.slots && !slow
-}
-
-// afterVisit decides about a flow that this host did not take at once.
-func (h *Host) afterVisit(t *mesh.Terms, count uint8) Action {
-	if t.At+1 < count {
-		t.At++
-		return Pass
+// Rewalk takes an agent out of the candidates of an offer that it had to take and
+// can't, and starts the walk anew. It is false when no candidate is left. Each walk has fewer
+// candidates, so that an offer ends.
+func Rewalk(m *mesh.Message, self uint32) bool {
+	kept := uint8(0)
+	for _, ip := range m.Candidates[:m.Count] {
+		if ip != self {
+			m.Candidates[kept] = ip
+			kept++
+		}
 	}
-	limit := time.Duration(h.cfg.TargetShare * float64(t.Target.Duration()))
-	if t.Best == mesh.NoCandidate || t.Target > 0 && t.BestWait.Duration() > limit {
-		return Refuse
-	}
-	t.MustTake = true
-	if t.Best == t.At {
-		h.busy++
-		return Take
+	if kept == m.Count {
+		// The agent isn't among them, which must not make a walk without end.
+		kept--
 	}
-	t.At = t.Best
-	return Return
+	m.Count = kept
+	m.Offered.At, m.Offered.Best, m.Offered.BestWait, m.Offered.MustTake = 0, mesh.NoCandidate, 0, false
+	return kept > 0
 }
 
-// expected is the time until a request that comes now is answered.
-func (h *Host) expected() time.Duration {
-	waiting := h.busy - h.slots + 1
-	if waiting <= 0 {
-		return h.mean
+// wait is the time until a request that comes now begins to run.
+func (h *Host) wait() time.Duration {
+	before := h.inside() + len(h.held) - h.slots + 1
+	if before <= 0 {
+		return 0
 	}
-	return h.mean + h.mean*time.Duration(waiting)/time.Duration(h.slots)
+	return h.mean * time.Duration(before) / time.Duration(h.slots)
 }
 
 func (h *Host) load() mesh.Load {
-	return mesh.Load{Busy: uint16(h.busy), Slots: uint16(h.slots), Service: mesh.WaitOf(h.mean), Open: h.open}
+	return mesh.Load{Busy: uint16(h.inside() + len(h.held)), Slots: uint16(h.slots), Service: mesh.WaitOf(h.mean), Open: h.open}
 }
 
 // Load returns the present load.
@@ -182,26 +258,88 @@
 	return h.load()
 }
 
-// Began counts a request on a flow that was not busy.
-func (h *Host) Began() {
+// Next returns the held flow that the host has room for now, which counts as
+// expected from now on. It is false when there is none.
+func (h *Host) Next(now time.Duration) (flow.Key, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.open || len(h.held) == 0 || h.inside() >= h.room() {
+		return flow.Key{}, false
+	}
+	w := h.held.take(now, h.mean+h.gap)
+	h.expected++
+	return w.key, true
+}
+
+// Expired returns a held flow that has waited for longer than its caller does.
+func (h *Host) Expired(now time.Duration) (flow.Key, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.busy++
+	return h.held.oldest(now - h.cfg.HoldLimit)
 }
 
-// Answered ends a busy flow whose request was answered after the given time.
-func (h *Host) Answered(took time.Duration) {
+// TakeHeld returns any held flow, for a host that no longer takes flows.
+func (h *Host) TakeHeld() (flow.Key, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.busy = max(h.busy-1, 0)
-	h.mean += (took - h.mean) / serviceSamples
+	return h.held.oldest(math.MaxInt64)
 }
 
-// Ended ends a busy flow without an answer.
-func (h *Host) Ended() {
+// Began counts a request that arrived at the host. expected says that its flow
+// was counted before, gap how long ago it was given to the host.
+func (h *Host) Began(now time.Duration, expected bool, gap time.Duration) *Request {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.busy = max(h.busy-1, 0)
+	if expected {
+		h.expected = max(h.expected-1, 0)
+		h.gap += (gap - h.gap) / serviceSamples
+	}
+	r := &Request{started: -1}
+	h.requests = append(h.requests, r)
+	h.start(now)
+	return r
+}
+
+// start notes which requests run now.
+func (h *Host) start(now time.Duration) {
+	for _, r := range h.requests[:min(len(h.requests), h.slots)] {
+		if r.started < 0 {
+			r.started = now
+		}
+	}
+}
+
+// Answered ends a request that was answered.
+func (h *Host) Answered(r *Request, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.remove(r, now) || r.started < 0 {
+		return
+	}
+	h.samples = min(h.samples+1, serviceSamples)
+	h.mean += (now - r.started - h.mean) / time.Duration(h.samples+1)
+}
+
+// Ended ends a request without an answer, or with nil a flow that was expected to send one.
+func (h *Host) Ended(r *Request, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r == nil {
+		h.expected = max(h.expected-1, 0)
+		return
+	}
+	h.remove(r, now)
+}
+
+func (h *Host) remove(r *Request, now time.Duration) bool {
+	for i, other := range h.requests {
+		if other == r {
+			h.requests = append(h.requests[:i], h.requests[i+1:]...)
+			h.start(now)
+			return true
+		}
+	}
+	return false
 }
 
 // SetOpen says whether the host takes new flows.
@@ -222,5 +360,5 @@
 func (h *Host) Restarted() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.busy, h.mean = 0, h.cfg.ServiceTime
+	h.expected, h.requests, h.mean, h.samples = 0, nil, h.cfg.ServiceTime, 0
 }
--- a/placement/host_test.go
+++ b/placement/host_test.go
@@ -19,7 +19,7 @@
 func busyHost(n int) *placement.Host {
 	h := placement.NewHost(placement.HostConfig{Slots: 4})
 	for range n {
-		h.Began()
+		h.Began(0, false, 0)
 	}
 	return h
 }
@@ -28,9 +28,9 @@
 func walk(t require.TestingT, hosts []*placement.Host, o mesh.Terms) (taken int, visits int) {
 	for visits = 1; visits <= len(hosts)+1; visits++ {
 		at := int(o.At)
-		d := hosts[at].Decide(o, uint8(len(hosts)))
+		d := hosts[at].Decide(flowKey(1), o, uint8(len(hosts)), 0)
 		switch d.Action {
-		case placement.Take:
+		case placement.Take, placement.Hold:
 			return at, visits
 		case placement.Refuse:
 			return -1, visits
@@ -58,17 +58,18 @@
 	require.Equal(t, 4, visits)
 }
 
-// Guards against flows that are taken although they can't be served within the target.
+// Guards against flows that are taken although they can't be served within the
+// target, and against refusals of those that can.
 func TestRefusalBeyondTarget(t *testing.T) {
-	hosts := []*placement.Host{busyHost(16), busyHost(18)}
+	hosts := []*placement.Host{busyHost(20), busyHost(22)}
 	taken, _ := walk(t, hosts, terms(0))
 	require.Equal(t, -1, taken)
-	for _, h := range hosts {
-		h.Ended()
-	}
+	hosts = append(hosts, busyHost(9))
+	taken, _ = walk(t, hosts, terms(0))
+	require.Equal(t, 2, taken)
 	patient := terms(0)
 	patient.Target = mesh.WaitOf(5 * time.Second)
-	taken, _ = walk(t, hosts, patient)
+	taken, _ = walk(t, hosts[:2], patient)
 	require.Equal(t, 0, taken)
 }
 
@@ -83,15 +84,14 @@
 	require.Equal(t, -1, taken)
 	must := terms(0)
 	must.MustTake = true
-	require.Equal(t, placement.Refuse, closed.Decide(must, 1).Action)
+	require.Equal(t, placement.Refuse, closed.Decide(flowKey(1), must, 1, 0).Action)
 }
 
 // Guards against a slow host that takes flows while others are free.
 func TestSlowHost(t *testing.T) {
 	slow := busyHost(1)
 	for range 100 {
-		slow.Began()
-		slow.Answered(300 * time.Millisecond)
+		slow.Answered(slow.Began(0, false, 0), 300*time.Millisecond)
 	}
 	o := terms(0)
 	o.Usual = mesh.WaitOf(30 * time.Millisecond)
@@ -127,3 +127,31 @@
 		require.Equal(t, before, after)
 	})
 }
+
+// Guards against a mean time that counts the time in the host's queue: a
+// loaded host would look slow, and its flows would be refused or sent away.
+func TestMeanLeavesOutTheQueue(t *testing.T) {
+	h := placement.NewHost(placement.HostConfig{Slots: 1})
+	now := time.Duration(0)
+	var waiting []*placement.Request
+	for range 200 {
+		waiting = append(waiting, h.Began(now, false, 0))
+		if len(waiting) == 10 {
+			now += 20 * time.Millisecond
+			h.Answered(waiting[0], now)
+			waiting = waiting[1:]
+		}
+	}
+	require.Equal(t, mesh.WaitOf(20*time.Millisecond), h.Load().Service)
+}
+
+// Guards against an offer without end between hosts that closed meanwhile.
+func TestRewalkEnds(t *testing.T) {
+	m := mesh.Message{Candidates: [mesh.MaxCandidates]uint32{1, 2, 3}, Count: 3}
+	m.Offered.MustTake = true
+	require.True(t, placement.Rewalk(&m, 2))
+	require.Equal(t, []uint32{1, 3}, m.Candidates[:m.Count])
+	require.False(t, m.Offered.MustTake)
+	require.True(t, placement.Rewalk(&m, 9))
+	require.False(t, placement.Rewalk(&m, 1))
+}
--- /dev/null
+++ b/placement/queue_test.go
@@ -0,0 +1,61 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/placement"
+)
+
+// Guards against a held flow that is served after one that came later, without need.
+func TestHeldInOrder(t *testing.T) {
+	h := busyHost(4)
+	for i := range 3 {
+		require.Equal(t, placement.Hold, decide(h, i, 2, 0))
+	}
+	_, ok := h.Next(0)
+	require.False(t, ok, "the host is full")
+	first := h.Began(0, false, 0)
+	h.Answered(first, time.Millisecond)
+	h.SetSlots(6)
+	for i := range 2 {
+		key, ok := h.Next(time.Millisecond)
+		require.True(t, ok)
+		require.Equal(t, flowKey(i), key)
+	}
+}
+
+func decide(h *placement.Host, n int, priority uint8, now time.Duration) placement.Action {
+	o := mesh.Terms{Best: 0, MustTake: true, Priority: priority, Target: mesh.WaitOf(150 * time.Millisecond)}
+	return h.Decide(flowKey(n), o, 1, now).Action
+}
+
+// Guards against urgent flows behind others, and against flows in time behind those that are late anyway.
+func TestHeldByUrgencyAndTime(t *testing.T) {
+	h := busyHost(4)
+	decide(h, 1, 2, 0)
+	decide(h, 2, 2, 200*time.Millisecond)
+	decide(h, 3, 1, 200*time.Millisecond)
+	h.SetSlots(7)
+	for _, want := range []int{3, 2, 1} {
+		key, ok := h.Next(210 * time.Millisecond)
+		require.True(t, ok)
+		require.Equal(t, flowKey(want), key)
+	}
+}
+
+// Guards against flows that are held for longer than their callers wait.
+func TestHeldTooLong(t *testing.T) {
+	h := busyHost(4)
+	decide(h, 1, 2, 0)
+	_, ok := h.Expired(placement.DefaultHoldLimit)
+	require.False(t, ok)
+	key, ok := h.Expired(placement.DefaultHoldLimit + time.Millisecond)
+	require.True(t, ok)
+	require.Equal(t, flowKey(1), key)
+	_, ok = h.TakeHeld()
+	require.False(t, ok)
+}
