packetagent: a search never opens a flow

Hosts served 236 flows a second of some 500. Ruled out: late entries (all up within 0.5 s) and slow hosts (mean 40 to 60 ms). Also: held flows that can't be in time are served newest first, copies tell how long a caller has waited, and no flow is refused that can be served while its caller waits.

The test failed before.

--- a/flow/segment.go
+++ b/flow/segment.go
@@ -1,5 +1,7 @@
 package flow
 
+import "time"
+
 // Segment is what decisions read of one packet.
 type Segment struct {
 	// Key is the flow, whichever end sent the packet.
@@ -19,6 +21,23 @@
 // Opens says whether a caller asks for a new flow with the packet.
 func (s Segment) Opens() bool { return s.Opening && !s.Acking }
 
+// Times after which a caller sends copies of its opening packet.
+const (
+	firstCopyAfter  = 200 * time.Millisecond
+	secondCopyAfter = 600 * time.Millisecond
+)
+
+// Waited is how long the caller of an opening packet has waited at least.
+func (s Segment) Waited() time.Duration {
+	switch s.Ack {
+	case 0:
+		return 0
+	case 1:
+		return firstCopyAfter
+	}
+	return secondCopyAfter
+}
+
 // Window is the largest distance between numbers of one flow that are in use
 // at the same time. It is far above the 16 packets that an end may have in flight.
 const Window = 1 << 20
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -98,6 +98,8 @@
 	Priority uint8
 	// Target is the time in which the caller wants its answer.
 	Target Wait
+	// Waited is how long the caller has waited already, as far as its packet tells.
+	Waited Wait
 	// Usual is the time in which hosts of the service usually answer, 0 for unknown.
 	Usual Wait
 }
@@ -147,6 +149,7 @@
 	binary.BigEndian.PutUint16(h[42:], m.Load.Busy)
 	binary.BigEndian.PutUint16(h[44:], m.Load.Slots)
 	binary.BigEndian.PutUint16(h[46:], uint16(m.Load.Service))
+	binary.BigEndian.PutUint16(h[48:], uint16(m.Offered.Waited))
 	b = append(b, h[:]...)
 	for _, c := range m.Candidates[:m.Count] {
 		b = binary.BigEndian.AppendUint32(b, c)
@@ -188,6 +191,7 @@
 			BestWait: Wait(binary.BigEndian.Uint16(b[36:])),
 			Target:   Wait(binary.BigEndian.Uint16(b[38:])),
 			Usual:    Wait(binary.BigEndian.Uint16(b[40:])),
+			Waited:   Wait(binary.BigEndian.Uint16(b[48:])),
 		},
 		Load: Load{
 			Busy: binary.BigEndian.Uint16(b[42:]), Slots: binary.BigEndian.Uint16(b[44:]),
--- a/mesh/message_test.go
+++ b/mesh/message_test.go
@@ -29,6 +29,7 @@
 				BestWait: mesh.Wait(rapid.Uint16().Draw(t, "bestWait")), MustTake: rapid.Bool().Draw(t, "mustTake"),
 				Copy: rapid.Bool().Draw(t, "copy"), Priority: rapid.Uint8().Draw(t, "priority"),
 				Target: mesh.Wait(rapid.Uint16().Draw(t, "target")), Usual: mesh.Wait(rapid.Uint16().Draw(t, "usual")),
+				Waited: mesh.Wait(rapid.Uint16().Draw(t, "waited")),
 			},
 			Load: mesh.Load{
 				Busy: rapid.Uint16().Draw(t, "busy"), Slots: rapid.Uint16().Draw(t, "slots"),
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -342,3 +342,19 @@
 	}
 	require.Equal(t, callers, answered)
 }
+
+// Guards against a search for a copy of an opening packet that opens the flow
+// at every host of the service: after an outage the hosts were full of flows that no caller used.
+func TestSearchDoesNotOpenFlows(t *testing.T) {
+	b := newBench(t)
+	b.message(mesh.Search, packettest.Open(packettest.Key(1), 1))
+	require.Empty(t, b.takeHost())
+	require.Empty(t, b.takeMember())
+	b.message(mesh.Offer, packettest.Open(packettest.Key(1), 0))
+	b.FromHost(packettest.Accept(packettest.Key(1), hostSeq))
+	b.takeHost()
+	b.takeMember()
+	b.message(mesh.Search, packettest.Open(packettest.Key(1), 1))
+	require.Len(t, b.takeHost(), 1, "a copy for the host that has the flow")
+	require.Equal(t, []mesh.Kind{mesh.Taken}, b.kinds())
+}
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -49,7 +49,8 @@
 		a.tell(mesh.Taken, m.Entry, s.Key)
 		return
 	}
-	if a.maySearch(m.Entry, s.Key) {
+	// A host that is given an opening packet would open the flow.
+	if !s.Opening && a.maySearch(m.Entry, s.Key) {
 		a.toHost(m.Body, contextSearch)
 	}
 }
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -88,6 +88,10 @@
 		a.awaitAnswer(key)
 		a.toHost(packet, contextOffer)
 		holdTimes.Update(waited.Seconds())
+		if a.cfg.Log.Ordinary() {
+			l := a.load.Load()
+			a.cfg.Log.Info("held flow given to the host", "flow", key.String(), "heldMs", waited.Milliseconds(), "busy", l.Busy, "slots", l.Slots, "meanMs", uint16(l.Service))
+		}
 	}
 }
 
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -41,6 +41,8 @@
 	touched, asked time.Duration
 	// opening is the flow's opening packet while it isn't taken.
 	opening []byte
+	// since is when the caller first asked, as far as is known.
+	since time.Duration
 	// tried are the agents that did not answer.
 	tried [maxOffers]uint32
 	// offers is the number of offers made.
@@ -96,7 +98,7 @@
 		return
 	}
 	now := e.cfg.Now()
-	r := &record{touched: now, asked: now, opening: append([]byte(nil), packet...)}
+	r := &record{touched: now, asked: now, since: now - s.Waited(), opening: append([]byte(nil), packet...)}
 	shard.Put(s.Key, r)
 	if s.Ack > 0 {
 		// Another entry may have placed the flow when it got the first copy.
@@ -142,6 +144,7 @@
 		return
 	}
 	now := e.cfg.Now()
+	m.Offered.Waited = mesh.WaitOf(now - r.since)
 	r.agent, r.asked = m.Candidates[0], now
 	r.offers++
 	offers := r.offers
--- a/placement/host.go
+++ b/placement/host.go
@@ -18,9 +18,6 @@
 	// DefaultSlowFactor is how many times the usual time a host may take
 	// before other hosts with a free slot are asked first.
 	DefaultSlowFactor = 2.0
-	// DefaultTargetShare is the part of a route's target that the expected wait
-	// and service time of a flow may fill. The rest is for round trips and variance.
-	DefaultTargetShare = 0.7
 	// DefaultHoldLimit is how long a flow may be held. Callers give up a flow
 	// that has not opened after 1.4 s; the rest is for the way.
 	DefaultHoldLimit = 1200 * time.Millisecond
@@ -33,7 +30,6 @@
 	Slots       int
 	ServiceTime time.Duration
 	SlowFactor  float64
-	TargetShare float64
 	HoldLimit   time.Duration
 }
 
@@ -78,9 +74,6 @@
 	if cfg.SlowFactor <= 0 {
 		cfg.SlowFactor = DefaultSlowFactor
 	}
-	if cfg.TargetShare <= 0 {
-		cfg.TargetShare = DefaultTargetShare
-	}
 	if cfg.HoldLimit <= 0 {
 		cfg.HoldLimit = DefaultHoldLimit
 	}
@@ -164,13 +157,13 @@
 // keep takes or holds a flow that no other host is better for.
 func (h *Host) keep(key flow.Key, t mesh.Terms, now time.Duration) Action {
 	switch {
-	case !h.open || h.tooLate(h.wait()+h.mean, t):
+	case !h.open || h.wait() > h.cfg.HoldLimit:
 		return Refuse
 	case h.inside() < h.room() && len(h.held) == 0:
 		h.expected++
 		return Take
 	}
-	h.held = append(h.held, waiting{key: key, priority: t.Priority, target: t.Target.Duration(), since: now})
+	h.held = append(h.held, waiting{key: key, priority: t.Priority, target: t.Target.Duration(), since: now - t.Waited.Duration()})
 	return Hold
 }
 
@@ -180,7 +173,7 @@
 		t.At++
 		return Pass
 	}
-	if t.Best == mesh.NoCandidate || h.tooLate(t.BestWait.Duration(), *t) {
+	if t.Best == mesh.NoCandidate || t.BestWait.Duration() > h.cfg.HoldLimit {
 		return Refuse
 	}
 	t.MustTake = true
@@ -191,16 +184,6 @@
 	return Return
 }
 
-// tooLate says whether a flow that is answered after the expected time is
-// better refused: its caller tries again at once, while there is still time to meet its target.
-func (h *Host) tooLate(expected time.Duration, t mesh.Terms) bool {
-	limit := h.cfg.HoldLimit
-	if t.Target > 0 {
-		limit = min(limit, time.Duration(h.cfg.TargetShare*float64(t.Target.Duration())))
-	}
-	return expected > limit
-}
-
 // Decline answers an offer that the host at Terms.At took and did not accept.
 func Decline(t mesh.Terms, count uint8) Decision {
 	d := Decision{Action: Refuse, Terms: t}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -10,7 +10,8 @@
 type waiting struct {
 	key      flow.Key
 	priority uint8
-	// target is the time in which the caller wants its answer, counted from since.
+	// target is the time in which the caller wants its answer, counted from
+	// since, when it first asked as far as is known.
 	target time.Duration
 	since  time.Duration
 }
@@ -19,8 +20,8 @@
 //
 // Under a load above capacity, serving the longest-waiting flow first would
 // bring every flow to its target too late. So flows that can still be
-// answered in time go first, of them the most urgent and then the oldest; those that can't go when
-// there is room left.
+// answered in time go first, of them the most urgent and then the oldest. Those that can't go when
+// there is room left, the newest first: the callers of the oldest are about to give up.
 type queue []waiting
 
 // take removes the flow to serve next; the queue isn't empty. serve is the time that an answer takes.
@@ -36,10 +37,14 @@
 
 // before says whether w goes before an older flow.
 func (w waiting) before(older waiting, now, serve time.Duration) bool {
-	if a, b := w.inTime(now, serve), older.inTime(now, serve); a != b {
+	a, b := w.inTime(now, serve), older.inTime(now, serve)
+	switch {
+	case a != b:
 		return a
+	case w.priority != older.priority:
+		return w.priority < older.priority
 	}
-	return w.priority < older.priority
+	return !a
 }
 
 // inTime says whether the flow can be expected to meet its target. The time of
