--- a/placement/host.go
+++ b/placement/host.go
@@ -122,7 +122,7 @@
 func (h *Host) Decide(key flow.Key, t mesh.Terms, count uint8, now time.Duration) Decision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	d := Decision{Terms: t, Expected: h.wait() + h.mean, Load: h.load()}
+	d := Decision{Terms: t, Expected: h.wait(now) + h.mean, Load: h.load()}
 	switch {
 	case !t.MustTake && h.takesAtOnce(t):
 		h.expected++
@@ -157,7 +157,7 @@
 // keep takes or holds a flow that no other host is better for.
 func (h *Host) keep(key flow.Key, t mesh.Terms, now time.Duration) Action {
 	switch {
-	case !h.open || h.wait() > h.cfg.HoldLimit:
+	case !h.open || h.wait(now) > h.cfg.HoldLimit:
 		return Refuse
 	case h.inside() < h.room() && len(h.held) == 0:
 		h.expected++
@@ -221,13 +221,17 @@
 	return kept > 0
 }
 
-// wait is the time until a request that comes now begins to run.
-func (h *Host) wait() time.Duration {
-	before := h.inside() + len(h.held) - h.slots + 1
-	if before <= 0 {
-		return 0
+// wait is the time until a request that comes now begins to run. Held flows that
+// can't be answered in time let it pass; they count a little, so that of two hosts
+// the one with fewer of them is chosen.
+func (h *Host) wait(now time.Duration) time.Duration {
+	inTime := h.held.inTime(now, h.mean+h.gap)
+	before := h.inside() + inTime - h.slots + 1
+	wait := time.Duration(len(h.held)-inTime) * time.Millisecond
+	if before > 0 {
+		wait += h.mean * time.Duration(before) / time.Duration(h.slots)
 	}
-	return h.mean * time.Duration(before) / time.Duration(h.slots)
+	return wait
 }
 
 func (h *Host) load() mesh.Load {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -54,6 +54,17 @@
 	return now-w.since+margin*serve <= w.target
 }
 
+// inTime returns the number of flows that can be answered in time.
+func (q queue) inTime(now, serve time.Duration) int {
+	n := 0
+	for _, w := range q {
+		if w.inTime(now, serve) {
+			n++
+		}
+	}
+	return n
+}
+
 // oldest removes the oldest flow if it came before a time.
 func (q *queue) oldest(before time.Duration) (flow.Key, bool) {
 	if len(*q) == 0 || (*q)[0].since >= before {
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -59,3 +59,19 @@
 	_, ok = h.TakeHeld()
 	require.False(t, ok)
 }
+
+// Guards against a new flow that is refused because many late ones are held,
+// although it goes before them.
+func TestLateFlowsDoNotCauseRefusals(t *testing.T) {
+	h := busyHost(4)
+	for i := range 400 {
+		decide(h, i, 2, 0)
+	}
+	for i := range 3 {
+		require.Equal(t, placement.Hold, decide(h, 1000+i, 2, 400*time.Millisecond))
+	}
+	h.SetSlots(5)
+	key, ok := h.Next(410 * time.Millisecond)
+	require.True(t, ok)
+	require.Equal(t, flowKey(1000), key)
+}
