packetentry, packetagent: homes know where flows are; a slow entry doesn't blame agents

A flow has two homes by rendezvous hashing, agents that are told where it is; an entry asks them before all agents. SIGHUP reads the settings again; before it ended the process.

--- a/cmd/endiveflow-node/entry.go
+++ b/cmd/endiveflow-node/entry.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/packetnode"
 	"endiveflow.example/endiveflow/platform"
@@ -12,7 +10,8 @@
 
 // Run runs an entry.
 func (entryCommand) Run() error {
-	return runRole(func(s platform.Settings, log *eventlog.Log) func(context.Context) <-chan error {
-		return packetnode.EntryRole{Settings: s, Log: log}.Run
+	return runRole(func(s platform.Settings, log *eventlog.Log) role {
+		part := packetnode.NewEntryRole(s, log)
+		return role{Run: part.Run, Reload: part.Reload}
 	})
 }
--- a/cmd/endiveflow-node/main.go
+++ b/cmd/endiveflow-node/main.go
@@ -36,12 +36,8 @@
 }
 
 // runRole reads the settings, runs a role until a signal to stop, and writes its log.
-func runRole(start func(platform.Settings, *eventlog.Log) func(context.Context) <-chan error) error {
-	path := os.Getenv(platform.SettingsVariable)
-	if path == "" {
-		path = platform.DefaultSettingsPath
-	}
-	settings, err := platform.LoadSettings(path)
+func runRole(start func(platform.Settings, *eventlog.Log) role) error {
+	settings, err := platform.LoadSettings(platform.SettingsPath())
 	if err != nil {
 		return fmt.Errorf("loading settings: %w", err)
 	}
@@ -50,7 +46,11 @@
 	written := log.Run(logging)
 	stop, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	err = <-start(settings, log)(stop)
+	part := start(settings, log)
+	reloaded := reload(stop, part, log)
+	err = <-part.Run(stop)
+	cancel()
+	<-reloaded
 	stopLog()
 	<-written
 	if err != nil {
@@ -58,3 +58,37 @@
 	}
 	return nil
 }
+
+// role is an entry or an agent.
+type role struct {
+	// Run runs the role until its context ends.
+	Run func(context.Context) <-chan error
+	// Reload takes changed settings.
+	Reload func(platform.Settings)
+}
+
+// reload reads the settings again at each hangup signal until ctx ends. Settings
+// that can't be read leave those before in force.
+func reload(ctx context.Context, part role, log *eventlog.Log) <-chan error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan error, 1)
+	go func() {
+		defer func() { done <- nil }()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				settings, err := platform.LoadSettings(platform.SettingsPath())
+				if err != nil {
+					log.Error("reload", "outcome", "kept the former settings", "error", err.Error())
+					continue
+				}
+				part.Reload(settings)
+				log.Info("reload", "outcome", "applied", "seeds", len(settings.Seeds), "stopGraceMs", settings.StopGrace.Milliseconds())
+			}
+		}
+	}()
+	return done
+}
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -32,13 +32,17 @@
 	// AgentReport and EntryReport carry what a process says of itself.
 	AgentReport
 	EntryReport
+	// Located tells the homes of a flow which agent has it.
+	Located
+	// Marker is what an entry sends to itself to learn that it has read all that came before.
+	Marker
 	// Leaving says that the sender ends; it carries no report.
 	Leaving
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	names := [...]string{"none", "offer", "deliver", "search", "taken", "passed", "refused", "missing", "agentReport", "entryReport", "leaving"}
+	names := [...]string{"none", "offer", "deliver", "search", "taken", "passed", "refused", "missing", "agentReport", "entryReport", "located", "marker", "leaving"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -48,6 +52,13 @@
 // MaxCandidates is the number of agents that an offer visits at most.
 const MaxCandidates = 8
 
+// HomeCount is the number of agents that are told where a flow is.
+const HomeCount = 2
+
+// StepAll is the step of a search that asks all agents; lower steps ask the
+// homes of the flow, which answer if they don't know it.
+const StepAll = HomeCount
+
 // Wait is an expected time in milliseconds, as a message carries it.
 type Wait uint16
 
@@ -72,6 +83,8 @@
 	Entry uint32
 	// Flow is set in Taken, Passed and Refused; in other kinds the packet tells.
 	Flow flow.Key
+	// Step counts the ways of finding a flow that were tried, in Search and in the Missing that answers it.
+	Step uint8
 	// Offered holds the terms of an offer.
 	Offered Terms
 	// Load is the sender's load in an agent's messages.
@@ -79,6 +92,8 @@
 	// Candidates are the agents that an offer visits, in order. Count of them are set.
 	Candidates [MaxCandidates]uint32
 	Count      uint8
+	// Homes are the agents that know where a flow is, 0 for none. The first is asked first.
+	Homes [HomeCount]uint32
 	// Body is the packet or the report. It aliases the datagram.
 	Body []byte
 }
@@ -117,7 +132,7 @@
 // Sizes and offsets of the head.
 const (
 	protocolVersion = 1
-	headBytes       = 56
+	headBytes       = 60
 	addressBytes    = 4
 
 	flagMustTake = 1 << 0
@@ -150,6 +165,9 @@
 	binary.BigEndian.PutUint16(h[44:], m.Load.Slots)
 	binary.BigEndian.PutUint16(h[46:], uint16(m.Load.Service))
 	binary.BigEndian.PutUint16(h[48:], uint16(m.Offered.Waited))
+	h[35] = m.Step
+	binary.BigEndian.PutUint32(h[52:], m.Homes[0])
+	binary.BigEndian.PutUint32(h[56:], m.Homes[1])
 	b = append(b, h[:]...)
 	for _, c := range m.Candidates[:m.Count] {
 		b = binary.BigEndian.AppendUint32(b, c)
@@ -198,6 +216,8 @@
 			Service: Wait(binary.BigEndian.Uint16(b[46:])), Open: b[2]&flagOpen != 0,
 		},
 	}
+	m.Step = b[35]
+	m.Homes[0], m.Homes[1] = binary.BigEndian.Uint32(b[52:]), binary.BigEndian.Uint32(b[56:])
 	rest := b[headBytes:]
 	for i := range m.Count {
 		m.Candidates[i] = binary.BigEndian.Uint32(rest)
--- a/mesh/message_test.go
+++ b/mesh/message_test.go
@@ -21,7 +21,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.Uint8Range(1, mesh.MaxCandidates).Draw(t, "count")
 		in := mesh.Message{
-			Kind: mesh.Kind(rapid.Uint8Range(1, 10).Draw(t, "kind")), Service: rapid.Uint32().Draw(t, "service"),
+			Kind: mesh.Kind(rapid.Uint8Range(1, 12).Draw(t, "kind")), Service: rapid.Uint32().Draw(t, "service"),
 			ConfigVersion: rapid.Uint64().Draw(t, "version"), Entry: rapid.Uint32().Draw(t, "entry"),
 			Flow: flow.Key{Caller: endpoint(t, "caller"), Service: endpoint(t, "route")},
 			Offered: mesh.Terms{
@@ -35,6 +35,8 @@
 				Busy: rapid.Uint16().Draw(t, "busy"), Slots: rapid.Uint16().Draw(t, "slots"),
 				Service: mesh.Wait(rapid.Uint16().Draw(t, "mean")), Open: rapid.Bool().Draw(t, "open"),
 			},
+			Homes: [mesh.HomeCount]uint32{rapid.Uint32().Draw(t, "home"), rapid.Uint32().Draw(t, "secondHome")},
+			Step:  rapid.Uint8().Draw(t, "step"),
 			Count: count, Body: rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "body"),
 		}
 		for i := range count {
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -23,6 +23,8 @@
 	flows   *flowtable.Table[record]
 	// searches holds the flows whose packets were given to the host on suspicion.
 	searches *flowtable.Table[search]
+	// locations holds the flows that this agent is a home of.
+	locations *flowtable.Table[location]
 	// reports counts the versions of this agent's report.
 	reports atomic.Uint64
 	leaving atomic.Bool
@@ -46,8 +48,9 @@
 
 // search is a flow whose packet was given to the host to find out whether the host has it.
 type search struct {
-	// entry asked last.
+	// entry asked last, at the given step of its search.
 	entry uint32
+	step  uint8
 	at    time.Duration
 	// bounced says that the host doesn't have the flow.
 	bounced bool
@@ -68,7 +71,7 @@
 	cfg = cfg.withDefaults()
 	return &Agent{
 		cfg: cfg, tag: mesh.ServiceTag(cfg.Service), started: cfg.Now(), load: cfg.Load,
-		flows: flowtable.New[record](), searches: flowtable.New[search](),
+		flows: flowtable.New[record](), searches: flowtable.New[search](), locations: flowtable.New[location](),
 	}
 }
 
@@ -98,7 +101,7 @@
 		a.cfg.NewerConfig(m.Entry)
 	}
 	switch m.Kind {
-	case mesh.Offer, mesh.Deliver, mesh.Search:
+	case mesh.Offer, mesh.Deliver, mesh.Search, mesh.Located:
 	default:
 		return
 	}
@@ -109,6 +112,10 @@
 		}
 		return
 	}
+	if m.Kind == mesh.Located {
+		a.located(m.Flow, m.Entry)
+		return
+	}
 	s, err := platform.DecodePacket(m.Body, platform.FromCaller)
 	if err != nil {
 		badPackets.Inc()
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -77,6 +77,9 @@
 		Offered:    mesh.Terms{Best: mesh.NoCandidate, Target: mesh.WaitOf(150 * time.Millisecond)},
 		Candidates: [mesh.MaxCandidates]uint32{ownIP, peerIP}, Count: 2,
 	}
+	if k == mesh.Search {
+		m.Step = mesh.StepAll
+	}
 	b.Receive(m.Append(nil))
 }
 
@@ -358,3 +361,38 @@
 	require.Len(t, b.takeHost(), 1, "a copy for the host that has the flow")
 	require.Equal(t, []mesh.Kind{mesh.Taken}, b.kinds())
 }
+
+// Guards against a flow whose home doesn't know where it is, and against a
+// search that goes round in circles.
+func TestHomeKnowsFlow(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	k := packettest.Key(1)
+	m := mesh.Message{
+		Kind: mesh.Offer, Service: mesh.ServiceTag(service), Entry: entryIP, Body: packettest.Open(k, 0), Count: 1,
+		Candidates: [mesh.MaxCandidates]uint32{ownIP}, Homes: [mesh.HomeCount]uint32{peerIP, ownIP},
+		Offered: mesh.Terms{Best: mesh.NoCandidate},
+	}
+	b.Receive(m.Append(nil))
+	told := b.takeMember()
+	require.Len(t, told, 2)
+	require.Equal(t, mesh.Located, told[1].Kind)
+	require.Equal(t, uint32(peerIP), told[1].to)
+
+	other := packettest.Key(2)
+	located := mesh.Message{Kind: mesh.Located, Service: mesh.ServiceTag(service), Entry: peerIP, Flow: other}
+	b.Receive(located.Append(nil))
+	search := mesh.Message{Kind: mesh.Search, Service: mesh.ServiceTag(service), Entry: entryIP, Body: packettest.Request(other, 5, 10)}
+	b.Receive(search.Append(nil))
+	sent := b.takeMember()
+	require.Len(t, sent, 1)
+	require.Equal(t, mesh.Search, sent[0].Kind)
+	require.Equal(t, uint32(peerIP), sent[0].to)
+	require.EqualValues(t, entryIP, sent[0].Entry)
+	require.EqualValues(t, mesh.StepAll, sent[0].Step)
+
+	search.Body = packettest.Request(packettest.Key(3), 5, 10)
+	b.Receive(search.Append(nil))
+	require.Equal(t, []mesh.Kind{mesh.Missing}, b.kinds(), "a home that doesn't know says so")
+	require.Empty(t, b.takeHost()[1:])
+}
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -12,11 +12,11 @@
 		a.toHost(m.Body, contextDeliver)
 		return
 	}
-	if a.maySearch(m.Entry, s.Key) {
+	if a.maySearch(m, s.Key) {
 		a.toHost(m.Body, contextProbe)
 		return
 	}
-	a.giveBack(m.Entry, s.Key, m.Body)
+	a.giveBack(m, s.Key, m.Body)
 }
 
 // hold notes a packet of the caller and says whether its flow is here.
@@ -31,32 +31,46 @@
 	return true
 }
 
-// giveBack tells an entry that a flow isn't here, with the packet.
-func (a *Agent) giveBack(entry uint32, key flow.Key, packet []byte) {
-	m := a.message(mesh.Missing, entry, key)
-	m.Body = packet
-	a.send(entry, &m)
+// giveBack tells the entry that asked that a flow isn't here, with the packet.
+func (a *Agent) giveBack(asked *mesh.Message, key flow.Key, packet []byte) {
+	m := a.message(mesh.Missing, asked.Entry, key)
+	m.Step, m.Body = asked.Step, packet
+	a.send(asked.Entry, &m)
 	missing.Inc()
 	if a.cfg.Log.Rare() {
-		a.cfg.Log.Info("flow is not here", "flow", key.String(), "entry", addr(entry))
+		a.cfg.Log.Info("flow is not here", "flow", key.String(), "entry", addr(asked.Entry), "step", asked.Step)
 	}
 }
 
-// search delivers a packet if its flow is here or may be.
+// search delivers a packet if its flow is here or may be, or sends it to the
+// agent that has the flow if this one is its home.
 func (a *Agent) search(m *mesh.Message, s flow.Segment) {
 	if a.hold(s) {
 		a.toHost(m.Body, contextDeliver)
 		a.tell(mesh.Taken, m.Entry, s.Key)
 		return
 	}
+	if other := a.whereIs(s.Key); other != 0 && m.Step < mesh.StepAll {
+		m.Step = mesh.StepAll
+		a.send(other, m)
+		return
+	}
 	// A host that is given an opening packet would open the flow.
-	if !s.Opening && a.maySearch(m.Entry, s.Key) {
-		a.toHost(m.Body, contextSearch)
+	if !s.Opening && a.maySearch(m, s.Key) {
+		context := contextSearch
+		if m.Step < mesh.StepAll {
+			context = contextProbe
+		}
+		a.toHost(m.Body, context)
+		return
+	}
+	if m.Step < mesh.StepAll {
+		a.giveBack(m, s.Key, m.Body)
 	}
 }
 
 // maySearch says whether the host may have a flow that the agent doesn't know, and notes that an entry asked for it.
-func (a *Agent) maySearch(entry uint32, key flow.Key) bool {
+func (a *Agent) maySearch(m *mesh.Message, key flow.Key) bool {
 	if a.knowsAll.Load() || a.cfg.Now()-a.started > a.cfg.MaxFlowAge {
 		return false
 	}
@@ -67,7 +81,7 @@
 		found = new(search)
 		shard.Put(key, found)
 	}
-	found.entry, found.at = entry, a.cfg.Now()
+	found.entry, found.step, found.at = m.Entry, m.Step, a.cfg.Now()
 	return !found.bounced
 }
 
@@ -128,8 +142,8 @@
 	bounces.Inc()
 	switch s.Context {
 	case contextSearch, contextProbe:
-		if entry, asked := a.notHere(s.Key); asked && s.Context == contextProbe {
-			a.giveBack(entry, s.Key, packet)
+		if asked := a.notHere(s.Key); asked.entry != 0 && s.Context == contextProbe {
+			a.giveBack(&mesh.Message{Entry: asked.entry, Step: asked.step}, s.Key, packet)
 		}
 		return
 	case contextOffer, contextDeliver:
@@ -174,15 +188,15 @@
 }
 
 // notHere remembers that the host doesn't have a flow, so that it isn't asked
-// again. It returns the entry that asked last, if one did.
-func (a *Agent) notHere(key flow.Key) (entry uint32, asked bool) {
+// again. It returns the search for the flow, whose entry is 0 when there was none.
+func (a *Agent) notHere(key flow.Key) search {
 	shard := a.searches.Lock(key)
 	defer shard.Unlock()
 	found := shard.Get(key)
-	if asked = found != nil; !asked {
+	if found == nil {
 		found = new(search)
 		shard.Put(key, found)
 	}
 	found.bounced, found.at = true, a.cfg.Now()
-	return found.entry, asked
+	return *found
 }
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -213,6 +213,7 @@
 		r.moveTo(ended, now, a.load)
 		return false
 	})
+	a.remind(now)
 	a.refuseExpired()
 	a.serveHeld()
 	a.searches.Sweep(func(_ flow.Key, s *search) bool { return now-s.at < searchMemory })
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -35,10 +35,12 @@
 		a.awaitAnswer(s.Key)
 		a.toHost(m.Body, contextOffer)
 		a.tell(mesh.Taken, m.Entry, s.Key)
+		a.locate(s.Key, m.Homes)
 	case placement.Hold:
 		a.record(shard, m, s, held)
 		shard.Unlock()
 		a.tell(mesh.Taken, m.Entry, s.Key)
+		a.locate(s.Key, m.Homes)
 	default:
 		shard.Unlock()
 		a.sendOn(m, s, d)
@@ -51,7 +53,7 @@
 	now := a.cfg.Now()
 	kept := &heldOffer{message: *m, packet: bytes.Clone(m.Body)}
 	kept.message.Body = nil
-	shard.Put(s.Key, &record{phase: p, since: now, opened: now, touched: now, offer: kept})
+	shard.Put(s.Key, &record{phase: p, since: now, opened: now, touched: now, offer: kept, homes: m.Homes, told: now})
 }
 
 // awaitAnswer makes Tick look whether the host answered an opening packet.
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -38,6 +38,9 @@
 	opened time.Duration
 	// since is when the phase began, touched when the last packet passed.
 	since, touched time.Duration
+	// homes were told at told where the flow is.
+	homes [mesh.HomeCount]uint32
+	told  time.Duration
 	// hostSeq is the newest sequence number of the host; hasSeq says whether it is known.
 	hostSeq uint32
 	hasSeq  bool
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -22,8 +22,10 @@
 	leaving atomic.Bool
 
 	waitMu sync.Mutex
-	// waits is guarded by waitMu, in order of due within each length of wait.
+	// All below is guarded by waitMu. The waits are about in order of due.
 	offers, searches []wait
+	// marked is the time of the marker that is on its way, 0 for none.
+	marked time.Duration
 }
 
 type wait struct {
@@ -47,6 +49,9 @@
 	tried [maxOffers]uint32
 	// offers is the number of offers made.
 	offers int
+	// searched is when the flow was last searched for, searches how often.
+	searched time.Duration
+	searches int
 }
 
 // New returns an entry that knows no other process.
@@ -83,8 +88,9 @@
 		shard.Unlock()
 		e.forward(mesh.Deliver, agent, s, packet)
 	default:
+		step := e.nextStep(shard, s.Key, r)
 		shard.Unlock()
-		e.search(s, packet)
+		e.search(s, packet, step)
 	}
 }
 
@@ -103,7 +109,7 @@
 	if s.Ack > 0 {
 		// Another entry may have placed the flow when it got the first copy.
 		shard.Unlock()
-		e.search(s, packet)
+		e.search(s, packet, 0)
 		e.await(&e.searches, wait{s.Key, now + e.cfg.SearchTimeout})
 		return
 	}
@@ -135,6 +141,7 @@
 	var room [2 * mesh.MaxCandidates]placement.Candidate
 	candidates := e.roster.candidates(m.Service, room[:0], r.excluded)
 	m.Offered.Usual = usual(candidates)
+	m.Homes = e.roster.homes(m.Service, key)
 	m.Count = placement.Order(key, candidates, &m.Candidates)
 	if m.Count == 0 {
 		shard.Delete(key)
@@ -190,7 +197,7 @@
 	}
 	m := mesh.Message{
 		Kind: mesh.Offer, Service: mesh.ServiceTag(route.Service(s.Key)), ConfigVersion: table.Version, Entry: e.cfg.IP,
-		Offered:    mesh.Terms{Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), Target: mesh.WaitOf(route.Target), Copy: true},
+		Offered:    mesh.Terms{Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), Target: mesh.WaitOf(route.Target), Copy: true, Waited: mesh.WaitOf(s.Waited())},
 		Candidates: [mesh.MaxCandidates]uint32{agent}, Count: 1, Body: packet,
 	}
 	e.send(agent, &m)
@@ -200,7 +207,7 @@
 func (e *Entry) forward(k mesh.Kind, agent uint32, s flow.Segment, packet []byte) {
 	a := e.roster.agent(agent)
 	if a == nil {
-		e.search(s, packet)
+		e.search(s, packet, mesh.StepAll)
 		return
 	}
 	m := mesh.Message{
@@ -210,29 +217,6 @@
 	e.send(agent, &m)
 }
 
-// search sends a packet of a flow to all agents that may have it.
-func (e *Entry) search(s flow.Segment, packet []byte) {
-	table := e.cfg.Routes.Current()
-	var agents []*agent
-	if route, ok := table.Find(s.Key.Service); ok {
-		for _, share := range route.Shares {
-			agents = append(agents, e.roster.service(mesh.ServiceTag(share.Service))...)
-		}
-	} else {
-		agents = e.roster.all()
-	}
-	searches.Inc()
-	if e.cfg.Log.Rare() {
-		e.cfg.Log.Info("search", "flow", s.Key.String(), "agents", len(agents), "opening", s.Opening, "config", routing.VersionOf(table))
-	}
-	for _, a := range agents {
-		m := mesh.Message{
-			Kind: mesh.Search, Service: mesh.ServiceTag(a.report.Load().Service), ConfigVersion: routing.VersionOf(table), Entry: e.cfg.IP, Body: packet,
-		}
-		e.send(a.report.Load().IP, &m)
-	}
-}
-
 func (e *Entry) send(ip uint32, m *mesh.Message) {
 	b := getBuffer()
 	*b = m.Append((*b)[:0])
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -12,5 +12,6 @@
 	silentOffers = metrics.NewCounter(`endiveflow_packetentry_silent_total`)
 	gaveUp       = metrics.NewCounter(`endiveflow_packetentry_gave_up_total`)
 	forwarded    = metrics.NewCounter(`endiveflow_packetentry_forwarded_total`)
+	floods       = metrics.NewCounter(`endiveflow_packetentry_floods_total`)
 	searches     = metrics.NewCounter(`endiveflow_packetentry_searches_total`)
 )
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -5,7 +5,6 @@
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
-	"endiveflow.example/endiveflow/platform"
 )
 
 // Receive takes a datagram of another process.
@@ -19,6 +18,10 @@
 		e.cfg.NewerConfig(m.Entry)
 	}
 	switch m.Kind {
+	case mesh.Marker:
+		if m.Entry == e.cfg.IP {
+			e.markerArrived()
+		}
 	case mesh.AgentReport:
 		e.agentReport(&m)
 	case mesh.EntryReport:
@@ -87,81 +90,84 @@
 			shard.Delete(m.Flow)
 		}
 	default:
-		e.missing(m, r, shard.Delete)
+		delivered := r != nil && r.taken && r.agent == m.Entry
+		if delivered {
+			// The agent no longer has the flow that it had.
+			shard.Delete(m.Flow)
+		}
 		shard.Unlock()
-		e.searchAgain(m)
+		e.searchFurther(m)
 		return
 	}
 	shard.Unlock()
 }
 
-// missing forgets where a flow was when that agent says that it isn't there.
-func (e *Entry) missing(m *mesh.Message, r *record, forget func(flow.Key)) {
-	if r != nil && r.taken && r.agent == m.Entry {
-		forget(m.Flow)
-	}
-}
-
-// searchAgain looks for the flow of a packet that an agent gave back. The
-// agents that don't have it won't give it back again.
-func (e *Entry) searchAgain(m *mesh.Message) {
-	s, err := platform.DecodePacket(m.Body, platform.FromCaller)
-	if err != nil || s.Opening {
-		return
-	}
-	shard := e.flows.Lock(s.Key)
-	r := shard.Get(s.Key)
-	elsewhere := uint32(0)
-	if r != nil && r.taken && r.agent != m.Entry {
-		elsewhere = r.agent
+// Tick looks for what is due. Whether an agent stayed silent is known only when
+// the datagrams that came before are read: a slow entry must not take its own
+// delay for the agent's. So Tick sends the entry a marker, and what is due is done when the
+// marker arrives. It returns the time until something else is due, or 0 when nothing waits.
+func (e *Entry) Tick() time.Duration {
+	now := e.cfg.Now()
+	e.waitMu.Lock()
+	defer e.waitMu.Unlock()
+	next := time.Duration(0)
+	for _, list := range [][]wait{e.offers, e.searches} {
+		if len(list) == 0 {
+			continue
+		}
+		if left := max(list[0].due-now, 0); next == 0 || left < next {
+			next = max(left, time.Millisecond)
+		}
+		if list[0].due <= now && (e.marked == 0 || now-e.marked > markerTimeout) {
+			e.marked = now
+			m := mesh.Message{Kind: mesh.Marker, Entry: e.cfg.IP}
+			e.send(e.cfg.IP, &m)
+		}
 	}
-	asked := r != nil && !r.taken && e.cfg.Now()-r.asked < e.cfg.SearchTimeout
-	shard.Unlock()
-	switch {
-	case elsewhere != 0:
-		e.forward(mesh.Deliver, elsewhere, s, m.Body)
-	case !asked:
-		e.search(s, m.Body)
+	if next > 0 && e.marked != 0 {
+		next = max(next, markerPause)
 	}
+	return next
 }
 
-// Tick does what is due: it offers flows again whose agent stayed silent. It
-// returns the time until something else is due, or 0 when nothing waits.
-func (e *Entry) Tick() time.Duration {
+const (
+	// markerTimeout is the time after which a marker is taken for lost.
+	markerTimeout = 200 * time.Millisecond
+	// markerPause is the time between looks while a marker is on its way.
+	markerPause = 5 * time.Millisecond
+)
+
+// markerArrived does what was due when the marker was sent.
+func (e *Entry) markerArrived() {
 	now := e.cfg.Now()
-	next := time.Duration(0)
+	e.waitMu.Lock()
+	sent := e.marked
+	e.marked = 0
+	e.waitMu.Unlock()
+	if sent == 0 {
+		return
+	}
 	for _, list := range []*[]wait{&e.offers, &e.searches} {
 		for {
-			w, left := e.due(list, now)
-			if left != 0 {
-				if next == 0 || left < next {
-					next = left
-				}
-				break
-			}
-			if w == nil {
+			w, ok := e.due(list, sent)
+			if !ok {
 				break
 			}
 			e.overdue(w.key, now, list == &e.searches)
 		}
 	}
-	return next
 }
 
-// due takes the first wait that is due, or returns the time until the next one.
-func (e *Entry) due(list *[]wait, now time.Duration) (*wait, time.Duration) {
+// due takes the first wait that was due at a time.
+func (e *Entry) due(list *[]wait, at time.Duration) (wait, bool) {
 	e.waitMu.Lock()
 	defer e.waitMu.Unlock()
-	if len(*list) == 0 {
-		*list = nil
-		return nil, 0
+	if len(*list) == 0 || (*list)[0].due > at {
+		return wait{}, false
 	}
 	w := (*list)[0]
-	if w.due > now {
-		return nil, w.due - now
-	}
 	*list = (*list)[1:]
-	return &w, 0
+	return w, true
 }
 
 // overdue offers a flow again that wasn't taken in time.
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/placement"
@@ -240,6 +241,30 @@
 	return into
 }
 
+// homes returns the agents that are told where a flow of a service is: those
+// of the highest rendezvous weights. Entries that know the same agents agree on them.
+func (r *roster) homes(tag uint32, key flow.Key) [mesh.HomeCount]uint32 {
+	var homes [mesh.HomeCount]uint32
+	var weights [mesh.HomeCount]uint64
+	seed := key.Hash()
+	now := r.cfg.Now()
+	for _, a := range r.service(tag) {
+		if now-time.Duration(a.heard.Load()) > r.cfg.Silence {
+			continue
+		}
+		ip := a.report.Load().IP
+		w := flow.Mix(seed ^ flow.Mix(uint64(ip)))
+		switch {
+		case w > weights[0]:
+			homes[1], weights[1] = homes[0], weights[0]
+			homes[0], weights[0] = ip, w
+		case w > weights[1]:
+			homes[1], weights[1] = ip, w
+		}
+	}
+	return homes
+}
+
 // usual is the time in which the service's hosts answer, the lower median of what agents told.
 func usual(candidates []placement.Candidate) mesh.Wait {
 	var times [64]mesh.Wait
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -32,8 +32,23 @@
 
 // AgentRole runs an agent.
 type AgentRole struct {
-	Settings platform.Settings
-	Log      *eventlog.Log
+	settings platform.Settings
+	log      *eventlog.Log
+	// reloads receives changed settings.
+	reloads chan platform.Settings
+}
+
+// NewAgentRole returns an agent with the settings of its VM.
+func NewAgentRole(s platform.Settings, log *eventlog.Log) AgentRole {
+	return AgentRole{settings: s, log: log, reloads: make(chan platform.Settings, 1)}
+}
+
+// Reload takes changed settings. Seeds are used at once; addresses hold until the next start.
+func (r AgentRole) Reload(s platform.Settings) {
+	select {
+	case r.reloads <- s:
+	default:
+	}
 }
 
 // Run runs the agent until ctx ends, then stops it gracefully, and reports its end.
@@ -47,7 +62,7 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	parts := new(group)
-	s := r.Settings
+	s := r.settings
 	hostSide, err := listenUDP(ctx, s.HostOutput)
 	if err != nil {
 		return err
@@ -71,12 +86,12 @@
 		entries   = newHeard(now)
 	)
 	keeper := newConfigKeeper(configKeeper{
-		routes: &routes, store: store, http: newHTTPClient(), port: s.FirstPort, log: r.Log, applied: func() {},
+		routes: &routes, store: store, http: newHTTPClient(), port: s.FirstPort, log: r.log, applied: func() {},
 	})
 	agent := packetagent.New(packetagent.Config{
 		IP: flow.EndpointOf(netip.AddrPortFrom(s.IP, 0)).IP, Service: s.Service, Host: flow.EndpointOf(s.Host), Zone: s.Zone,
 		CallerPort: s.Packets.Port(), Incarnation: time.Now().UnixMilli(), MaxFlowAge: s.MaxFlowAge,
-		Now: now, Log: r.Log,
+		Now: now, Log: r.log,
 		ToHost:   func(packet []byte) { sendTo(hostSide, s.Host, packet) },
 		ToCaller: callerSender(peers, s.Packets.Port()), ToMember: toMember,
 		ConfigVersion: routes.Version, NewerConfig: keeper.newerAt,
@@ -84,12 +99,13 @@
 		Waiting: wake.in,
 	})
 	book := newMembers(&members{
-		own: memberRecord{Role: roleAgent, IP: s.IP, Zone: s.Zone, Service: s.Service}, store: store, log: r.Log,
+		own: memberRecord{Role: roleAgent, IP: s.IP, Zone: s.Zone, Service: s.Service}, store: store, log: r.log,
 		alone: func() bool { return len(entries.addresses()) == 0 },
 		found: func() { signal(reportNow) },
-	}, s.Seeds)
+	})
+	book.seed(s.Seeds)
 	reporter := reporter{
-		message: agent.ReportMessage, send: toMember, now: reportNow, met: entries.met, log: r.Log,
+		message: agent.ReportMessage, send: toMember, now: reportNow, met: entries.met, log: r.log,
 		audience: func() []uint32 { return union(entries.addresses(), book.addresses(roleEntry)) },
 		each:     agent.Sweep,
 	}
@@ -102,12 +118,13 @@
 	parts.add("alarm", wake.run(ctx, agent.Tick))
 	parts.add("fetches", keeper.catchUp(ctx))
 	parts.add("members", book.run(ctx))
+	parts.add("reloads", book.reload(ctx, r.reloads))
 	parts.add("reports", reporter.run(ctx))
-	parts.add("checks", hostCheck{agent: agent, address: s.Host, beats: beats, interval: s.HeartbeatInterval, log: r.Log}.run(ctx))
+	parts.add("checks", hostCheck{agent: agent, address: s.Host, beats: beats, interval: s.HeartbeatInterval, log: r.log}.run(ctx))
 	if err := parts.serve(ctx, netip.AddrPortFrom(s.IP, s.FirstPort), internalHandler(&routes)); err != nil {
 		return err
 	}
-	calls := platform.HostAPI{Heartbeat: beats.noted(agent.Heartbeat), Leave: agent.Leave, Log: r.Log.Logger}
+	calls := platform.HostAPI{Heartbeat: beats.noted(agent.Heartbeat), Leave: agent.Leave, Log: r.log.Logger}
 	if err := parts.serve(ctx, s.Control, calls.Handler()); err != nil {
 		return err
 	}
@@ -116,9 +133,9 @@
 			return err
 		}
 	}
-	r.Log.Info("start", "role", roleAgent, "ip", s.IP.String(), "zone", s.Zone, "service", s.Service, "host", s.Host.String())
+	r.log.Info("start", "role", roleAgent, "ip", s.IP.String(), "zone", s.Zone, "service", s.Service, "host", s.Host.String())
 	err = parts.wait(stop)
-	r.Log.Info("stop", "flows", agent.Flows(), "load", agent.Load().Busy, "error", textOf(err))
+	r.log.Info("stop", "flows", agent.Flows(), "load", agent.Load().Busy, "error", textOf(err))
 	agent.Stop()
 	if err == nil {
 		began := now()
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -31,8 +31,23 @@
 
 // EntryRole runs an entry.
 type EntryRole struct {
-	Settings platform.Settings
-	Log      *eventlog.Log
+	settings platform.Settings
+	log      *eventlog.Log
+	// reloads receives changed settings.
+	reloads chan platform.Settings
+}
+
+// NewEntryRole returns an entry with the settings of its VM.
+func NewEntryRole(s platform.Settings, log *eventlog.Log) EntryRole {
+	return EntryRole{settings: s, log: log, reloads: make(chan platform.Settings, 1)}
+}
+
+// Reload takes changed settings. Seeds are used at once; addresses hold until the next start.
+func (r EntryRole) Reload(s platform.Settings) {
+	select {
+	case r.reloads <- s:
+	default:
+	}
 }
 
 // Run runs the entry until ctx ends, then stops it gracefully, and reports its end.
@@ -46,7 +61,7 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	parts := new(group)
-	s := r.Settings
+	s := r.settings
 	callers, err := listenUDP(ctx, s.Packets)
 	if err != nil {
 		return err
@@ -71,12 +86,12 @@
 		now       = steadyClock()
 	)
 	keeper := newConfigKeeper(configKeeper{
-		routes: &routes, store: store, http: newHTTPClient(), port: s.FirstPort, log: r.Log,
+		routes: &routes, store: store, http: newHTTPClient(), port: s.FirstPort, log: r.log,
 		applied: func() { signal(reportNow) },
 	})
 	entry := packetentry.New(packetentry.Config{
 		IP: flow.EndpointOf(netip.AddrPortFrom(s.IP, 0)).IP, Zone: s.Zone, Incarnation: time.Now().UnixMilli(),
-		Now: now, Routes: &routes, Log: r.Log,
+		Now: now, Routes: &routes, Log: r.log,
 		ToCaller: callerSender(callers, s.Packets.Port()), ToMember: toMember,
 		NewerConfig: keeper.newerAt, Waiting: wake.in,
 		Met: func(ip uint32) {
@@ -87,15 +102,16 @@
 		},
 	})
 	book := newMembers(&members{
-		own: memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone}, store: store, log: r.Log,
+		own: memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone}, store: store, log: r.log,
 		alone: func() bool {
 			entries, agents := entry.Known()
 			return len(entries)+len(agents) == 0
 		},
 		found: func() { signal(reportNow) },
-	}, s.Seeds)
+	})
+	book.seed(s.Seeds)
 	reporter := reporter{
-		message: entry.ReportMessage, send: toMember, now: reportNow, met: met, log: r.Log,
+		message: entry.ReportMessage, send: toMember, now: reportNow, met: met, log: r.log,
 		audience: func() []uint32 {
 			entries, agents := entry.Known()
 			return union(entries, agents, book.addresses(""))
@@ -111,12 +127,13 @@
 	parts.add("configuration", keeper.follow(ctx))
 	parts.add("fetches", keeper.catchUp(ctx))
 	parts.add("members", book.run(ctx))
+	parts.add("reloads", book.reload(ctx, r.reloads))
 	parts.add("reports", reporter.run(ctx))
 	if err := parts.serve(ctx, netip.AddrPortFrom(s.IP, s.FirstPort), internalHandler(&routes)); err != nil {
 		return err
 	}
 	if s.Control.IsValid() {
-		if err := parts.serve(ctx, s.Control, hostRelay{port: s.Control.Port(), http: newHTTPClient(), log: r.Log}); err != nil {
+		if err := parts.serve(ctx, s.Control, hostRelay{port: s.Control.Port(), http: newHTTPClient(), log: r.log}); err != nil {
 			return err
 		}
 	}
@@ -124,9 +141,9 @@
 	if err := parts.serve(ctx, s.Ready, readiness); err != nil {
 		return err
 	}
-	r.Log.Info("start", "role", roleEntry, "ip", s.IP.String(), "zone", s.Zone)
+	r.log.Info("start", "role", roleEntry, "ip", s.IP.String(), "zone", s.Zone)
 	err = parts.wait(stop)
-	r.Log.Info("stop", "flows", entry.Flows(), "config", routes.Version(), "error", textOf(err))
+	r.log.Info("stop", "flows", entry.Flows(), "config", routes.Version(), "error", textOf(err))
 	entry.Stop()
 	if err == nil {
 		began := now()
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -59,12 +59,36 @@
 	contacts map[uint32]string
 }
 
-func newMembers(m *members, seeds []netip.AddrPort) *members {
+func newMembers(m *members) *members {
 	m.contacts = make(map[uint32]string)
+	return m
+}
+
+// seed adds the entries that the settings name.
+func (m *members) seed(seeds []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, s := range seeds {
 		m.contacts[flow.EndpointOf(s).IP] = roleEntry
 	}
-	return m
+}
+
+// reload takes the seeds of changed settings until ctx ends.
+func (m *members) reload(ctx context.Context, changes <-chan platform.Settings) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		defer func() { done <- nil }()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-changes:
+				m.seed(s.Seeds)
+				m.found()
+			}
+		}
+	}()
+	return done
 }
 
 // addresses returns the processes that the store and the settings name; role "" means all.
