--- a/mesh/message.go
+++ b/mesh/message.go
@@ -107,7 +107,8 @@
 	BestWait Wait
 	// MustTake says that all candidates were asked and this one is the best.
 	MustTake bool
-	// Copy says that the packet is a copy of one that was offered before.
+	// Copy says that the packet was sent before: a copy of one that was offered, or a
+	// search that a home sent on.
 	Copy bool
 	// Priority is that of the route, 0 for the most urgent.
 	Priority uint8
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -389,7 +389,12 @@
 	require.Equal(t, mesh.Search, sent[0].Kind)
 	require.Equal(t, uint32(peerIP), sent[0].to)
 	require.EqualValues(t, entryIP, sent[0].Entry)
-	require.EqualValues(t, mesh.StepAll, sent[0].Step)
+
+	again := sent[0].Message
+	again.Body = packettest.Request(packettest.Key(4), 5, 10)
+	b.Receive(located.Append(nil))
+	b.Receive(again.Append(nil))
+	require.Equal(t, []mesh.Kind{mesh.Missing}, b.kinds(), "the agent that a home named doesn't have the flow")
 
 	search.Body = packettest.Request(packettest.Key(3), 5, 10)
 	b.Receive(search.Append(nil))
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -50,8 +50,9 @@
 		a.tell(mesh.Taken, m.Entry, s.Key)
 		return
 	}
-	if other := a.whereIs(s.Key); other != 0 && m.Step < mesh.StepAll {
-		m.Step = mesh.StepAll
+	if other := a.whereIs(s.Key); other != 0 && m.Step < mesh.StepAll && !m.Offered.Copy {
+		// Copy keeps the search from being sent on twice.
+		m.Offered.Copy = true
 		a.send(other, m)
 		return
 	}
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -10,10 +10,14 @@
 
 // Defaults of Config.
 const (
-	// DefaultOfferTimeout is how long the agent that has an offer may stay silent
+	// DefaultOfferTimeout is how long the agent that has an offer may stay silent at least
 	// before the entry takes it for away. An agent answers within a round trip
 	// between availability zones and its processor's delay.
-	DefaultOfferTimeout = 25 * time.Millisecond
+	DefaultOfferTimeout = 30 * time.Millisecond
+	// offerTimeoutFactor is how many times the usual delay of answers an agent
+	// may take, which holds where the entry itself is slow; maxOfferTimeout bounds it.
+	offerTimeoutFactor = 4
+	maxOfferTimeout    = 150 * time.Millisecond
 	// DefaultSearchTimeout is how long a copy of an opening packet waits for an agent that knows
 	// the flow before it is offered as new.
 	DefaultSearchTimeout = 10 * time.Millisecond
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -24,6 +24,8 @@
 	waitMu sync.Mutex
 	// All below is guarded by waitMu. The waits are about in order of due.
 	offers, searches []wait
+	// answerDelay is the usual time from an offer to the first word of an agent.
+	answerDelay time.Duration
 	// marked is the time of the marker that is on its way, 0 for none.
 	marked time.Duration
 }
@@ -164,7 +166,7 @@
 	}
 	e.cfg.ToMember(m.Candidates[0], *b)
 	putBuffer(b)
-	e.await(&e.offers, wait{key, now + e.cfg.OfferTimeout})
+	e.await(&e.offers, wait{key, now + e.offerTimeout()})
 	offersSent.Inc()
 	if e.cfg.Log.Ordinary() {
 		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "offered", "service", service, "first", addr(m.Candidates[0]),
@@ -241,6 +243,21 @@
 	}
 }
 
+// offerTimeout is how long an agent may stay silent now.
+func (e *Entry) offerTimeout() time.Duration {
+	e.waitMu.Lock()
+	defer e.waitMu.Unlock()
+	return min(max(e.cfg.OfferTimeout, offerTimeoutFactor*e.answerDelay), maxOfferTimeout)
+}
+
+// answered notes how long an agent took to answer an offer.
+func (e *Entry) answered(delay time.Duration) {
+	const weight = 16
+	e.waitMu.Lock()
+	defer e.waitMu.Unlock()
+	e.answerDelay += (delay - e.answerDelay) / weight
+}
+
 // Flows returns the number of flows that the entry remembers.
 func (e *Entry) Flows() int { return e.flows.Len() }
 
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -74,6 +74,9 @@
 	shard := e.flows.Lock(m.Flow)
 	r := shard.Get(m.Flow)
 	now := e.cfg.Now()
+	if r != nil && !r.taken && r.offers > 0 {
+		e.answered(now - r.asked)
+	}
 	switch m.Kind {
 	case mesh.Taken:
 		if r == nil {
@@ -178,7 +181,7 @@
 		shard.Unlock()
 		return
 	}
-	if left := r.asked + e.cfg.OfferTimeout - now; !searched && left > 0 {
+	if left := r.asked + e.offerTimeout() - now; !searched && left > 0 {
 		// An agent passed the offer on meanwhile.
 		shard.Unlock()
 		e.await(&e.offers, wait{key, now + left})
@@ -210,7 +213,7 @@
 		a.markSilent()
 	}
 	if e.cfg.Log.Rare() {
-		e.cfg.Log.Warn("agent", "agent", addr(r.agent), "outcome", "silent", "flow", key.String(), "afterMs", e.cfg.OfferTimeout.Milliseconds(), "attempt", r.offers)
+		e.cfg.Log.Warn("agent", "agent", addr(r.agent), "outcome", "silent", "flow", key.String(), "afterMs", (e.cfg.Now() - r.asked).Milliseconds(), "attempt", r.offers)
 	}
 }
 
