packettest, packetentry, platform: a small fleet in memory; tests of the adapter

The fleet runs entries and agents on a time of its own with fake hosts and callers; random troubles (restarts, drains, pauses, loss) look for resets of open flows and flows at wrong or draining hosts. Found by it: an agent that starts anew doesn't know that its host drains, and entries forgot it; they keep what they knew until the next heartbeat (TestDrainOutlivesTheAgent).

--- a/host/tracker_test.go
+++ b/host/tracker_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"endiveflow.example/endiveflow/host"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func report(id string, born int64, sequence uint64, state host.State) host.Report {
--- a/mesh/message_test.go
+++ b/mesh/message_test.go
@@ -10,6 +10,7 @@
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/mesh"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func endpoint(t *rapid.T, name string) flow.Endpoint {
--- /dev/null
+++ b/packetentry/entry_test.go
@@ -0,0 +1,216 @@
+package packetentry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/packetentry"
+	"endiveflow.example/endiveflow/packettest"
+	_ "endiveflow.example/endiveflow/testseed"
+)
+
+// fleet returns a settled fleet of entries and agents of the first service.
+func fleet(entries, agents int) (*packettest.Fleet, packettest.Callers) {
+	f := packettest.NewFleet(1)
+	for i := range entries {
+		f.AddEntry(packettest.Address(1 + i))
+	}
+	for i := range agents {
+		f.AddAgent(packettest.Address(100+i), packettest.FirstService)
+	}
+	f.AddAgent(packettest.Address(200), packettest.SecondService)
+	f.Run(50 * time.Millisecond)
+	return f, packettest.NewCallers(f)
+}
+
+func through(e *packettest.Entry) func() *packettest.Entry {
+	return func() *packettest.Entry { return e }
+}
+
+func requireAnswered(t require.TestingT, f *packettest.Fleet, c *packettest.Caller, answers int) {
+	require.False(t, c.Reset, "flow %s was reset", c.Key)
+	require.Equal(t, answers, c.Answers, "flow %s", c.Key)
+	require.Empty(t, f.Broken)
+}
+
+func requireOpened(t *testing.T, f *packettest.Fleet, want int) {
+	t.Helper()
+	opened := 0
+	for _, a := range f.Agents {
+		opened += a.Host.Opened
+	}
+	require.Equal(t, want, opened)
+}
+
+// Guards against a flow that isn't placed, opens twice, or isn't answered.
+func TestFlow(t *testing.T) {
+	f, callers := fleet(1, 3)
+	c := callers.Start(f, packettest.Key(1), through(f.Entries[0]))
+	f.Run(100 * time.Millisecond)
+	requireAnswered(t, f, c, 1)
+	requireOpened(t, f, 1)
+}
+
+// Guards against flows that break when the fabric moves them to another entry.
+func TestFlowMovesToAnotherEntry(t *testing.T) {
+	f, callers := fleet(2, 5)
+	c := callers.Start(f, packettest.Key(1), through(f.Entries[0]))
+	f.Run(100 * time.Millisecond)
+	c.Through = through(f.Entries[1])
+	c.Request()
+	f.Run(100 * time.Millisecond)
+	requireAnswered(t, f, c, 2)
+}
+
+// Guards against a copy of an opening packet that opens the flow at a second
+// host, because it comes through another entry.
+func TestCopyThroughAnotherEntry(t *testing.T) {
+	f, _ := fleet(2, 5)
+	f.ToCaller = func(flow.Segment, uint32) {}
+	for n := range uint32(3) {
+		f.FromCaller(f.Entries[n%2], packettest.Open(packettest.Key(1), n))
+		f.Run(200 * time.Millisecond)
+	}
+	requireOpened(t, f, 1)
+}
+
+// Guards against a flow that waits for an agent that is gone.
+func TestSilentAgent(t *testing.T) {
+	f, callers := fleet(1, 3)
+	f.Agents[0].Up = false
+	for i := range 20 {
+		c := callers.Start(f, packettest.Key(i), through(f.Entries[0]))
+		f.Run(150 * time.Millisecond)
+		requireAnswered(t, f, c, 1)
+	}
+}
+
+// Guards against an entry that takes its own delay for the silence of agents:
+// it offered each flow again, and two hosts opened it.
+func TestSlowEntryDoesNotBlameAgents(t *testing.T) {
+	f, callers := fleet(1, 3)
+	e := f.Entries[0]
+	c := callers.Start(f, packettest.Key(1), through(e))
+	// The process stands still while the agent's answer is under way.
+	f.Run(4 * time.Millisecond)
+	e.Pause(f, 60*time.Millisecond)
+	f.Run(300 * time.Millisecond)
+	requireAnswered(t, f, c, 1)
+	requireOpened(t, f, 1)
+}
+
+// Guards against a reset or a black hole for flows that no process but the host knows.
+func TestEverythingRestartsButTheHost(t *testing.T) {
+	f, callers := fleet(2, 4)
+	c := callers.Start(f, packettest.Key(1), through(f.Entries[0]))
+	f.Run(100 * time.Millisecond)
+	for _, a := range f.Agents {
+		f.StartAgent(a)
+	}
+	for _, e := range f.Entries {
+		f.StartEntry(e)
+	}
+	f.Run(50 * time.Millisecond)
+	c.Request()
+	f.Run(time.Second)
+	requireAnswered(t, f, c, 2)
+}
+
+// Guards against new flows for a draining host after its agent started anew,
+// which knows nothing of the drain until the next heartbeat.
+func TestDrainOutlivesTheAgent(t *testing.T) {
+	f, callers := fleet(1, 2)
+	a := f.Agents[0]
+	a.Host.State = host.Draining
+	f.Beat(a)
+	f.Run(10 * time.Millisecond)
+	opened := a.Host.Opened
+	f.StartAgent(a)
+	f.Run(5 * time.Millisecond)
+	for i := range 10 {
+		c := callers.Start(f, packettest.Key(i), through(f.Entries[0]))
+		f.Run(60 * time.Millisecond)
+		requireAnswered(t, f, c, 1)
+	}
+	require.Equal(t, opened, a.Host.Opened)
+}
+
+// Guards against an opening packet to an address without a route that gets no answer.
+func TestNoRoute(t *testing.T) {
+	f, callers := fleet(1, 1)
+	k := packettest.Key(1)
+	k.Service.Port++
+	c := callers.Start(f, k, through(f.Entries[0]))
+	f.Run(50 * time.Millisecond)
+	require.True(t, c.Reset)
+}
+
+// Guards against an entry that says it is ready before it can place flows.
+func TestReadiness(t *testing.T) {
+	f := packettest.NewFleet(1)
+	e := f.AddEntry(packettest.Address(1))
+	ready, why := e.Ready()
+	require.False(t, ready)
+	require.Equal(t, "no agents", why)
+	f.AddAgent(packettest.Address(100), packettest.FirstService)
+	f.Run(10 * time.Millisecond)
+	ready, _ = e.Ready()
+	require.True(t, ready)
+	e.Stop()
+	ready, _ = e.Ready()
+	require.False(t, ready)
+}
+
+// Guards against flows that break, open at the wrong hosts or are reset while
+// their hosts live, whatever restarts, drains and pauses come together.
+func TestRandomTroubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, callers := fleet(3, 5)
+		seed := rapid.Uint64().Draw(t, "seed")
+		loss := rapid.Float64Range(0, 0.03).Draw(t, "loss")
+		f.Lose = func(uint32, uint32) bool { return f.Random.Float64() < loss }
+		fabric := func() *packettest.Entry { return f.Entries[(f.Random.Uint64()+seed)%uint64(len(f.Entries))] }
+		var all []*packettest.Caller
+		for step := range rapid.IntRange(5, 40).Draw(t, "steps") {
+			for i := range 3 {
+				all = append(all, callers.Start(f, packettest.Key(step*3+i), fabric))
+			}
+			a := f.Agents[rapid.IntRange(0, 4).Draw(t, "agent")]
+			e := f.Entries[rapid.IntRange(0, 2).Draw(t, "entry")]
+			switch rapid.IntRange(0, 9).Draw(t, "trouble") {
+			case 0:
+				f.StartEntry(e)
+			case 1:
+				f.StartAgent(a)
+			case 2:
+				a.Host.State = host.Draining
+				f.Beat(a)
+			case 3:
+				e.Pause(f, 80*time.Millisecond)
+			case 4:
+				if a.Host.DrainedAt > 0 {
+					a.Host.DrainedAt = 0
+					f.StartHost(a)
+				}
+			}
+			f.Run(time.Duration(rapid.IntRange(1, 120).Draw(t, "pauseMs")) * time.Millisecond)
+			for _, c := range all {
+				if c.Reset && c.Open && f.Owner(c.Key, c.First) != nil {
+					require.Fail(t, "an open flow was reset while its host lives", "%s", c.Key)
+				}
+			}
+		}
+		require.Empty(t, f.Broken)
+	})
+}
+
+// Guards against a change of the defaults that breaks their order.
+func TestTimeouts(t *testing.T) {
+	require.Less(t, packetentry.DefaultSearchTimeout, packetentry.DefaultOfferTimeout)
+	require.Less(t, packetentry.DefaultOfferTimeout, 200*time.Millisecond)
+}
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -132,6 +132,10 @@
 	if !newer(report, before) {
 		return false, false
 	}
+	if report.Host == host.Unknown && before.Service == report.Service {
+		// An agent that has just started doesn't know yet that its host drains.
+		report.Host, report.HostID, report.Born = before.Host, before.HostID, before.Born
+	}
 	a.report.Store(&report)
 	a.told(load, now)
 	if before.Service != report.Service {
--- a/placement/host_test.go
+++ b/placement/host_test.go
@@ -9,6 +9,7 @@
 
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/placement"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 func terms(at uint8) mesh.Terms {
