--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -26,8 +26,8 @@
 
 // Lines that were left out, by reason.
 var (
-	sampled = metrics.NewCounter(`endiveflow_log_left_out_total{reason="sampled"}`)
-	full    = metrics.NewCounter(`endiveflow_log_left_out_total{reason="bufferFull"}`)
+	sampled = metrics.NewCounter(`endiveflow_eventlog_left_out_total{reason="sampled"}`)
+	full    = metrics.NewCounter(`endiveflow_eventlog_left_out_total{reason="bufferFull"}`)
 )
 
 // Config configures a Log.
--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -22,11 +22,11 @@
 	holdTimes = metrics.NewHistogram(`endiveflow_packetagent_hold_seconds`)
 
 	// decisions counts offers by the action taken.
-	decisions = func() map[placement.Action]*metrics.Counter {
-		m := make(map[placement.Action]*metrics.Counter)
-		for _, a := range []placement.Action{placement.Take, placement.Hold, placement.Pass, placement.Return, placement.Refuse} {
-			m[a] = metrics.NewCounter(`endiveflow_packetagent_offers_total{action="` + a.String() + `"}`)
-		}
-		return m
-	}()
+	decisions = map[placement.Action]*metrics.Counter{
+		placement.Take:   metrics.NewCounter(`endiveflow_packetagent_offers_total{action="take"}`),
+		placement.Hold:   metrics.NewCounter(`endiveflow_packetagent_offers_total{action="hold"}`),
+		placement.Pass:   metrics.NewCounter(`endiveflow_packetagent_offers_total{action="pass"}`),
+		placement.Return: metrics.NewCounter(`endiveflow_packetagent_offers_total{action="return"}`),
+		placement.Refuse: metrics.NewCounter(`endiveflow_packetagent_offers_total{action="refuse"}`),
+	}
 )
