soak: real processes under random faults; packetagent keeps flows of a new host

endiveflow soak runs entries and agents as processes on loopback addresses with fake hosts, callers, the stand-in store behind a faulty proxy, and kills, stops, pauses, hangs up, drains, crashes, cuts and reconfigures in overlapping series. It checks from what callers and hosts see: no reset of a flow whose host has it, packets unchanged, no new flow at a draining or wrong host or on a dropped route, no process that ends by itself, recovery.

Flows opened since the former host's last heartbeat are kept now; if they are gone, their next packet bounces. The unit test failed before. Also: searches for one flow are bounded, and a process greets another once a second.

--- a/cmd/endiveflow/main.go
+++ b/cmd/endiveflow/main.go
@@ -27,6 +27,7 @@
 	Explain explainCommand `cmd:"" help:"Print which agents get new flows and why, and where settings come from."`
 	Get     getCommand     `cmd:"" help:"Print objects of the configuration."`
 	History historyCommand `cmd:"" help:"Print the newest changes of an object."`
+	Soak    soakCommand    `cmd:"" help:"Run the packet path as processes under random faults and check what callers see."`
 	Status  statusCommand  `cmd:"" help:"Print what is in effect in each availability zone."`
 	Undrain undrainCommand `cmd:"" help:"End the drain of a host."`
 
--- /dev/null
+++ b/cmd/endiveflow/soak.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"endiveflow.example/endiveflow/soak"
+)
+
+type soakCommand struct {
+	Program string        `help:"Path of endiveflow-node." default:"target/endiveflow-node"`
+	Seed    uint64        `help:"First seed; 0 takes one from the clock."`
+	Runs    int           `help:"Number of runs, with one seed after the other." default:"1"`
+	Time    time.Duration `help:"How long faults are injected." default:"30s"`
+	Entries int           `help:"Number of entries." default:"3"`
+	Hosts   int           `help:"Number of hosts with their agents." default:"5"`
+	Flows   int           `help:"New flows a second." default:"60"`
+	Keep    string        `help:"Directory that keeps the settings and logs of failed runs." type:"path"`
+}
+
+// errSoak says that a run broke a promise.
+var errSoak = errors.New("the soak found broken promises")
+
+// Run runs soaks and prints a timeline of each.
+func (c soakCommand) Run(ctx context.Context, out io.Writer) error {
+	seed := c.Seed
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	failed := 0
+	for n := range c.Runs {
+		ok, err := c.once(ctx, out, seed+uint64(n))
+		if err != nil {
+			return err
+		}
+		if !ok {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d runs: %w", failed, c.Runs, errSoak)
+	}
+	return nil
+}
+
+func (c soakCommand) once(ctx context.Context, out io.Writer, seed uint64) (bool, error) {
+	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return false, fmt.Errorf("making a directory: %w", err)
+	}
+	report, err := soak.Run(ctx, soak.Config{
+		Program: c.Program, Dir: dir, Seed: seed, Time: c.Time, Entries: c.Entries, Hosts: c.Hosts, FlowsPerSecond: c.Flows,
+	})
+	if err != nil {
+		return false, fmt.Errorf("running the soak: %w", err)
+	}
+	if err := report.WriteTimeline(out); err != nil {
+		return false, err
+	}
+	ok := len(report.Failures) == 0
+	if ok || c.Keep == "" {
+		if err := os.RemoveAll(dir); err != nil {
+			return false, fmt.Errorf("removing %s: %w", dir, err)
+		}
+	}
+	return ok, nil
+}
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -32,6 +32,8 @@
 	silent atomic.Int32
 	// warmUntil is when the host's warm-up ends, in Config.Now.
 	warmUntil atomic.Int64
+	// heardHost is when the host's last heartbeat came, in Config.Now.
+	heardHost atomic.Int64
 	// knowsAll says that the agent was there before its host, so that it knows all flows of it.
 	knowsAll atomic.Bool
 
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -175,6 +175,7 @@
 	b.heartbeat("h", bornAt, 1, host.Ready)
 	b.open(packettest.Key(1))
 	b.open(packettest.Key(2))
+	b.now += time.Second
 	b.heartbeat("h", bornAt, 2, host.Draining)
 	require.Empty(t, b.takeCaller())
 	b.heartbeat("h", bornAt+5000, 1, host.Ready)
@@ -401,3 +402,22 @@
 	require.Equal(t, []mesh.Kind{mesh.Missing}, b.kinds(), "a home that doesn't know says so")
 	require.Empty(t, b.takeHost()[1:])
 }
+
+// Guards against a reset of flows at a new host: it takes flows before its
+// first heartbeat, and that heartbeat ended all flows as the former host's.
+// Found by the soak with seed 1.
+func TestFlowsBeforeTheFirstHeartbeatOfANewHost(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.open(packettest.Key(1))
+	b.now += time.Second
+	b.heartbeat("h", bornAt, 2, host.Ready)
+	b.now += 200 * time.Millisecond
+	// The host starts anew here.
+	b.open(packettest.Key(2))
+	b.now += 200 * time.Millisecond
+	b.heartbeat("h", bornAt+1200, 1, host.Ready)
+	requireResets(t, b.takeCaller(), packettest.Key(1))
+	b.message(mesh.Deliver, packettest.Request(packettest.Key(2), hostSeq+1, 100))
+	require.Len(t, b.takeHost(), 1)
+}
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -111,7 +111,7 @@
 	}
 	if learned {
 		// The host opened the flow before this process started.
-		r = &record{phase: idle, since: now, confirmed: true}
+		r = &record{phase: idle, since: now, opened: now, confirmed: true}
 		shard.Put(s.Key, r)
 	}
 	r.fromHost(s, now, a.load)
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -1,6 +1,7 @@
 package packetagent
 
 import (
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,18 +18,20 @@
 			r, r.Service, r.Address, a.cfg.Service, a.cfg.Host)
 	}
 	before, known := a.host.Current()
+	heardBefore := time.Duration(a.heardHost.Load())
 	outcome := a.host.Take(r)
 	if outcome == host.Outdated {
 		a.cfg.Log.Warn("late heartbeat ignored", "host", r.String(), "current", before.String(), "state", before.State.String())
 		return nil
 	}
 	now := a.cfg.Now()
+	a.heardHost.Store(int64(now))
 	a.silent.Store(0)
 	a.load.SetSlots(r.Slots)
 	a.load.SetOpen(r.State == host.Ready)
 	a.warmUntil.Store(int64(now + r.Warmup))
 	if outcome == host.Replaced {
-		a.replaced(known, r)
+		a.replaced(known, r, heardBefore)
 	}
 	if r.State == host.Ready {
 		a.serveHeld()
@@ -43,11 +46,13 @@
 	return nil
 }
 
-// replaced ends the flows of the host's former incarnation. A host that
+// replaced ends the flows of the host's former incarnation, which was last heard
+// from at a time. Flows that were opened since may be at the new one, which takes flows before its
+// first heartbeat; if they aren't, their next packet comes back. A host that
 // started after this process has no flow that the agent doesn't know.
-func (a *Agent) replaced(known bool, r host.Report) {
+func (a *Agent) replaced(known bool, r host.Report, heardBefore time.Duration) {
 	if known {
-		a.endAll("another incarnation of the host is at its address")
+		a.endAll("another incarnation of the host is at its address", heardBefore)
 		a.load.Restarted()
 	}
 	if known || r.Born > a.cfg.Incarnation {
@@ -64,7 +69,7 @@
 	a.load.SetOpen(false)
 	a.cfg.Log.Info("host", "id", id, "outcome", "left")
 	a.cfg.Changed()
-	a.endAll("the host left")
+	a.endAll("the host left", forever)
 	return nil
 }
 
@@ -77,7 +82,7 @@
 	a.load.SetOpen(false)
 	a.cfg.Log.Warn("host", "host", r.String(), "outcome", "down", "why", "its port refuses connections")
 	a.cfg.Changed()
-	a.endAll("the host is down")
+	a.endAll("the host is down", forever)
 }
 
 // HostSilent closes a host that doesn't answer until it is heard from.
@@ -94,8 +99,12 @@
 // Suspect says whether the host left opening packets unanswered.
 func (a *Agent) Suspect() bool { return a.silent.Load() >= silentLimit }
 
-// endAll resets all flows of a host that is certainly gone, so that callers try again at once.
-func (a *Agent) endAll(why string) {
+// forever is after any time.
+const forever time.Duration = math.MaxInt64
+
+// endAll resets the flows that were opened before a time at a host that is
+// certainly gone, so that callers try again at once.
+func (a *Agent) endAll(why string, before time.Duration) {
 	a.releaseHeld(why)
 	n := 0
 	type lostFlow struct {
@@ -105,6 +114,9 @@
 	var lost []lostFlow
 	now := a.cfg.Now()
 	a.flows.Sweep(func(key flow.Key, r *record) bool {
+		if r.opened >= before {
+			return true
+		}
 		if r.phase != ended {
 			if !(r.callerEnded && r.hostEnded) {
 				lost = append(lost, lostFlow{key, r.callerAck})
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -51,9 +51,11 @@
 	tried [maxOffers]uint32
 	// offers is the number of offers made.
 	offers int
-	// searched is when the flow was last searched for, searches how often.
+	// searched is when the flow was last searched for, searches how often, and
+	// burst for how many packets since then.
 	searched time.Duration
 	searches int
+	burst    int
 }
 
 // New returns an entry that knows no other process.
@@ -90,9 +92,11 @@
 		shard.Unlock()
 		e.forward(mesh.Deliver, agent, s, packet)
 	default:
-		step := e.nextStep(shard, s.Key, r)
+		step, ok := e.nextStep(shard, s.Key, r)
 		shard.Unlock()
-		e.search(s, packet, step)
+		if ok {
+			e.search(s, packet, step)
+		}
 	}
 }
 
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -10,23 +10,32 @@
 	"endiveflow.example/endiveflow/routing"
 )
 
-// searchAgain is the time after which a flow that was searched for without
-// success is looked for in the next way. It is shorter than the time after which
-// callers send a packet again.
-const searchAgain = 150 * time.Millisecond
+const (
+	// searchAgain is the time after which a flow that was searched for without
+	// success is looked for in the next way. It is shorter than the time after which
+	// callers send a packet again, and doubles with each search.
+	searchAgain        = 150 * time.Millisecond
+	maxSearchDoublings = 3
+	// searchBurst is the number of packets of a flow that are searched for at
+	// once; callers have at most 16 under way.
+	searchBurst = 4
+)
 
-// nextStep returns the way of finding a flow to try for a packet and notes the search; the shard is locked.
-func (e *Entry) nextStep(shard *flowtable.Shard[record], key flow.Key, r *record) uint8 {
+// nextStep returns the way of finding a flow to try for a packet, and notes the
+// search; the shard is locked. It is false when enough is searched for already: a flow
+// whose host is gone must not cost the fleet a question for each packet.
+func (e *Entry) nextStep(shard *flowtable.Shard[record], key flow.Key, r *record) (step uint8, ok bool) {
 	now := e.cfg.Now()
 	if r == nil {
 		r = &record{touched: now, since: now, searched: now}
 		shard.Put(key, r)
-	} else if now-r.searched > searchAgain {
+	} else if now-r.searched > searchAgain<<uint(min(r.searches, maxSearchDoublings)) {
 		// The answer to the search before was lost, or nobody had one.
 		r.searches++
-		r.searched = now
+		r.searched, r.burst = now, 0
 	}
-	return uint8(min(r.searches, mesh.StepAll))
+	r.burst++
+	return uint8(min(r.searches, mesh.StepAll)), r.burst <= searchBurst
 }
 
 // search sends a packet of a flow to those who may know its agent: in the
--- a/packetnode/report.go
+++ b/packetnode/report.go
@@ -28,6 +28,9 @@
 		ticker := time.NewTicker(reportInterval)
 		defer ticker.Stop()
 		r.report(r.audience())
+		// greeted are those that got a report of their own since the last regular one:
+		// at a start, every process hears of every other one from many sides.
+		greeted := make(map[uint32]bool)
 		for {
 			select {
 			case <-ctx.Done():
@@ -35,10 +38,14 @@
 			case <-ticker.C:
 				r.each()
 				r.report(r.audience())
+				clear(greeted)
 			case <-r.now:
 				r.report(r.audience())
 			case ip := <-r.met:
-				r.report([]uint32{ip})
+				if !greeted[ip] {
+					greeted[ip] = true
+					r.report([]uint32{ip})
+				}
 			}
 		}
 	}()
--- /dev/null
+++ b/soak/config.go
@@ -0,0 +1,114 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+)
+
+// Config configures a run.
+type Config struct {
+	// Program is the path of endiveflow-node.
+	Program string
+	// Dir receives the settings and logs of the processes.
+	Dir string
+	// Seed decides about the faults.
+	Seed uint64
+	// Time is how long faults are injected; Settle follows without faults.
+	Time, Settle time.Duration
+	// Entries and Hosts are the numbers of processes. A quarter of the hosts,
+	// one at least, belong to a second service, which gets no flows.
+	Entries, Hosts int
+	// FlowsPerSecond is the load.
+	FlowsPerSecond int
+	// Out receives a line for each fault and failure; nil means none.
+	Out io.Writer
+}
+
+// Defaults of Config.
+const (
+	DefaultTime    = 30 * time.Second
+	DefaultSettle  = 8 * time.Second
+	DefaultEntries = 3
+	DefaultHosts   = 5
+	DefaultFlows   = 60
+)
+
+func (c Config) withDefaults() Config {
+	if c.Time <= 0 {
+		c.Time = DefaultTime
+	}
+	if c.Settle <= 0 {
+		c.Settle = DefaultSettle
+	}
+	if c.Entries <= 0 {
+		c.Entries = DefaultEntries
+	}
+	if c.Hosts <= 1 {
+		c.Hosts = DefaultHosts
+	}
+	if c.FlowsPerSecond <= 0 {
+		c.FlowsPerSecond = DefaultFlows
+	}
+	if c.Out == nil {
+		c.Out = io.Discard
+	}
+	return c
+}
+
+// Ports that every VM of the run uses on its own loopback address.
+const (
+	packetsPort  = 21170
+	outputPort   = 21171
+	readyPort    = 21172
+	controlPort  = 21173
+	hostPort     = 21174
+	internalPort = 21180
+)
+
+// Bounds that the run checks, as the platform gives them.
+const (
+	drainWithin  = 3 * time.Second
+	configWithin = 3 * time.Second
+	// calmBefore is how long a process must have run undisturbed for a bound to hold.
+	calmBefore = 4 * time.Second
+	stopGrace  = 6 * time.Second
+	heartbeat  = 500 * time.Millisecond
+)
+
+// address returns an address of the run's network.
+func (r *run) address(kind, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, r.network[0], r.network[1], byte(kind*64 + n + 1)})
+}
+
+// Kinds of addresses.
+const (
+	entryKind = iota
+	hostKind
+	callerKind
+)
+
+// settings returns the settings file of a process in the platform's format.
+func (r *run) settings(role string, ip netip.Addr, service string) string {
+	seeds := fmt.Sprintf("%q", netip.AddrPortFrom(r.address(entryKind, 0), controlPort))
+	text := fmt.Sprintf(`nodeName = "%s-%s"
+ip = "%s"
+zone = "a"
+internalPortRange = [%d,%d]
+seeds = [%s]
+heartbeatMs = %d
+`, role, ip, ip, internalPort, internalPort+9, seeds, heartbeat.Milliseconds())
+	if service != "" {
+		text += fmt.Sprintf("service = %q\napp = \"%s:%d\"\n", service, ip, hostPort)
+	}
+	text += fmt.Sprintf(`[listenAddrs]
+datagramAddr = "%s:%d"
+readinessAddr = "%s:%d"
+control = "%s:%d"
+`, ip, packetsPort, ip, readyPort, ip, controlPort)
+	if service != "" {
+		text += fmt.Sprintf("outbound = \"%s:%d\"\n", ip, outputPort)
+	}
+	return text + fmt.Sprintf("[bounds]\ngraceS = %d\n[platform]\naddress = %q\n", int(stopGrace.Seconds()), r.proxy.Addr())
+}
--- /dev/null
+++ b/soak/report.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	// Faults are what was injected, Failures the promises that were broken.
+	Faults   []Event  `json:"faults"`
+	Failures []string `json:"failures"`
+	// Seconds holds the requests by the second in which they were sent.
+	Seconds []Second `json:"seconds"`
+	// Opened is the number of flows that hosts opened.
+	Opened int `json:"opened"`
+}
+
+// Event is something that happened at a time since the start of the faults.
+type Event struct {
+	AtMs int64  `json:"atMs"`
+	What string `json:"what"`
+}
+
+// Second counts the requests of one second.
+type Second struct {
+	Answered int `json:"answered"`
+	// Late are those among them that took longer than lateAfter.
+	Late   int `json:"late"`
+	Failed int `json:"failed"`
+}
+
+// lateAfter is the time after which an answer is late.
+const lateAfter = 250 * time.Millisecond
+
+// WriteTimeline writes a line for each second with its requests and faults.
+func (r Report) WriteTimeline(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "seed %d: %d flows opened, %d faults, %d failures\n", r.Seed, r.Opened, len(r.Faults), len(r.Failures)); err != nil {
+		return fmt.Errorf("writing the timeline: %w", err)
+	}
+	for n, s := range r.Seconds {
+		var faults []string
+		for _, e := range r.Faults {
+			if int(e.AtMs/1000) == n {
+				faults = append(faults, e.What)
+			}
+		}
+		bar := strings.Repeat("#", s.Answered/8) + strings.Repeat("~", s.Late/8) + strings.Repeat("x", s.Failed)
+		if _, err := fmt.Fprintf(w, "%3d s  %4d answered %3d late %3d failed  %-30s %s\n", n, s.Answered, s.Late, s.Failed, bar, strings.Join(faults, "; ")); err != nil {
+			return fmt.Errorf("writing the timeline: %w", err)
+		}
+	}
+	for _, f := range r.Failures {
+		if _, err := fmt.Fprintf(w, "FAILED: %s\n", f); err != nil {
+			return fmt.Errorf("writing the timeline: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,286 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/packettest"
+	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/standin"
+)
+
+// run is one run in progress.
+type run struct {
+	cfg     Config
+	network [2]byte
+	random  *rand.Rand
+	began   time.Time
+	store   *standin.Platform
+	client  *platform.Client
+	proxy   *proxy
+	entries []*process
+	agents  []*process
+	hosts   []*host
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	report Report
+	// ready are the entries in rotation.
+	ready []netip.Addr
+	// sent holds the packets that callers sent, without the fields that are the system's.
+	sent map[string]struct{}
+	// dropped is when the route of the second address was removed; zero while it is there.
+	dropped time.Time
+}
+
+// Addresses of the routes.
+var (
+	routeAt   = packettest.Key(0).Service
+	changesAt = flow.Endpoint{IP: routeAt.IP + 1, Port: routeAt.Port}
+)
+
+// Run runs a soak and returns what it saw. Broken promises are in the report, not in the error.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	r := &run{cfg: cfg.withDefaults(), sent: make(map[string]struct{})}
+	r.random = rand.New(rand.NewPCG(r.cfg.Seed, 0))
+	// Other runs on this machine use other networks.
+	r.network = [2]byte{byte(16 + rand.IntN(200)), byte(rand.IntN(256))}
+	r.report.Seed = r.cfg.Seed
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	parts, err := r.start(ctx)
+	if err != nil {
+		return r.report, err
+	}
+	r.play(ctx)
+	cancel()
+	for _, done := range parts {
+		err = errors.Join(err, <-done)
+	}
+	return r.report, err
+}
+
+// start starts everything that runs until ctx ends.
+func (r *run) start(ctx context.Context) (parts []<-chan error, err error) {
+	r.store = standin.NewPlatform(standin.PlatformConfig{Address: "127.0.0.1:0"})
+	done, err := r.store.Run(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("starting the store: %w", err)
+	}
+	parts = append(parts, done)
+	if r.client, err = platform.New(platform.Config{URL: "http://" + r.store.Addr().String()}); err != nil {
+		return nil, fmt.Errorf("opening the store: %w", err)
+	}
+	if r.proxy, err = newProxy(ctx, r.store.Addr().String()); err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { _ = r.proxy.listener.Close() })
+	parts = append(parts, r.proxy.serve(ctx))
+	if err := r.configure(ctx, true); err != nil {
+		return nil, err
+	}
+	for n := range r.cfg.Hosts {
+		service := packettest.FirstService
+		if n >= r.cfg.Hosts-max(r.cfg.Hosts/4, 1) {
+			service = packettest.SecondService
+		}
+		p, err := r.newProcess("agent", r.address(hostKind, n), service)
+		if err != nil {
+			return nil, err
+		}
+		h, err := r.newHost(ctx, p, service)
+		if err != nil {
+			return nil, err
+		}
+		context.AfterFunc(ctx, func() { _ = h.conn.Close() })
+		r.agents, r.hosts = append(r.agents, p), append(r.hosts, h)
+		parts = append(parts, h.serve(), h.beat(ctx), p.keep(ctx))
+	}
+	for n := range r.cfg.Entries {
+		p, err := r.newProcess("entry", r.address(entryKind, n), "")
+		if err != nil {
+			return nil, err
+		}
+		r.entries = append(r.entries, p)
+		parts = append(parts, p.keep(ctx))
+	}
+	return append(parts, r.rotate(ctx)), nil
+}
+
+// configure writes the next configuration. The second route comes and goes.
+func (r *run) configure(ctx context.Context, both bool) error {
+	o, err := r.client.Get(ctx, platform.RoutesKey)
+	version := o.Version
+	text := fmt.Sprintf(`{"version":%d,"routes":[%s`, version+1, routeText("first", routeAt))
+	if both {
+		text += "," + routeText("second", changesAt)
+	}
+	text += `],"services":[],"limits":{"idleTimeoutMs":15000}}`
+	if err != nil {
+		version = 0
+	}
+	if _, err := r.client.Put(ctx, platform.RoutesKey, []byte(text), version); err != nil {
+		return fmt.Errorf("writing the configuration: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropped = time.Time{}
+	if !both {
+		r.dropped = time.Now()
+	}
+	return nil
+}
+
+func routeText(name string, at flow.Endpoint) string {
+	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":"/%d/","type":"idempotent","timeoutMs":3000,"targetLatencyMs":250,"priority":1,"service":%q}`,
+		name, at.Addr(), at.Port, packettest.FirstService)
+}
+
+// rotate keeps the list of the entries in rotation, as the platform's routers do.
+func (r *run) rotate(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	client := &http.Client{Timeout: 300 * time.Millisecond}
+	go func() {
+		defer func() { done <- nil }()
+		misses := make(map[netip.Addr]int)
+		for ctx.Err() == nil {
+			var ready []netip.Addr
+			for _, p := range r.entries {
+				if misses[p.ip]++; isReady(ctx, client, p.ip) {
+					misses[p.ip] = 0
+				}
+				if misses[p.ip] < 2 {
+					ready = append(ready, p.ip)
+				}
+			}
+			r.mu.Lock()
+			r.ready = ready
+			r.mu.Unlock()
+			select {
+			case <-ctx.Done():
+			case <-time.After(500 * time.Millisecond):
+			}
+		}
+	}()
+	return done
+}
+
+func isReady(ctx context.Context, client *http.Client, ip netip.Addr) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/ready", netip.AddrPortFrom(ip, readyPort)), http.NoBody)
+	if err != nil {
+		return false
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// fabric returns the entry that gets the next packet.
+func (r *run) fabric() netip.Addr {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ready) == 0 {
+		return r.entries[rand.IntN(len(r.entries))].ip
+	}
+	return r.ready[rand.IntN(len(r.ready))]
+}
+
+// play sends load and injects faults.
+func (r *run) play(ctx context.Context) {
+	c, err := r.newCallers(ctx)
+	if err != nil {
+		r.fail("%v", err)
+		return
+	}
+	served := c.serve()
+	r.awaitReady(ctx)
+	r.began = time.Now()
+	faults := r.inject(ctx)
+	ticker := time.NewTicker(time.Second / time.Duration(r.cfg.FlowsPerSecond))
+	defer ticker.Stop()
+	var flows sync.WaitGroup
+	for n := 0; time.Since(r.began) < r.cfg.Time+r.cfg.Settle && ctx.Err() == nil; n++ {
+		<-ticker.C
+		key := packettest.Key(n)
+		key.Caller.IP = flow.EndpointOf(netip.AddrPortFrom(c.ip, 0)).IP
+		if n%4 == 0 {
+			key.Service = changesAt
+		}
+		flows.Go(func() { c.flow(ctx, key) })
+	}
+	<-faults
+	flows.Wait()
+	_ = c.conn.Close()
+	<-served
+	r.checkRecovery()
+}
+
+func (r *run) awaitReady(ctx context.Context) {
+	for limit := time.Now().Add(10 * time.Second); time.Now().Before(limit) && ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		r.mu.Lock()
+		ready := len(r.ready)
+		r.mu.Unlock()
+		if ready == len(r.entries) {
+			// Hosts announce themselves within two heartbeats.
+			time.Sleep(2 * heartbeat)
+			return
+		}
+	}
+	r.fail("the entries did not get ready")
+}
+
+func (r *run) fail(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text := fmt.Sprintf("%.3f s: ", time.Since(r.began).Seconds()) + fmt.Sprintf(format, args...)
+	r.report.Failures = append(r.report.Failures, text)
+	_, _ = fmt.Fprintln(r.cfg.Out, "FAILED:", text)
+}
+
+// count counts a request. Those on the route that comes and goes are not owed an answer.
+func (r *run) count(key flow.Key, sent time.Time, answered bool) {
+	if key.Service == changesAt {
+		return
+	}
+	took := time.Since(sent)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := int(sent.Sub(r.began) / time.Second)
+	for len(r.report.Seconds) <= n {
+		r.report.Seconds = append(r.report.Seconds, Second{})
+	}
+	s := &r.report.Seconds[n]
+	switch {
+	case !answered:
+		s.Failed++
+	case took > lateAfter:
+		s.Answered++
+		s.Late++
+	default:
+		s.Answered++
+	}
+}
+
+// essence is a packet without the fields that are the system's to write.
+func essence(packet []byte) string {
+	b := bytes.Clone(packet)
+	platform.ClearMarks(b)
+	return string(b)
+}
+
+func (r *run) sentPacket(packet []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[essence(packet)] = struct{}{}
+}
