--- a/cmd/endiveflow-node/main.go
+++ b/cmd/endiveflow-node/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -50,10 +51,9 @@
 	reloaded := reload(stop, part, log)
 	err = <-part.Run(stop)
 	cancel()
-	<-reloaded
+	err = errors.Join(err, <-reloaded)
 	stopLog()
-	<-written
-	if err != nil {
+	if err = errors.Join(err, <-written); err != nil {
 		return fmt.Errorf("running: %w", err)
 	}
 	return nil
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -135,14 +135,14 @@
 
 func addr(ip uint32) string { return flow.Endpoint{IP: ip}.Addr().String() }
 
-// message returns a message of this agent to the entry about a flow.
-func (a *Agent) message(k mesh.Kind, entry uint32, key flow.Key) mesh.Message {
+// message returns a message of this agent about a flow.
+func (a *Agent) message(k mesh.Kind, key flow.Key) mesh.Message {
 	return mesh.Message{Kind: k, Service: a.tag, ConfigVersion: a.cfg.ConfigVersion(), Entry: a.cfg.IP, Flow: key, Load: a.load.Load()}
 }
 
 // tell sends an entry a message about a flow.
 func (a *Agent) tell(k mesh.Kind, entry uint32, key flow.Key) {
-	m := a.message(k, entry, key)
+	m := a.message(k, key)
 	a.send(entry, &m)
 }
 
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -33,7 +33,7 @@
 
 // giveBack tells the entry that asked that a flow isn't here, with the packet.
 func (a *Agent) giveBack(asked *mesh.Message, key flow.Key, packet []byte) {
-	m := a.message(mesh.Missing, asked.Entry, key)
+	m := a.message(mesh.Missing, key)
 	m.Step, m.Body = asked.Step, packet
 	a.send(asked.Entry, &m)
 	missing.Inc()
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -118,7 +118,7 @@
 			return true
 		}
 		if r.phase != ended {
-			if !(r.callerEnded && r.hostEnded) {
+			if !r.callerEnded || !r.hostEnded {
 				lost = append(lost, lostFlow{key, r.callerAck})
 			}
 			r.moveTo(ended, now, a.load)
@@ -159,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := a.message(mesh.AgentReport, 0, flow.Key{})
+	m := a.message(mesh.AgentReport, flow.Key{})
 	m.Body = body
 	return m.Append(nil), nil
 }
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -163,7 +163,7 @@
 // passOn sends an offer to the candidate at Offered.At and tells the entry.
 func (a *Agent) passOn(m *mesh.Message, key flow.Key) {
 	a.send(m.Candidates[m.Offered.At], m)
-	notice := a.message(mesh.Passed, m.Entry, key)
+	notice := a.message(mesh.Passed, key)
 	notice.Offered, notice.Candidates, notice.Count = m.Offered, m.Candidates, m.Count
 	a.send(m.Entry, &notice)
 }
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -77,32 +77,28 @@
 	if r != nil && !r.taken && r.offers > 0 {
 		e.answered(now - r.asked)
 	}
-	switch m.Kind {
-	case mesh.Taken:
+	switch {
+	case m.Kind == mesh.Taken:
 		if r == nil {
 			r = &record{touched: now}
 			shard.Put(m.Flow, r)
 		}
 		r.agent, r.taken, r.opening = m.Entry, true, nil
-	case mesh.Passed:
-		if r != nil && !r.taken && m.Offered.At < m.Count {
-			r.agent, r.asked = m.Candidates[m.Offered.At], now
-		}
-	case mesh.Refused:
-		if r != nil && !r.taken {
-			shard.Delete(m.Flow)
-		}
-	default:
-		delivered := r != nil && r.taken && r.agent == m.Entry
-		if delivered {
+	case m.Kind == mesh.Missing:
+		if r != nil && r.taken && r.agent == m.Entry {
 			// The agent no longer has the flow that it had.
 			shard.Delete(m.Flow)
 		}
-		shard.Unlock()
-		e.searchFurther(m)
-		return
+	case r == nil || r.taken:
+	case m.Kind == mesh.Refused:
+		shard.Delete(m.Flow)
+	case m.Offered.At < m.Count:
+		r.agent, r.asked = m.Candidates[m.Offered.At], now
 	}
 	shard.Unlock()
+	if m.Kind == mesh.Missing {
+		e.searchFurther(m)
+	}
 }
 
 // Tick looks for what is due. Whether an agent stayed silent is known only when
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -158,14 +158,6 @@
 	r.services = services
 }
 
-// remove forgets an agent.
-func (r *roster) remove(ip uint32) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.agents, ip)
-	r.index()
-}
-
 // takeEntry takes a report of another entry in and says whether that wasn't known.
 func (r *roster) takeEntry(report mesh.Entry) bool {
 	r.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -219,10 +219,12 @@
 		}
 		flows.Go(func() { c.flow(ctx, key) })
 	}
-	<-faults
+	err = <-faults
 	flows.Wait()
 	_ = c.conn.Close()
-	<-served
+	if err = errors.Join(err, <-served); err != nil {
+		r.fail("%v", err)
+	}
 	r.checkRecovery()
 }
 
