--- a/cmd/endiveflow/main.go
+++ b/cmd/endiveflow/main.go
@@ -29,6 +29,7 @@
 	History historyCommand `cmd:"" help:"Print the newest changes of an object."`
 	Soak    soakCommand    `cmd:"" help:"Run the packet path as processes under random faults and check what callers see."`
 	Status  statusCommand  `cmd:"" help:"Print what is in effect in each availability zone."`
+	Trace   traceCommand   `cmd:"" help:"Join log lines about one flow to its history."`
 	Undrain undrainCommand `cmd:"" help:"End the drain of a host."`
 
 	Standin standinCommand `cmd:"" help:"Run stand-ins for what surrounds the system."`
--- a/cmd/endiveflow/soak.go
+++ b/cmd/endiveflow/soak.go
@@ -22,6 +22,15 @@
 	Keep    string        `help:"Directory that keeps the settings and logs of failed runs." type:"path"`
 }
 
+// Help returns an example of the command.
+func (soakCommand) Help() string {
+	return `Starts the processes on loopback addresses, injects faults that follow the seed, and
+prints a timeline of what was injected and what callers got. It fails when a promise was broken.
+
+Example:
+  endiveflow soak --program target/endiveflow-node --runs 5 --time 10s`
+}
+
 // errSoak says that a run broke a promise.
 var errSoak = errors.New("the soak found broken promises")
 
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -27,6 +27,7 @@
 		a.tell(mesh.Taken, m.Entry, s.Key)
 		return
 	}
+	visit := m.Offered.At
 	d := a.load.Decide(s.Key, m.Offered, m.Count, a.cfg.Now())
 	switch d.Action {
 	case placement.Take:
@@ -45,7 +46,7 @@
 		shard.Unlock()
 		a.sendOn(m, s, d)
 	}
-	a.explainOffer(m, s, d)
+	a.explainOffer(m, s, d, visit)
 }
 
 // record keeps a flow that this agent took or holds; the shard is locked.
@@ -85,14 +86,18 @@
 		}
 		waited := now - r.since
 		r.phase, r.since, r.opened = opening, now, now
-		packet := bytes.Clone(r.offer.packet)
+		packet, target := bytes.Clone(r.offer.packet), r.offer.message.Offered.Target.Duration()
 		shard.Unlock()
 		a.awaitAnswer(key)
 		a.toHost(packet, contextOffer)
 		holdTimes.Update(waited.Seconds())
-		if a.cfg.Log.Ordinary() {
+		may := a.cfg.Log.Ordinary
+		if waited > target {
+			may = a.cfg.Log.Rare
+		}
+		if may() {
 			l := a.load.Load()
-			a.cfg.Log.Info("held flow given to the host", "flow", key.String(), "heldMs", waited.Milliseconds(), "busy", l.Busy, "slots", l.Slots, "meanMs", uint16(l.Service))
+			a.cfg.Log.Info("held flow given to the host", "flow", key.String(), "heldMs", waited.Milliseconds(), "targetMs", target.Milliseconds(), "busy", l.Busy, "slots", l.Slots, "meanMs", uint16(l.Service))
 		}
 	}
 }
@@ -192,7 +197,7 @@
 	}
 }
 
-func (a *Agent) explainOffer(m *mesh.Message, s flow.Segment, d placement.Decision) {
+func (a *Agent) explainOffer(m *mesh.Message, s flow.Segment, d placement.Decision, visit uint8) {
 	decisions[d.Action].Inc()
 	may := a.cfg.Log.Ordinary
 	if d.Action == placement.Refuse {
@@ -202,7 +207,7 @@
 		return
 	}
 	a.cfg.Log.Info("offer", "flow", s.Key.String(), "outcome", d.Action.String(), "entry", addr(m.Entry),
-		"visit", m.Offered.At, "of", m.Count, "busy", d.Load.Busy, "slots", d.Load.Slots, "open", d.Load.Open,
+		"visit", visit, "of", m.Count, "busy", d.Load.Busy, "slots", d.Load.Slots, "open", d.Load.Open,
 		"meanMs", uint16(d.Load.Service), "expectedMs", d.Expected.Milliseconds(), "bestMs", uint16(d.Terms.BestWait),
 		"targetMs", uint16(m.Offered.Target), "config", m.ConfigVersion)
 }
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -173,7 +173,7 @@
 	e.await(&e.offers, wait{key, now + e.offerTimeout()})
 	offersSent.Inc()
 	if e.cfg.Log.Ordinary() {
-		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "offered", "service", service, "first", addr(m.Candidates[0]),
+		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "offered", "entry", addr(e.cfg.IP), "service", service, "first", addr(m.Candidates[0]),
 			"candidates", m.Count, "attempt", offers, "route", route.Name, "config", m.ConfigVersion, "usualMs", uint16(m.Offered.Usual))
 	}
 }
