--- a/cmd/endiveflow/trace.go
+++ b/cmd/endiveflow/trace.go
@@ -23,7 +23,7 @@
 history, in the order of cause.
 
 Example:
-  cat entry-*.log agent-*.log | endiveflow trace '100.64.0.7:40001>198.18.0.1:443'`
+  endiveflow trace --log fleet.log '100.64.0.7:40001>198.18.0.1:443'`
 }
 
 // Run prints the history of a flow.
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -421,3 +421,16 @@
 	b.message(mesh.Deliver, packettest.Request(packettest.Key(2), hostSeq+1, 100))
 	require.Len(t, b.takeHost(), 1)
 }
+
+// Guards against a host that stays closed for good after its port refused a
+// connection once, although its heartbeats go on. Found by the soak with seed 104.
+func TestHostThatWasDownComesBack(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.open(packettest.Key(1))
+	b.HostDown()
+	requireResets(t, b.takeCaller(), packettest.Key(1))
+	require.False(t, b.Load().Open)
+	b.heartbeat("h", bornAt, 2, host.Ready)
+	require.True(t, b.Load().Open)
+}
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -73,12 +73,10 @@
 	return nil
 }
 
-// HostDown marks the host as certainly gone: nothing listens at its address.
+// HostDown closes a host that is certainly gone: nothing listens at its
+// address. A later heartbeat opens it again, of whichever incarnation.
 func (a *Agent) HostDown() {
-	r, known := a.host.Current()
-	if known {
-		a.host.Leave(r.ID)
-	}
+	r, _ := a.host.Current()
 	a.load.SetOpen(false)
 	a.cfg.Log.Warn("host", "host", r.String(), "outcome", "down", "why", "its port refuses connections")
 	a.cfg.Changed()
--- a/soak/host.go
+++ b/soak/host.go
@@ -27,7 +27,9 @@
 	conn    *net.UDPConn
 
 	mu sync.Mutex
-	// All below is guarded by mu.
+	// All below is guarded by mu. listener is open while the host is up: a port
+	// that refuses connections says that the host is gone.
+	listener net.Listener
 	up       bool
 	draining bool
 	// drained is when a heartbeat that says draining was acknowledged.
@@ -47,9 +49,29 @@
 	}
 	h := &host{run: r, agent: agent, service: service, ip: agent.ip, conn: pc.(*net.UDPConn)}
 	h.restart()
+	context.AfterFunc(ctx, h.crash)
 	return h, nil
 }
 
+// listen opens the host's port for connections; h.mu is held.
+func (h *host) listen() {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", netip.AddrPortFrom(h.ip, hostPort).String())
+	if err != nil {
+		h.run.fail("host %s does not listen: %v", h.ip, err)
+		return
+	}
+	h.listener = listener
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+}
+
 // restart makes the host another incarnation, which knows nothing of before.
 func (h *host) restart() {
 	h.mu.Lock()
@@ -57,6 +79,9 @@
 	h.up, h.draining, h.drained, h.sequence = true, false, time.Time{}, 0
 	h.born = time.Now().UnixMilli()
 	h.flows = make(map[flow.Key]uint32)
+	if h.listener == nil {
+		h.listen()
+	}
 }
 
 // crash makes the host silent; its flows are lost.
@@ -64,6 +89,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.up, h.flows = false, make(map[flow.Key]uint32)
+	if h.listener != nil {
+		_ = h.listener.Close()
+		h.listener = nil
+	}
 }
 
 func (h *host) drain() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,7 +17,10 @@
 	name string
 	seed uint64
 }{
-	{"short run", 1},
+	// A host that starts anew took flows before its first heartbeat, which ended them.
+	{"flows before the first heartbeat", 1},
+	// A host whose port refused a connection once was never used again.
+	{"refused connection", 104},
 }
 
 // Guards against promises that the real programs break under faults: flows
