--- /dev/null
+++ b/packetentry/bench_test.go
@@ -0,0 +1,68 @@
+package packetentry_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/eventlog"
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/packetentry"
+	"endiveflow.example/endiveflow/packettest"
+	"endiveflow.example/endiveflow/routing"
+)
+
+// entryWith returns an entry that knows a number of agents and has one open flow.
+func entryWith(tb testing.TB, agents int) *packetentry.Entry {
+	tb.Helper()
+	var routes routing.Holder
+	at := packettest.Key(0).Service
+	routes.Offer(routing.NewTable(1, 0, []routing.Route{{At: at, Shares: []routing.Share{{Service: packettest.FirstService, Weight: 1}}}}, nil))
+	now := time.Duration(0)
+	e := packetentry.New(packetentry.Config{
+		IP: packettest.Address(1), Zone: "a", Now: func() time.Duration { now += time.Microsecond; return now }, Routes: &routes,
+		ToCaller: func(flow.Endpoint, []byte) {}, ToMember: func(uint32, []byte) {}, NewerConfig: func(uint32) {},
+		Met: func(uint32) {}, Waiting: func(time.Duration) {}, Log: eventlog.New(eventlog.Config{Out: io.Discard}),
+	})
+	for n := range agents {
+		ip := packettest.Address(100 + n)
+		body, err := mesh.EncodeReport(mesh.Agent{IP: ip, Incarnation: 1, Version: 1, Service: packettest.FirstService, Host: host.Ready, Warm: true})
+		require.NoError(tb, err)
+		m := mesh.Message{Kind: mesh.AgentReport, Entry: ip, ConfigVersion: 1, Body: body, Load: mesh.Load{Slots: 4, Open: true}}
+		e.Receive(m.Append(nil))
+	}
+	taken := mesh.Message{Kind: mesh.Taken, Entry: packettest.Address(100), Flow: packettest.Key(1), ConfigVersion: 1}
+	e.Receive(taken.Append(nil))
+	return e
+}
+
+// Guards against garbage for each packet, whose collection stops a slow VM.
+func TestForwardingDoesNotAllocate(t *testing.T) {
+	e := entryWith(t, 42)
+	packet := packettest.Request(packettest.Key(1), 7, 100)
+	require.Zero(t, testing.AllocsPerRun(1000, func() { e.FromCaller(packet) }))
+}
+
+func BenchmarkForward(b *testing.B) {
+	e := entryWith(b, 42)
+	packet := packettest.Request(packettest.Key(1), 7, 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		e.FromCaller(packet)
+	}
+}
+
+func BenchmarkOffer(b *testing.B) {
+	e := entryWith(b, 42)
+	b.ReportAllocs()
+	for n := 2; b.Loop(); n++ {
+		k := packettest.Key(n)
+		e.FromCaller(packettest.Open(k, 0))
+		refused := mesh.Message{Kind: mesh.Refused, Entry: packettest.Address(100), Flow: k, ConfigVersion: 1}
+		e.Receive(refused.Append(nil))
+	}
+}
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -144,8 +144,10 @@
 			Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), Target: mesh.WaitOf(route.Target), Copy: r.offers > 0,
 		},
 	}
-	var room [2 * mesh.MaxCandidates]placement.Candidate
-	candidates := e.roster.candidates(m.Service, room[:0], r.excluded)
+	scratch := candidatePool.Get().(*[]placement.Candidate)
+	defer candidatePool.Put(scratch)
+	candidates := e.roster.candidates(m.Service, (*scratch)[:0], r.excluded)
+	*scratch = candidates
 	m.Offered.Usual = usual(candidates)
 	m.Homes = e.roster.homes(m.Service, key)
 	m.Count = placement.Order(key, candidates, &m.Candidates)
@@ -272,5 +274,8 @@
 	return &b
 }}
 
+// candidatePool keeps the lists of candidates, which are as long as a service has agents.
+var candidatePool = sync.Pool{New: func() any { return new([]placement.Candidate) }}
+
 func getBuffer() *[]byte  { return buffers.Get().(*[]byte) }
 func putBuffer(b *[]byte) { buffers.Put(b) }
--- a/placement/order.go
+++ b/placement/order.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,6 +21,9 @@
 	Sent int
 	// Cold says that the host is within its warm-up.
 	Cold bool
+
+	// rank is the score for the flow at hand.
+	rank float64
 }
 
 // loadHalfLife is the age at which a load report counts half. It is about the
@@ -46,16 +50,10 @@
 		}
 		candidates = candidates[:n]
 	}
-	slices.SortFunc(candidates, func(a, b Candidate) int {
-		x, y := a.score(seed), b.score(seed)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
+	for i := range candidates {
+		candidates[i].rank = candidates[i].score(seed)
+	}
+	slices.SortFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.rank, b.rank) })
 	count := min(len(candidates), mesh.MaxCandidates)
 	for i := range count {
 		out[i] = candidates[i].IP
