packetagent: callers that gave up free their slots

Ruled out: a host that is down (its heartbeats went on) and the load.

A caller's end during a request frees the slot, and no request counts as busy for more than 3 s.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -434,3 +434,26 @@
 	b.heartbeat("h", bornAt, 2, host.Ready)
 	require.True(t, b.Load().Open)
 }
+
+// Guards against requests that count as busy for ever: callers that gave up
+// while their request ran left a host idle for 13 s, since its agent took it for full.
+func TestCallersThatGaveUpFreeTheirSlots(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	for i := range 4 {
+		k := packettest.Key(i)
+		b.open(k)
+		if i < 3 {
+			fin := packettest.Packet{Flow: k, Flags: packettest.FIN | packettest.ACK, Seq: 1101, Ack: hostSeq + 1}
+			b.message(mesh.Deliver, fin.Bytes())
+			require.Len(t, b.takeHost(), 1)
+		}
+	}
+	require.EqualValues(t, 1, b.Load().Busy)
+	b.now += 4 * time.Second
+	b.Sweep()
+	require.Zero(t, b.Load().Busy, "a request whose answer never comes")
+	b.FromHost(packettest.Answer(packettest.Key(3), hostSeq+1, 500))
+	require.Len(t, b.takeCaller(), 1, "an answer is delivered, also late")
+	require.Zero(t, b.Load().Busy)
+}
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -18,6 +18,9 @@
 	DefaultIdleTimeout = 15 * time.Second
 	// DefaultMaxFlowAge is the age of the oldest flow that a host may have.
 	DefaultMaxFlowAge = time.Minute
+	// requestLimit is how long a request without an answer counts as busy. Callers have
+	// left long before, and a slot that is counted for ever would stop the host.
+	requestLimit = 3 * time.Second
 	// endedLinger is how long an ended flow is kept for packets that are sent again.
 	endedLinger = 3 * time.Second
 	// searchMemory is how long an agent remembers that its host bounced a flow.
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -213,6 +213,10 @@
 func (a *Agent) Sweep() {
 	now := a.cfg.Now()
 	a.flows.Sweep(func(_ flow.Key, r *record) bool {
+		if r.phase == running && now-r.since > requestLimit {
+			r.abandon(now, a.load)
+			noAnswer.Inc()
+		}
 		keep := a.cfg.IdleTimeout + endedLinger
 		if r.phase == ended {
 			keep = endedLinger
--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -15,6 +15,7 @@
 	declined     = metrics.NewCounter(`endiveflow_packetagent_declined_total`)
 	missing      = metrics.NewCounter(`endiveflow_packetagent_missing_total`)
 	noRequest    = metrics.NewCounter(`endiveflow_packetagent_no_request_total`)
+	noAnswer     = metrics.NewCounter(`endiveflow_packetagent_no_answer_total`)
 	learnedFlows = metrics.NewCounter(`endiveflow_packetagent_learned_total`)
 	resets       = metrics.NewCounter(`endiveflow_packetagent_resets_total`)
 
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// abandon ends a running request that won't be answered.
+func (r *record) abandon(now time.Duration, load *placement.Host) {
+	load.Ended(r.request, now)
+	r.phase, r.since, r.request = idle, now, nil
+}
+
 // holds says whether a packet of the caller belongs to the flow as this host
 // opened it. Another host may have answered a copy of the opening packet, and then
 // the caller acknowledges that host's numbers.
@@ -109,6 +115,9 @@
 	case r.phase == ended:
 	case s.Resetting:
 		r.moveTo(ended, now, load)
+	case s.Ending && r.phase == running:
+		// The caller gave up; the host drops the request and need not answer.
+		r.abandon(now, load)
 	case fresh && r.phase != running:
 		r.moveTo(running, now, load)
 	case r.callerEnded && r.hostEnded:
