mesh, packetnode, packetentry: reports grow less with the fleet

A process sends at most 40 regular reports a second now, tells the interval by which its silence is judged, and an entry names 16 others a report in turn.

--- a/mesh/report.go
+++ b/mesh/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -29,6 +30,8 @@
 	Born   int64  `cbor:"9,keyasint,omitempty"`
 	// Warm says that the host is past its warm-up.
 	Warm bool `cbor:"10,keyasint,omitempty"`
+	// IntervalMs is the time until the next regular report.
+	IntervalMs uint32 `cbor:"11,keyasint,omitempty"`
 }
 
 // Entry is what an entry says of itself and of those it knows.
@@ -37,11 +40,23 @@
 	Incarnation int64  `cbor:"2,keyasint"`
 	// Zone is the availability zone.
 	Zone string `cbor:"3,keyasint"`
-	// Entries and Agents are addresses of others that the entry heard from lately.
+	// Entries and Agents are addresses of some others that the entry heard from lately.
 	Entries []uint32 `cbor:"4,keyasint,omitempty"`
 	Agents  []uint32 `cbor:"5,keyasint,omitempty"`
+	// IntervalMs is the time until the next regular report.
+	IntervalMs uint32 `cbor:"6,keyasint,omitempty"`
 }
 
+// Silence is how long a process that reports at an interval may be silent
+// before it is taken for away.
+func Silence(intervalMs uint32) time.Duration {
+	interval := max(time.Duration(intervalMs)*time.Millisecond, time.Second)
+	return interval * missedReports / 2
+}
+
+// missedReports is the number of half intervals without a report after which a process is away.
+const missedReports = 7
+
 // EncodeReport returns the body of a report, an Agent or an Entry.
 func EncodeReport[T Agent | Entry](r T) ([]byte, error) {
 	b, err := cbor.Marshal(r)
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -141,19 +141,19 @@
 	a.releaseHeld("the agent stops")
 }
 
-// Report returns what the agent says of itself.
-func (a *Agent) Report() mesh.Agent {
+// Report returns what the agent says of itself, with the time until its next regular report.
+func (a *Agent) Report(interval time.Duration) mesh.Agent {
 	r, _ := a.host.Current()
 	return mesh.Agent{
 		IP: a.cfg.IP, Incarnation: a.cfg.Incarnation, Version: a.reports.Add(1), Service: a.cfg.Service, Zone: a.cfg.Zone,
 		Leaving: a.leaving.Load(), Host: r.State, HostID: r.ID, Born: r.Born,
-		Warm: a.cfg.Now() >= time.Duration(a.warmUntil.Load()),
+		Warm: a.cfg.Now() >= time.Duration(a.warmUntil.Load()), IntervalMs: uint32(interval.Milliseconds()),
 	}
 }
 
 // ReportMessage returns the message that carries the report.
-func (a *Agent) ReportMessage() ([]byte, error) {
-	body, err := mesh.EncodeReport(a.Report())
+func (a *Agent) ReportMessage(interval time.Duration) ([]byte, error) {
+	body, err := mesh.EncodeReport(a.Report(interval))
 	if err != nil {
 		return nil, err
 	}
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -23,11 +23,6 @@
 	DefaultSearchTimeout = 10 * time.Millisecond
 	// DefaultIdleTimeout is how long a flow without packets is remembered.
 	DefaultIdleTimeout = 15 * time.Second
-	// DefaultSilence is how long an agent that reports each second may be silent
-	// before no new flows are offered to it.
-	DefaultSilence = 3500 * time.Millisecond
-	// DefaultForget is how long a silent process is remembered.
-	DefaultForget = 30 * time.Second
 	// maxOffers is the number of times that an opening packet is offered.
 	maxOffers = 3
 )
@@ -39,8 +34,8 @@
 	Zone string
 	// Incarnation is the start of the process in Unix milliseconds.
 	Incarnation int64
-	// OfferTimeout, SearchTimeout, IdleTimeout, Silence and Forget: see the defaults, which 0 means.
-	OfferTimeout, SearchTimeout, IdleTimeout, Silence, Forget time.Duration
+	// OfferTimeout, SearchTimeout and IdleTimeout: see the defaults, which 0 means.
+	OfferTimeout, SearchTimeout, IdleTimeout time.Duration
 	// Now returns a time that never goes back.
 	Now func() time.Duration
 	// Routes is the configuration in force.
@@ -67,8 +62,6 @@
 		{&c.OfferTimeout, DefaultOfferTimeout},
 		{&c.SearchTimeout, DefaultSearchTimeout},
 		{&c.IdleTimeout, DefaultIdleTimeout},
-		{&c.Silence, DefaultSilence},
-		{&c.Forget, DefaultForget},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.fallback
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -18,6 +18,8 @@
 	cfg    Config
 	roster *roster
 	flows  *flowtable.Table[record]
+	// reports counts the entry's reports.
+	reports atomic.Uint64
 	// leaving says that the entry ends; it goes on forwarding.
 	leaving atomic.Bool
 
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -232,10 +232,19 @@
 // Known returns the addresses of the processes that were heard from lately.
 func (e *Entry) Known() (entries, agents []uint32) { return e.roster.heardFrom() }
 
-// ReportMessage returns the message that carries what the entry says of itself.
-func (e *Entry) ReportMessage() ([]byte, error) {
+// reportedOthers is the number of entries and of agents that a report names. Which
+// ones changes from report to report, so that all are named in time.
+const reportedOthers = 16
+
+// ReportMessage returns the message that carries what the entry says of
+// itself, with the time until its next regular report.
+func (e *Entry) ReportMessage(interval time.Duration) ([]byte, error) {
 	entries, agents := e.roster.heardFrom()
-	body, err := mesh.EncodeReport(mesh.Entry{IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone, Entries: entries, Agents: agents})
+	turn := int(e.reports.Add(1))
+	body, err := mesh.EncodeReport(mesh.Entry{
+		IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone, IntervalMs: uint32(interval.Milliseconds()),
+		Entries: someOf(entries, turn), Agents: someOf(agents, turn),
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -243,11 +252,23 @@
 	return m.Append(nil), nil
 }
 
+// someOf returns up to reportedOthers addresses, others at each turn.
+func someOf(all []uint32, turn int) []uint32 {
+	if len(all) <= reportedOthers {
+		return all
+	}
+	out := make([]uint32, 0, reportedOthers)
+	for i := range reportedOthers {
+		out = append(out, all[(turn*reportedOthers+i)%len(all)])
+	}
+	return out
+}
+
 // Sweep forgets flows without packets and processes that have been silent for long. It is called about once a second.
 func (e *Entry) Sweep() {
 	now := e.cfg.Now()
 	e.flows.Sweep(func(_ flow.Key, r *record) bool { return now-r.touched <= e.cfg.IdleTimeout })
 	for _, ip := range e.roster.sweep() {
-		e.cfg.Log.Warn("process forgotten", "process", addr(ip), "silentS", e.cfg.Forget.Seconds())
+		e.cfg.Log.Warn("process forgotten", "process", addr(ip), "of", "all that are silent for long")
 	}
 }
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -39,6 +39,11 @@
 	}
 }
 
+// away says whether the agent has been silent for longer than its reports allow.
+func (a *agent) away(now time.Duration) bool {
+	return now-time.Duration(a.heard.Load()) > mesh.Silence(a.report.Load().IntervalMs)
+}
+
 func (a *agent) offered() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -176,12 +181,12 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for ip, e := range r.entries {
-		if now-e.heard <= r.cfg.Silence {
+		if now-e.heard <= mesh.Silence(e.report.IntervalMs) {
 			entries = append(entries, ip)
 		}
 	}
 	for ip, a := range r.agents {
-		if now-time.Duration(a.heard.Load()) <= r.cfg.Silence {
+		if !a.away(now) {
 			agents = append(agents, ip)
 		}
 	}
@@ -190,19 +195,22 @@
 	return entries, agents
 }
 
+// forgetAfter is how many times the silence that makes a process away makes it forgotten.
+const forgetAfter = 8
+
 // sweep forgets processes that have been silent for long, and returns them.
 func (r *roster) sweep() (gone []uint32) {
 	now := r.cfg.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for ip, e := range r.entries {
-		if now-e.heard > r.cfg.Forget {
+		if now-e.heard > forgetAfter*mesh.Silence(e.report.IntervalMs) {
 			delete(r.entries, ip)
 			gone = append(gone, ip)
 		}
 	}
 	for ip, a := range r.agents {
-		if now-time.Duration(a.heard.Load()) > r.cfg.Forget {
+		if now-time.Duration(a.heard.Load()) > forgetAfter*mesh.Silence(a.report.Load().IntervalMs) {
 			delete(r.agents, ip)
 			gone = append(gone, ip)
 		}
@@ -225,7 +233,7 @@
 				continue
 			}
 			c, silent := a.candidate(r.cfg.Zone, now)
-			silent = silent || now-time.Duration(a.heard.Load()) > r.cfg.Silence || excluded(c.IP)
+			silent = silent || a.away(now) || excluded(c.IP)
 			if silent == spare {
 				into = append(into, c)
 			}
@@ -245,7 +253,7 @@
 	seed := key.Hash()
 	now := r.cfg.Now()
 	for _, a := range r.service(tag) {
-		if now-time.Duration(a.heard.Load()) > r.cfg.Silence {
+		if a.away(now) {
 			continue
 		}
 		ip := a.report.Load().IP
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,8 +27,9 @@
 	missedHeartbeats = 2.5
 	// agentStopMin is how long a stopping agent takes packets at least, so that entries have heard of it.
 	agentStopMin = 300 * time.Millisecond
-	// entryForget is how long an agent reports to an entry that is silent.
-	entryForget = 15 * time.Second
+	// entryForget is how long an agent reports to an entry that is silent; it
+	// is longer than the longest silence of an entry that lives.
+	entryForget = 4 * maxReportInterval
 )
 
 // AgentRole runs an agent.
@@ -82,6 +84,7 @@
 		wake      = newAlarm()
 		toMember  = memberSender(peers, s.FirstPort)
 		reportNow = make(chan struct{}, 1)
+		interval  atomic.Int64
 		now       = steadyClock()
 		entries   = newHeard(now)
 	)
@@ -105,7 +108,7 @@
 	})
 	book.seed(s.Seeds)
 	reporter := reporter{
-		message: agent.ReportMessage, send: toMember, now: reportNow, met: entries.met, log: r.log,
+		message: func() ([]byte, error) { return agent.ReportMessage(time.Duration(interval.Load())) }, interval: &interval, send: toMember, now: reportNow, met: entries.met, log: r.log,
 		audience: func() []uint32 { return union(entries.addresses(), book.addresses(roleEntry)) },
 		each:     agent.Sweep,
 	}
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -83,6 +83,7 @@
 		reportNow = make(chan struct{}, 1)
 		met       = make(chan uint32, 64)
 		lastFrom  atomic.Int64
+		interval  atomic.Int64
 		now       = steadyClock()
 	)
 	keeper := newConfigKeeper(configKeeper{
@@ -111,7 +112,7 @@
 	})
 	book.seed(s.Seeds)
 	reporter := reporter{
-		message: entry.ReportMessage, send: toMember, now: reportNow, met: met, log: r.log,
+		message: func() ([]byte, error) { return entry.ReportMessage(time.Duration(interval.Load())) }, interval: &interval, send: toMember, now: reportNow, met: met, log: r.log,
 		audience: func() []uint32 {
 			entries, agents := entry.Known()
 			return union(entries, agents, book.addresses(""))
--- a/packetnode/report.go
+++ b/packetnode/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"endiveflow.example/endiveflow/eventlog"
@@ -19,6 +20,22 @@
 	// each is called before each regular report.
 	each func()
 	log  *eventlog.Log
+	// interval is told in the reports.
+	interval *atomic.Int64
+}
+
+const (
+	// reportsPerSecond is the number of regular reports that a process sends a
+	// second at most. With more to report to, it reports to each less often, so that the traffic
+	// of a process does not grow with the fleet.
+	reportsPerSecond = 40
+	// maxReportInterval bounds that.
+	maxReportInterval = 30 * time.Second
+)
+
+// intervalFor is the time between reports to an audience.
+func intervalFor(audience int) time.Duration {
+	return min(max(reportInterval, time.Duration(audience)*time.Second/reportsPerSecond), maxReportInterval)
 }
 
 func (r reporter) run(ctx context.Context) <-chan error {
@@ -28,6 +45,7 @@
 		ticker := time.NewTicker(reportInterval)
 		defer ticker.Stop()
 		r.report(r.audience())
+		last, told := time.Now(), time.Duration(0)
 		// greeted are those that got a report of their own since the last regular one:
 		// at a start, every process hears of every other one from many sides.
 		greeted := make(map[uint32]bool)
@@ -37,9 +55,17 @@
 				return
 			case <-ticker.C:
 				r.each()
-				r.report(r.audience())
 				clear(greeted)
+				audience := r.audience()
+				interval := intervalFor(len(audience))
+				r.interval.Store(int64(interval))
+				// A longer interval is told before it holds: silence is judged by it.
+				if time.Since(last) > interval-reportInterval/2 || interval > told {
+					last, told = time.Now(), interval
+					r.report(audience)
+				}
 			case <-r.now:
+				last = time.Now()
 				r.report(r.audience())
 			case ip := <-r.met:
 				if !greeted[ip] {
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -278,7 +278,7 @@
 }
 
 func (f *Fleet) reportEntry(e *Entry) {
-	b, err := e.ReportMessage()
+	b, err := e.ReportMessage(time.Second)
 	if err != nil || !e.Up {
 		return
 	}
@@ -291,7 +291,7 @@
 }
 
 func (f *Fleet) reportAgent(a *Agent) {
-	b, err := a.ReportMessage()
+	b, err := a.ReportMessage(time.Second)
 	if err != nil || !a.Up {
 		return
 	}
