--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,6 +27,9 @@
 	storeTimeout = 700 * time.Millisecond
 	// fetchTimeout bounds the fetch of the configuration from another process.
 	fetchTimeout = 500 * time.Millisecond
+	// fetchSpread is the time over which the processes of a fleet fetch a newer
+	// configuration. Meanwhile more of them have it and can be asked.
+	fetchSpread = 150 * time.Millisecond
 	// fetchPause keeps a burst of changes from being fetched one by one.
 	fetchPause = 50 * time.Millisecond
 	// storeRetryBase and storeRetryMax pace calls to a store that is away. The
@@ -49,25 +55,55 @@
 	log  *eventlog.Log
 	// applied is called after each newer configuration.
 	applied func()
-	// behind receives the addresses of processes with a newer one.
-	behind chan uint32
+	// behind says that announcers have a newer one.
+	behind     chan struct{}
+	announcers *announcers
 	// away says that the last call to the store failed; used by follow only.
 	away bool
 }
 
 func newConfigKeeper(k configKeeper) *configKeeper {
-	k.behind = make(chan uint32, 1)
+	k.behind, k.announcers = make(chan struct{}, 1), new(announcers)
 	return &k
 }
 
 // newerAt notes that a process has a newer configuration.
 func (k *configKeeper) newerAt(ip uint32) {
-	select {
-	case k.behind <- ip:
-	default:
+	k.announcers.add(ip)
+	signal(k.behind)
+}
+
+// announcers are the processes that said that they have a newer configuration.
+// Which of them is asked is random: the first one to have it must not serve the fleet.
+type announcers struct {
+	mu sync.Mutex
+	// ips is guarded by mu.
+	ips []uint32
+}
+
+// maxAnnouncers bounds those that are remembered.
+const maxAnnouncers = 16
+
+func (a *announcers) add(ip uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.ips) < maxAnnouncers && !slices.Contains(a.ips, ip) {
+		a.ips = append(a.ips, ip)
 	}
 }
 
+// take returns one of them and forgets all.
+func (a *announcers) take() (uint32, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.ips) == 0 {
+		return 0, false
+	}
+	ip := a.ips[rand.IntN(len(a.ips))]
+	a.ips = a.ips[:0]
+	return ip, true
+}
+
 // apply takes a configuration in, if it is newer.
 func (k *configKeeper) apply(encoded []byte, source string) error {
 	table, problems, err := platform.DecodeRoutes(encoded)
@@ -166,7 +202,14 @@
 			select {
 			case <-ctx.Done():
 				return
-			case ip := <-k.behind:
+			case <-k.behind:
+				if k.routes.Current() != nil {
+					pause(ctx, time.Duration(rand.Int64N(int64(fetchSpread))))
+				}
+				ip, ok := k.announcers.take()
+				if !ok {
+					continue
+				}
 				if err := k.fetch(ctx, ip); err != nil && ctx.Err() == nil {
 					k.log.Warn("configuration not fetched", "from", flow.Endpoint{IP: ip}.Addr().String(), "config", k.routes.Version(), "error", err.Error())
 				}
