packetagent: only flows that opened here are reset; a hangup at the start doesn't end a process

Only flows whose callers acknowledged this host's numbers are reset now. A held flow that is refused had opened at another host through a copy; its reset is void on an open flow by the protocol (its number isn't near the caller's), which the soak's callers check now as the platform's do.

--- a/cmd/endiveflow-node/main.go
+++ b/cmd/endiveflow-node/main.go
@@ -21,9 +21,14 @@
 	Agent agentCommand `cmd:"" help:"Run an agent: the process beside a host."`
 }
 
+// hangups receives the signals to read the settings again.
+var hangups = make(chan os.Signal, 1)
+
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	// A hangup before there is someone to take it would end the process.
+	signal.Notify(hangups, syscall.SIGHUP)
 	parser := kong.Must(new(cli), kong.Name("endiveflow-node"), kong.Description("Runs one process of the packet path."))
 	k, err := parser.Parse(args)
 	if err == nil {
@@ -70,8 +75,6 @@
 // reload reads the settings again at each hangup signal until ctx ends. Settings
 // that can't be read leave those before in force.
 func reload(ctx context.Context, part role, log *eventlog.Log) <-chan error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	done := make(chan error, 1)
 	go func() {
 		defer func() { done <- nil }()
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -457,3 +457,17 @@
 	require.Len(t, b.takeCaller(), 1, "an answer is delivered, also late")
 	require.Zero(t, b.Load().Busy)
 }
+
+// Guards against a reset of a flow that is open at another host: an agent that
+// stood still took opening packets that others had taken meanwhile, and reset those
+// flows when its host started anew. Found by the soak with seed 109.
+func TestUnconfirmedFlowsAreNotReset(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.open(packettest.Key(1))
+	b.message(mesh.Offer, packettest.Open(packettest.Key(2), 0))
+	b.FromHost(packettest.Accept(packettest.Key(2), hostSeq))
+	b.takeCaller()
+	b.HostDown()
+	requireResets(t, b.takeCaller(), packettest.Key(1))
+}
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -100,8 +100,9 @@
 // forever is after any time.
 const forever time.Duration = math.MaxInt64
 
-// endAll resets the flows that were opened before a time at a host that is
-// certainly gone, so that callers try again at once.
+// endAll ends the flows that were opened before a time at a host that is
+// certainly gone. It resets those that their callers have confirmed, so that they try again
+// at once; others may be open at another host, by a copy of their opening packet.
 func (a *Agent) endAll(why string, before time.Duration) {
 	a.releaseHeld(why)
 	n := 0
@@ -116,7 +117,7 @@
 			return true
 		}
 		if r.phase != ended {
-			if !r.callerEnded || !r.hostEnded {
+			if r.confirmed && !(r.callerEnded && r.hostEnded) {
 				lost = append(lost, lostFlow{key, r.callerAck})
 			}
 			r.moveTo(ended, now, a.load)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -89,7 +89,7 @@
 		c.mu.Unlock()
 	}()
 	began := time.Now()
-	first, opened := c.exchange(ctx, inbox, func(n uint32) []byte { return packettest.Open(key, n) },
+	first, opened := c.exchange(ctx, inbox, 0, func(n uint32) []byte { return packettest.Open(key, n) },
 		func(s flow.Segment) bool { return s.Opening && s.Acking })
 	if !opened {
 		c.run.count(key, began, false)
@@ -99,7 +99,7 @@
 		request := packettest.Packet{Flow: key, Flags: packettest.ACK, Seq: 1001 + n*requestBytes, Ack: first.Seq + 1, Data: requestBytes}.Bytes()
 		c.run.sentPacket(request)
 		sent := time.Now()
-		answer, ok := c.exchange(ctx, inbox, func(uint32) []byte { return request }, func(s flow.Segment) bool { return s.Data > 0 })
+		answer, ok := c.exchange(ctx, inbox, first.Seq+1, func(uint32) []byte { return request }, func(s flow.Segment) bool { return s.Data > 0 })
 		if answer.Resetting {
 			c.run.checkReset(key, first.Seq)
 		}
@@ -111,8 +111,9 @@
 	}
 }
 
-// exchange sends a packet until an answer comes that fits, a reset, or the deadline.
-func (c *callers) exchange(ctx context.Context, inbox <-chan flow.Segment, packet func(uint32) []byte, fits func(flow.Segment) bool) (flow.Segment, bool) {
+// exchange sends a packet until an answer comes that fits, a reset, or the
+// deadline. On an open flow only a reset near the last acknowledgement ack counts; 0 stands for a flow that isn't open.
+func (c *callers) exchange(ctx context.Context, inbox <-chan flow.Segment, ack uint32, packet func(uint32) []byte, fits func(flow.Segment) bool) (flow.Segment, bool) {
 	limit := time.After(deadline)
 	for n := uint32(0); ; n++ {
 		c.send(packet(n))
@@ -125,10 +126,10 @@
 		for {
 			select {
 			case s := <-inbox:
-				if s.Resetting {
+				if s.Resetting && (ack == 0 || flow.Near(ack, s.Seq)) {
 					return s, false
 				}
-				if fits(s) {
+				if !s.Resetting && fits(s) {
 					return s, true
 				}
 			case <-again:
--- a/soak/process.go
+++ b/soak/process.go
@@ -29,6 +29,9 @@
 	stopping  bool
 }
 
+// startTime is how long the start of a process may take until it handles signals.
+const startTime = 100 * time.Millisecond
+
 // restartPause is the time after which an ended process is started again.
 const restartPause = 300 * time.Millisecond
 
@@ -93,6 +96,10 @@
 	if p.cmd == nil || p.cmd.Process == nil {
 		return
 	}
+	if s == syscall.SIGHUP && time.Since(p.disturbed) < startTime {
+		// Until the program runs, a hangup ends it, whatever it does.
+		return
+	}
 	p.disturbed = time.Now()
 	p.stopping = p.stopping || s == syscall.SIGKILL || s == syscall.SIGTERM
 	// A process that has just ended is started again anyway.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,8 @@
 	{"flows before the first heartbeat", 1},
 	// A host whose port refused a connection once was never used again.
 	{"refused connection", 104},
+	// An agent that stood still reset flows that had opened elsewhere meanwhile.
+	{"flows opened elsewhere", 109},
 }
 
 // Guards against promises that the real programs break under faults: flows
