--- a/flow/key.go
+++ b/flow/key.go
@@ -35,6 +35,9 @@
 // String returns ADDRESS:PORT.
 func (e Endpoint) String() string { return e.AddrPort().String() }
 
+// IPText returns the usual form of an IPv4 address for logs.
+func IPText(ip uint32) string { return Endpoint{IP: ip}.Addr().String() }
+
 // Key identifies a flow.
 type Key struct {
 	// Caller is the caller's end.
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,13 +37,11 @@
 	Located
 	// Marker is what an entry sends to itself to learn that it has read all that came before.
 	Marker
-	// Leaving says that the sender ends; it carries no report.
-	Leaving
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	names := [...]string{"none", "offer", "deliver", "search", "taken", "passed", "refused", "missing", "agentReport", "entryReport", "located", "marker", "leaving"}
+	names := [...]string{"none", "offer", "deliver", "search", "taken", "passed", "refused", "missing", "agentReport", "entryReport", "located", "marker"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -231,5 +230,16 @@
 	return nil
 }
 
+// Send encodes the message and passes it to send, which keeps no part of it.
+func (m *Message) Send(ip uint32, send func(uint32, []byte)) {
+	b := buffers.Get().(*[]byte)
+	*b = m.Append((*b)[:0])
+	send(ip, *b)
+	buffers.Put(b)
+}
+
+// buffers keeps encoded messages, so that sending doesn't allocate.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
 // ServiceTag returns the tag of a service's name.
 func ServiceTag(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -110,7 +110,7 @@
 	if m.Service != a.tag {
 		wrongService.Inc()
 		if a.cfg.Log.Rare() {
-			a.cfg.Log.Warn("packet for another service dropped", "kind", m.Kind.String(), "from", addr(m.Entry), "expected", a.cfg.Service)
+			a.cfg.Log.Warn("packet for another service dropped", "kind", m.Kind.String(), "from", flow.IPText(m.Entry), "expected", a.cfg.Service)
 		}
 		return
 	}
@@ -133,8 +133,6 @@
 	}
 }
 
-func addr(ip uint32) string { return flow.Endpoint{IP: ip}.Addr().String() }
-
 // message returns a message of this agent about a flow.
 func (a *Agent) message(k mesh.Kind, key flow.Key) mesh.Message {
 	return mesh.Message{Kind: k, Service: a.tag, ConfigVersion: a.cfg.ConfigVersion(), Entry: a.cfg.IP, Flow: key, Load: a.load.Load()}
@@ -146,31 +144,13 @@
 	a.send(entry, &m)
 }
 
-func (a *Agent) send(ip uint32, m *mesh.Message) {
-	b := getBuffer()
-	*b = m.Append((*b)[:0])
-	a.cfg.ToMember(ip, *b)
-	putBuffer(b)
-}
+func (a *Agent) send(ip uint32, m *mesh.Message) { m.Send(ip, a.cfg.ToMember) }
 
 // reset tells a caller that its flow is over.
-func (a *Agent) reset(key flow.Key, ack uint32) {
-	b := getBuffer()
-	*b = platform.AppendReset((*b)[:0], key, ack)
-	a.cfg.ToCaller(key.Caller, *b)
-	putBuffer(b)
-}
+func (a *Agent) reset(key flow.Key, ack uint32) { platform.SendReset(key, ack, a.cfg.ToCaller) }
 
 // toHost gives a packet to the host.
 func (a *Agent) toHost(packet []byte, context uint32) {
 	platform.SetContext(packet, context)
 	a.cfg.ToHost(packet)
 }
-
-var buffers = sync.Pool{New: func() any {
-	b := make([]byte, 0, mesh.MaxBytes(platform.MaxPacketBytes))
-	return &b
-}}
-
-func getBuffer() *[]byte  { return buffers.Get().(*[]byte) }
-func putBuffer(b *[]byte) { buffers.Put(b) }
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -38,7 +38,7 @@
 	a.send(asked.Entry, &m)
 	missing.Inc()
 	if a.cfg.Log.Rare() {
-		a.cfg.Log.Info("flow is not here", "flow", key.String(), "entry", addr(asked.Entry), "step", asked.Step)
+		a.cfg.Log.Info("flow is not here", "flow", key.String(), "entry", flow.IPText(asked.Entry), "step", asked.Step)
 	}
 }
 
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -117,7 +117,7 @@
 			return true
 		}
 		if r.phase != ended {
-			if r.confirmed && !(r.callerEnded && r.hostEnded) {
+			if closed := r.callerEnded && r.hostEnded; r.confirmed && !closed {
 				lost = append(lost, lostFlow{key, r.callerAck})
 			}
 			r.moveTo(ended, now, a.load)
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -206,7 +206,7 @@
 	if !may() {
 		return
 	}
-	a.cfg.Log.Info("offer", "flow", s.Key.String(), "outcome", d.Action.String(), "entry", addr(m.Entry),
+	a.cfg.Log.Info("offer", "flow", s.Key.String(), "outcome", d.Action.String(), "entry", flow.IPText(m.Entry),
 		"visit", visit, "of", m.Count, "busy", d.Load.Busy, "slots", d.Load.Slots, "open", d.Load.Open,
 		"meanMs", uint16(d.Load.Service), "expectedMs", d.Expected.Milliseconds(), "bestMs", uint16(d.Terms.BestWait),
 		"targetMs", uint16(m.Offered.Target), "config", m.ConfigVersion)
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -166,18 +166,15 @@
 	r.offers++
 	offers := r.offers
 	m.Body = r.opening
-	b := getBuffer()
-	*b = m.Append((*b)[:0])
 	shard.Unlock()
 	if a := e.roster.agent(m.Candidates[0]); a != nil {
 		a.offered()
 	}
-	e.cfg.ToMember(m.Candidates[0], *b)
-	putBuffer(b)
+	e.send(m.Candidates[0], &m)
 	e.await(&e.offers, wait{key, now + e.offerTimeout()})
 	offersSent.Inc()
 	if e.cfg.Log.Ordinary() {
-		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "offered", "entry", addr(e.cfg.IP), "service", service, "first", addr(m.Candidates[0]),
+		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "offered", "entry", flow.IPText(e.cfg.IP), "service", service, "first", flow.IPText(m.Candidates[0]),
 			"candidates", m.Count, "attempt", offers, "route", route.Name, "config", m.ConfigVersion, "usualMs", uint16(m.Offered.Usual))
 	}
 }
@@ -227,19 +224,9 @@
 	e.send(agent, &m)
 }
 
-func (e *Entry) send(ip uint32, m *mesh.Message) {
-	b := getBuffer()
-	*b = m.Append((*b)[:0])
-	e.cfg.ToMember(ip, *b)
-	putBuffer(b)
-}
+func (e *Entry) send(ip uint32, m *mesh.Message) { m.Send(ip, e.cfg.ToMember) }
 
-func (e *Entry) reset(key flow.Key, ack uint32) {
-	b := getBuffer()
-	*b = platform.AppendReset((*b)[:0], key, ack)
-	e.cfg.ToCaller(key.Caller, *b)
-	putBuffer(b)
-}
+func (e *Entry) reset(key flow.Key, ack uint32) { platform.SendReset(key, ack, e.cfg.ToCaller) }
 
 func (e *Entry) await(list *[]wait, w wait) {
 	e.waitMu.Lock()
@@ -269,15 +256,5 @@
 // Flows returns the number of flows that the entry remembers.
 func (e *Entry) Flows() int { return e.flows.Len() }
 
-func addr(ip uint32) string { return flow.Endpoint{IP: ip}.Addr().String() }
-
-var buffers = sync.Pool{New: func() any {
-	b := make([]byte, 0, mesh.MaxBytes(platform.MaxPacketBytes))
-	return &b
-}}
-
 // candidatePool keeps the lists of candidates, which are as long as a service has agents.
 var candidatePool = sync.Pool{New: func() any { return new([]placement.Candidate) }}
-
-func getBuffer() *[]byte  { return buffers.Get().(*[]byte) }
-func putBuffer(b *[]byte) { buffers.Put(b) }
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -44,7 +44,7 @@
 	}
 	fresh, changed := e.roster.takeAgent(report, m.Load)
 	if changed {
-		e.cfg.Log.Info("agent", "agent", addr(report.IP), "incarnation", report.Incarnation, "report", report.Version, "service", report.Service,
+		e.cfg.Log.Info("agent", "agent", flow.IPText(report.IP), "incarnation", report.Incarnation, "report", report.Version, "service", report.Service,
 			"host", report.HostID, "state", report.Host.String(), "leaving", report.Leaving, "warm", report.Warm, "slots", m.Load.Slots)
 	}
 	if fresh {
@@ -59,7 +59,7 @@
 		return
 	}
 	if e.roster.takeEntry(report) {
-		e.cfg.Log.Info("entry", "entry", addr(report.IP), "incarnation", report.Incarnation, "zone", report.Zone)
+		e.cfg.Log.Info("entry", "entry", flow.IPText(report.IP), "incarnation", report.Incarnation, "zone", report.Zone)
 		e.cfg.Met(report.IP)
 	}
 	for _, ip := range report.Agents {
@@ -209,7 +209,7 @@
 		a.markSilent()
 	}
 	if e.cfg.Log.Rare() {
-		e.cfg.Log.Warn("agent", "agent", addr(r.agent), "outcome", "silent", "flow", key.String(), "afterMs", (e.cfg.Now() - r.asked).Milliseconds(), "attempt", r.offers)
+		e.cfg.Log.Warn("agent", "agent", flow.IPText(r.agent), "outcome", "silent", "flow", key.String(), "afterMs", (e.cfg.Now() - r.asked).Milliseconds(), "attempt", r.offers)
 	}
 }
 
@@ -269,6 +269,6 @@
 	now := e.cfg.Now()
 	e.flows.Sweep(func(_ flow.Key, r *record) bool { return now-r.touched <= e.cfg.IdleTimeout })
 	for _, ip := range e.roster.sweep() {
-		e.cfg.Log.Warn("process forgotten", "process", addr(ip), "of", "all that are silent for long")
+		e.cfg.Log.Warn("process forgotten", "process", flow.IPText(ip), "of", "all that are silent for long")
 	}
 }
