packetagent: a host is asked once for a flow; flows of a new host aren't taken for old ones

That host had another half of the flow (a copy of the opening packet) and bounced none.

The start that the new host tells must be later than the flow's opening as well.

Both unit tests failed without the change.

--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -54,8 +54,8 @@
 	entry uint32
 	step  uint8
 	at    time.Duration
-	// bounced says that the host doesn't have the flow.
-	bounced bool
+	// given says that the host was asked, bounced that it doesn't have the flow.
+	given, bounced bool
 }
 
 // Contexts say in a packet for the host why it was given to the host, for the case that it comes back.
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -47,8 +47,9 @@
 	b := &bench{t: t}
 	b.Agent = packetagent.New(packetagent.Config{
 		IP: ownIP, Service: service, Host: hostAddress, Zone: "a", CallerPort: 9000, Incarnation: startsAt,
-		Now:    func() time.Duration { return b.now },
-		ToHost: func(p []byte) { b.toHost = append(b.toHost, append([]byte(nil), p...)) },
+		Now:       func() time.Duration { return b.now },
+		UnixMilli: func() int64 { return bornAt + b.now.Milliseconds() },
+		ToHost:    func(p []byte) { b.toHost = append(b.toHost, append([]byte(nil), p...)) },
 		ToCaller: func(_ flow.Endpoint, p []byte) {
 			b.toCaller = append(b.toCaller, append([]byte(nil), p...))
 		},
@@ -471,3 +472,33 @@
 	b.HostDown()
 	requireResets(t, b.takeCaller(), packettest.Key(1))
 }
+
+// Guards against a reset of flows at a new host by an agent that stood still:
+// it reads the former host's last heartbeat after it gave flows to the new one.
+func TestOldHeartbeatReadLate(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	b.now += 3 * time.Second
+	// The host started anew one second ago, while the agent stood still.
+	b.open(packettest.Key(1))
+	b.now += 10 * time.Millisecond
+	b.heartbeat("h", bornAt, 2, host.Ready)
+	b.now += 10 * time.Millisecond
+	b.heartbeat("h", bornAt+2000, 1, host.Ready)
+	require.Empty(t, b.takeCaller())
+}
+
+// Guards against packets of an open flow that go to another host again and
+// again, because that host has another half of the flow and doesn't bounce them.
+func TestHostIsAskedOnce(t *testing.T) {
+	b := newBench(t)
+	k := packettest.Key(1)
+	b.message(mesh.Search, packettest.Request(k, 90_001, 0))
+	require.Empty(t, b.takeHost(), "an acknowledgement alone gets no answer")
+	for range 5 {
+		b.message(mesh.Search, packettest.Request(k, 90_001, 100))
+		b.message(mesh.Deliver, packettest.Request(k, 90_001, 100))
+		b.now += 200 * time.Millisecond
+	}
+	require.Len(t, b.takeHost(), 1)
+}
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -49,6 +49,8 @@
 	AnswerTimeout, IdleTimeout, MaxFlowAge time.Duration
 	// Now returns a time that never goes back, since any moment before the start.
 	Now func() time.Duration
+	// UnixMilli returns the time of day, by which hosts tell their start; nil means the clock's.
+	UnixMilli func() int64
 	// ToHost, ToCaller and ToMember send a datagram and keep no part of it.
 	ToHost   func(packet []byte)
 	ToCaller func(caller flow.Endpoint, packet []byte)
@@ -78,6 +80,9 @@
 			*d.field = d.fallback
 		}
 	}
+	if c.UnixMilli == nil {
+		c.UnixMilli = func() int64 { return time.Now().UnixMilli() }
+	}
 	if c.Load == nil {
 		c.Load = placement.NewHost(placement.HostConfig{})
 	}
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -12,7 +12,7 @@
 		a.toHost(m.Body, contextDeliver)
 		return
 	}
-	if a.maySearch(m, s.Key) {
+	if a.maySearch(m, s) {
 		a.toHost(m.Body, contextProbe)
 		return
 	}
@@ -57,7 +57,7 @@
 		return
 	}
 	// A host that is given an opening packet would open the flow.
-	if !s.Opening && a.maySearch(m, s.Key) {
+	if !s.Opening && a.maySearch(m, s) {
 		context := contextSearch
 		if m.Step < mesh.StepAll {
 			context = contextProbe
@@ -70,20 +70,26 @@
 	}
 }
 
-// maySearch says whether the host may have a flow that the agent doesn't know, and notes that an entry asked for it.
-func (a *Agent) maySearch(m *mesh.Message, key flow.Key) bool {
-	if a.knowsAll.Load() || a.cfg.Now()-a.started > a.cfg.MaxFlowAge {
+// maySearch says whether to ask the host for a flow that the agent doesn't
+// know, and notes that an entry asked for it. A host is asked once: one that has the flow answers
+// data, and one that doesn't need not bounce it, if it has another half of the flow.
+func (a *Agent) maySearch(m *mesh.Message, s flow.Segment) bool {
+	if s.Data == 0 && !s.Ending || a.knowsAll.Load() || a.cfg.Now()-a.started > a.cfg.MaxFlowAge {
 		return false
 	}
-	shard := a.searches.Lock(key)
+	shard := a.searches.Lock(s.Key)
 	defer shard.Unlock()
-	found := shard.Get(key)
+	found := shard.Get(s.Key)
 	if found == nil {
-		found = new(search)
-		shard.Put(key, found)
+		found = &search{at: a.cfg.Now()}
+		shard.Put(s.Key, found)
 	}
-	found.entry, found.step, found.at = m.Entry, m.Step, a.cfg.Now()
-	return !found.bounced
+	found.entry, found.step = m.Entry, m.Step
+	if found.bounced || found.given {
+		return false
+	}
+	found.given, found.at = true, a.cfg.Now()
+	return true
 }
 
 // FromHost takes a packet that the host sent.
@@ -111,7 +117,7 @@
 	}
 	if learned {
 		// The host opened the flow before this process started.
-		r = &record{phase: idle, since: now, opened: now, confirmed: true}
+		r = &record{phase: idle, since: now, opened: now, openedAt: a.cfg.UnixMilli(), confirmed: true}
 		shard.Put(s.Key, r)
 	}
 	r.fromHost(s, now, a.load)
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -52,7 +52,7 @@
 // started after this process has no flow that the agent doesn't know.
 func (a *Agent) replaced(known bool, r host.Report, heardBefore time.Duration) {
 	if known {
-		a.endAll("another incarnation of the host is at its address", heardBefore)
+		a.endAll("another incarnation of the host is at its address", heardBefore, r.Born)
 		a.load.Restarted()
 	}
 	if known || r.Born > a.cfg.Incarnation {
@@ -69,7 +69,7 @@
 	a.load.SetOpen(false)
 	a.cfg.Log.Info("host", "id", id, "outcome", "left")
 	a.cfg.Changed()
-	a.endAll("the host left", forever)
+	a.endAll("the host left", forever, math.MaxInt64)
 	return nil
 }
 
@@ -80,7 +80,7 @@
 	a.load.SetOpen(false)
 	a.cfg.Log.Warn("host", "host", r.String(), "outcome", "down", "why", "its port refuses connections")
 	a.cfg.Changed()
-	a.endAll("the host is down", forever)
+	a.endAll("the host is down", forever, math.MaxInt64)
 }
 
 // HostSilent closes a host that doesn't answer until it is heard from.
@@ -100,10 +100,11 @@
 // forever is after any time.
 const forever time.Duration = math.MaxInt64
 
-// endAll ends the flows that were opened before a time at a host that is
-// certainly gone. It resets those that their callers have confirmed, so that they try again
+// endAll ends the flows that were opened before a time and before the start of
+// the next host, in Unix milliseconds, at a host that is certainly gone. Both must hold: an agent that stood still reads old
+// heartbeats late, and the time of day may jump. It resets those that their callers have confirmed, so that they try again
 // at once; others may be open at another host, by a copy of their opening packet.
-func (a *Agent) endAll(why string, before time.Duration) {
+func (a *Agent) endAll(why string, before time.Duration, nextBorn int64) {
 	a.releaseHeld(why)
 	n := 0
 	type lostFlow struct {
@@ -113,7 +114,7 @@
 	var lost []lostFlow
 	now := a.cfg.Now()
 	a.flows.Sweep(func(key flow.Key, r *record) bool {
-		if r.opened >= before {
+		if r.opened >= before || nextBorn > 0 && r.openedAt >= nextBorn {
 			return true
 		}
 		if r.phase != ended {
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -54,7 +54,7 @@
 	now := a.cfg.Now()
 	kept := &heldOffer{message: *m, packet: bytes.Clone(m.Body)}
 	kept.message.Body = nil
-	shard.Put(s.Key, &record{phase: p, since: now, opened: now, touched: now, offer: kept, homes: m.Homes, told: now})
+	shard.Put(s.Key, &record{phase: p, since: now, opened: now, openedAt: a.cfg.UnixMilli(), touched: now, offer: kept, homes: m.Homes, told: now})
 }
 
 // awaitAnswer makes Tick look whether the host answered an opening packet.
@@ -85,7 +85,7 @@
 			continue
 		}
 		waited := now - r.since
-		r.phase, r.since, r.opened = opening, now, now
+		r.phase, r.since, r.opened, r.openedAt = opening, now, now, a.cfg.UnixMilli()
 		packet, target := bytes.Clone(r.offer.packet), r.offer.message.Offered.Target.Duration()
 		shard.Unlock()
 		a.awaitAnswer(key)
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -36,6 +36,8 @@
 	request *placement.Request
 	// opened is when the opening packet was given to the host.
 	opened time.Duration
+	// openedAt is opened in Unix milliseconds, to compare with the start of a host.
+	openedAt int64
 	// since is when the phase began, touched when the last packet passed.
 	since, touched time.Duration
 	// homes were told at told where the flow is.
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -233,6 +233,7 @@
 	started = packetagent.New(packetagent.Config{
 		IP: a.IP, Service: a.Host.Service, Host: flow.Endpoint{IP: a.IP, Port: 8165}, Zone: "a", CallerPort: 9000,
 		Incarnation: int64(f.now/time.Millisecond) + 1, Now: f.Now, Log: quietLog(),
+		UnixMilli:     func() int64 { return int64(f.now / time.Millisecond) },
 		ToHost:        func(p []byte) { f.toHost(a, p) },
 		ToCaller:      f.callerSender(a.IP),
 		ToMember:      func(ip uint32, d []byte) { f.toMember(a.IP, ip, d) },
