control: a suspicion ends when the view refused the death

Cause: an entry that watches a member for another one (it was asked and is no observer itself) kept the brief that it was asked about, also after its view had taken a newer record. When the asker's opinion then agreed with that old brief, the detector marked the watch as dead and dropped its own suspicion; the view refused the death as older, and kept the suspicion that it had been told. A dead watch isn't probed, the member doesn't send to that entry by itself, and its heartbeat would not have withdrawn what the detector no longer held: the suspicion stayed for ever. The same happens while a change of the view waits in the loop's channel.

Change: watch hands newer records to the detector for borrowed members too, and brings the view's suspicion in line with the detector's; a refused death makes the entry look at the record again. A newer record ends the suspicion in the detector as it does in the view. Found on the way: a borrowed member that the entry has come to observe was unwatched with its first heartbeat.

Ruled out: a flag that outlives a refuted death or the end of a watch (by reading, before); the gossip cap that keeps probes back: a watch that isn't dead is probed each second, and one answer is enough.

--- a/control/entry_loop.go
+++ b/control/entry_loop.go
@@ -230,17 +230,22 @@
 	}
 }
 
-// watch starts or stops to watch a member by whether this entry is among its observers.
+// watch starts or stops to watch a member by whether this entry is among its
+// observers or was asked about it, and brings the view's suspicion in line.
 func (l *entryLoop) watch(r member.Record) {
-	if r.ID != l.cfg.Self().ID && r.Alive() && l.observes(r.ID) {
-		l.detector.Watch(r, l.cfg.Now())
-		return
+	observed := r.ID != l.cfg.Self().ID && r.Alive() && l.observes(r.ID)
+	if observed || !r.Alive() {
+		delete(l.borrowed, r.ID)
 	}
-	if l.detector.Watching(r.ID) && (!r.Alive() || !l.borrowed[r.ID]) {
+	switch {
+	case observed || l.borrowed[r.ID]:
+		l.detector.Watch(r, l.cfg.Now())
+	case l.detector.Watching(r.ID):
 		l.detector.Unwatch(r.ID)
-		delete(l.borrowed, r.ID)
-		l.cfg.Members.SetSuspect(r.ID, false)
+	default:
+		return
 	}
+	l.cfg.Members.SetSuspect(r.ID, l.detector.Suspect(r.ID))
 }
 
 func (l *entryLoop) observes(id member.ID) bool {
@@ -272,7 +277,11 @@
 		case member.DecideSuspect, member.DecideAlive:
 			l.cfg.Members.SetSuspect(d.ID, d.Kind == member.DecideSuspect)
 		case member.DecideDead:
-			l.spreadEnded(l.cfg.Members.MergeEnded([]member.Brief{d.Brief}))
+			ended := l.cfg.Members.MergeEnded([]member.Brief{d.Brief})
+			l.spreadEnded(ended)
+			if len(ended) == 0 {
+				l.watch(r) // The view holds a newer record, which the detector did not know.
+			}
 		}
 		decisionCounter(d.Kind).Inc()
 		l.cfg.Trail.Record(audit.Event{Action: d.Kind.String(), Target: targetOf(r), Reason: d.Reason})
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -193,7 +193,7 @@
 		Members: n.view, Seeds: f.seeds, Trail: quietTrail(), Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 1)),
 		ConfigDigest: digest, ConfigObjects: func() [][]byte { _, all := n.objects.all(); return all },
 		ApplyConfig: n.objects.apply, ConfigChanged: n.applied, Client: f.client(),
-		ObjectsFor: func(config.ServiceTag) (uint64, [][]byte) { return n.objects.all() },
+		ObjectsFor: n.objectsFor,
 	})
 	require.NoError(f.t, err)
 	n.entry = entry
@@ -218,6 +218,8 @@
 	n.run(agent.Run)
 }
 
+func (n *node) objectsFor(config.ServiceTag) (uint64, [][]byte) { return n.objects.all() }
+
 func (n *node) run(run func(context.Context) <-chan error) {
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop, n.done = stop, run(ctx)
--- a/member/detector.go
+++ b/member/detector.go
@@ -141,8 +141,9 @@
 	return &Detector{cfg: cfg, watches: make(map[ID]*watch)}
 }
 
-// Watch starts to watch a member, or takes over its newer record. A new watch
-// counts as heard, so that a member gets all its intervals to report.
+// Watch starts to watch a member, or takes over its newer record, which ends a
+// suspicion as in View. A new watch counts as heard, so that a member gets all
+// its intervals to report.
 func (d *Detector) Watch(r Record, now time.Time) {
 	w := d.watches[r.ID]
 	if w == nil {
@@ -150,10 +151,16 @@
 		return
 	}
 	if r.Brief().Newer(w.brief) {
-		w.brief, w.service, w.dead = r.Brief(), r.Service, false
+		w.brief, w.service, w.dead, w.suspect = r.Brief(), r.Service, false, false
 	}
 }
 
+// Suspect says whether a member is watched and suspect.
+func (d *Detector) Suspect(id ID) bool {
+	w := d.watches[id]
+	return w != nil && w.suspect
+}
+
 // Unwatch stops watching a member.
 func (d *Detector) Unwatch(id ID) { delete(d.watches, id) }
 
