packetnode: a lost member record is written again, and one of a process that is gone removed

Cause: the record was written once, at the start. A record that the store lost stayed lost, and records of machines that are gone stayed for ever; addresses that a list no longer named stayed in memory.

Change: each list (every 10 s, every second while nobody is heard) is compared with the own record, and the first one after an outage is a current one. An entry removes the record of a process that it has not heard from for 15 min (package absence), one a list, under the revision that it read. What a list or the settings no longer name is forgotten.

Ruled out: a lease on the record: every process would write to the store all the time.

Tests: absence and packetnode/members_test.go; with writing at the start alone both cases of TestLostRecordIsWrittenAgain and the removal fail.

--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -101,11 +101,10 @@
 		Changed: func() { signal(reportNow) },
 		Waiting: wake.in,
 	})
-	book := newMembers(&members{
-		own: memberRecord{Role: roleAgent, IP: s.IP, Zone: s.Zone, Service: s.Service}, store: store, log: r.log,
-		alone: func() bool { return len(entries.addresses()) == 0 },
-		found: func() { signal(reportNow) },
-	})
+	book := &members{
+		own: memberRecord{Role: roleAgent, IP: s.IP, Zone: s.Zone, Service: s.Service}, store: store, log: r.log, now: now,
+		heard: entries.addresses, found: func() { signal(reportNow) },
+	}
 	book.seed(s.Seeds)
 	reporter := reporter{
 		message: func() ([]byte, error) { return agent.ReportMessage(time.Duration(interval.Load())) }, interval: &interval, send: toMember, now: reportNow, met: entries.met, log: r.log,
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -102,22 +102,19 @@
 			}
 		},
 	})
-	book := newMembers(&members{
-		own: memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone}, store: store, log: r.log,
-		alone: func() bool {
-			entries, agents := entry.Known()
-			return len(entries)+len(agents) == 0
-		},
-		found: func() { signal(reportNow) },
-	})
+	heard := func() []uint32 {
+		entries, agents := entry.Known()
+		return append(entries, agents...)
+	}
+	book := &members{
+		own: memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone}, store: store, log: r.log, now: now,
+		heard: heard, found: func() { signal(reportNow) },
+	}
 	book.seed(s.Seeds)
 	reporter := reporter{
 		message: func() ([]byte, error) { return entry.ReportMessage(time.Duration(interval.Load())) }, interval: &interval, send: toMember, now: reportNow, met: met, log: r.log,
-		audience: func() []uint32 {
-			entries, agents := entry.Known()
-			return union(entries, agents, book.addresses(""))
-		},
-		each: entry.Sweep,
+		audience: func() []uint32 { return union(heard(), book.addresses("")) },
+		each:     entry.Sweep,
 	}
 	parts.add("callers", receive(callers, func(b []byte) {
 		lastFrom.Store(int64(now()))
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -9,8 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"endiveflow.example/endiveflow/absence"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/platform"
@@ -31,8 +33,13 @@
 	listPause = 10 * time.Second
 )
 
-// memberRecord is what a process writes of itself into the store at its start.
-// It holds nothing that changes, so that an unchanged record costs no write.
+var (
+	recordsWritten = metrics.NewCounter("endiveflow_packetnode_member_records_written_total")
+	recordsRemoved = metrics.NewCounter("endiveflow_packetnode_member_records_removed_total")
+)
+
+// memberRecord is what a process keeps of itself in the store. It holds nothing
+// that changes, so that an unchanged record costs no write.
 type memberRecord struct {
 	Role string     `json:"role"`
 	IP   netip.Addr `json:"ip"`
@@ -43,33 +50,33 @@
 
 func (r memberRecord) key() string { return membersPrefix + r.Role + "-" + r.IP.String() }
 
-// members keeps the process's record in the store and the addresses of entries
-// that the store and the settings name.
+// members keeps the process's record in the store and the addresses of
+// processes that the store and the settings name.
 type members struct {
 	own   memberRecord
 	store *platform.Client
 	log   *eventlog.Log
-	// alone says whether no entry is heard from.
-	alone func() bool
+	// heard returns the processes that are heard from. At an entry they are all that live.
+	heard func() []uint32
 	// found is called with the addresses after each list.
 	found func()
+	now   func() time.Duration
+	// silent is used by the goroutine of run alone.
+	silent absence.Tracker
 
 	mu sync.Mutex
-	// contacts is guarded by mu.
-	contacts map[uint32]string
+	// All below is guarded by mu. recorded is replaced by each list, seeds by each reload.
+	recorded map[uint32]string
+	seeds    []uint32
 }
 
-func newMembers(m *members) *members {
-	m.contacts = make(map[uint32]string)
-	return m
-}
-
-// seed adds the entries that the settings name.
+// seed replaces the entries that the settings name.
 func (m *members) seed(seeds []netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.seeds = nil
 	for _, s := range seeds {
-		m.contacts[flow.EndpointOf(s).IP] = roleEntry
+		m.seeds = append(m.seeds, flow.EndpointOf(s).IP)
 	}
 }
 
@@ -95,39 +102,44 @@
 func (m *members) addresses(role string) []uint32 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own := flow.EndpointOf(netip.AddrPortFrom(m.own.IP, 0)).IP
+	own := addressOf(m.own.IP)
 	var out []uint32
-	for ip, r := range m.contacts {
+	for ip, r := range m.recorded {
 		if ip != own && (role == "" || r == role) {
 			out = append(out, ip)
 		}
 	}
+	for _, ip := range m.seeds {
+		if ip != own && m.recorded[ip] == "" && role != roleAgent {
+			out = append(out, ip)
+		}
+	}
 	return out
 }
 
-// run writes the record and reads those of others until ctx ends.
+func addressOf(ip netip.Addr) uint32 { return flow.EndpointOf(netip.AddrPortFrom(ip, 0)).IP }
+
+// run keeps the record and reads those of others until ctx ends.
 func (m *members) run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		defer func() { done <- nil }()
-		failures, written := 0, false
+		failures := 0
 		backoff := platform.Backoff{Base: storeRetryBase, Max: storeRetryMax}
 		for ctx.Err() == nil {
-			err := m.list(ctx)
-			if err == nil && !written {
-				err = m.write(ctx)
-				written = err == nil
-			}
-			if err != nil {
+			if err := m.round(ctx, failures > 0); err != nil {
 				failures++
 				if failures == 1 && ctx.Err() == nil {
-					m.log.Warn("members not read or written", "error", err.Error(), "written", written)
+					m.log.Warn("members not read or written", "error", err.Error())
 				}
 				_ = backoff.Wait(ctx, failures)
 				continue
 			}
+			if failures > 0 {
+				m.log.Info("members read again", "failures", failures)
+			}
 			failures = 0
-			if m.alone() {
+			if len(m.heard()) == 0 {
 				pause(ctx, listAlone)
 			} else {
 				pause(ctx, listPause)
@@ -137,23 +149,84 @@
 	return done
 }
 
-// list reads the records; stale ones do, since processes that are up tell each other.
-func (m *members) list(ctx context.Context) error {
-	l, err := m.store.List(ctx, membersPrefix, platform.Stale)
+// round lists the records, writes the own one if it is missing, and removes one
+// that is out of date. After an outage the list has to be current, since a
+// stale one may still show a record that was lost.
+func (m *members) round(ctx context.Context, afterOutage bool) error {
+	freshness := platform.Stale
+	if afterOutage {
+		freshness = platform.Current
+	}
+	l, err := m.store.List(ctx, membersPrefix, freshness)
 	if err != nil {
 		return fmt.Errorf("listing members: %w", err)
 	}
-	m.mu.Lock()
-	for _, o := range l.Objects {
+	versions, written := m.take(l.Objects)
+	m.found()
+	if !written {
+		if err := m.write(ctx); err != nil {
+			return fmt.Errorf("writing the member record: %w", err)
+		}
+		recordsWritten.Inc()
+	}
+	if m.own.Role != roleEntry {
+		return nil
+	}
+	return m.removeGone(ctx, versions)
+}
+
+// recordID names a record by what it says of a process.
+type recordID struct {
+	ip  netip.Addr
+	key string
+}
+
+// take takes listed records over. It returns their versions and whether the own one is among them.
+func (m *members) take(objects []platform.Object) (versions map[recordID]uint64, written bool) {
+	recorded := make(map[uint32]string, len(objects))
+	versions = make(map[recordID]uint64, len(objects))
+	for _, o := range objects {
 		var r memberRecord
 		if err := json.Unmarshal(o.Value, &r); err != nil || !r.IP.Is4() || r.key() != o.Key {
 			m.log.Warn("member record is not readable", "key", o.Key, "revision", o.Version)
 			continue
 		}
-		m.contacts[flow.EndpointOf(netip.AddrPortFrom(r.IP, 0)).IP] = r.Role
+		recorded[addressOf(r.IP)] = r.Role
+		versions[recordID{r.IP, o.Key}] = o.Version
+		written = written || r == m.own
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recorded = recorded
+	return versions, written
+}
+
+// removeGone removes a record of a process that no entry can have heard from for long. A
+// process that lives after all writes its record again.
+func (m *members) removeGone(ctx context.Context, versions map[recordID]uint64) error {
+	var recorded, heard []netip.Addr
+	for id := range versions {
+		if id.ip != m.own.IP {
+			recorded = append(recorded, id.ip)
+		}
+	}
+	for _, ip := range m.heard() {
+		heard = append(heard, flow.Endpoint{IP: ip}.Addr())
+	}
+	gone, found := m.silent.Gone(recorded, heard, absence.DefaultGoneAfter, m.now())
+	if !found {
+		return nil
+	}
+	for id, version := range versions {
+		if id.ip != gone {
+			continue
+		}
+		if err := m.store.Delete(ctx, id.key, version); err != nil && !errors.Is(err, platform.Conflict) {
+			return fmt.Errorf("removing the record of a process that is gone: %w", err)
+		}
+		recordsRemoved.Inc()
+		m.log.Info("member record removed", "key", id.key, "revision", version, "silentFor", absence.DefaultGoneAfter.String())
 	}
-	m.mu.Unlock()
-	m.found()
 	return nil
 }
 
