packetagent: copies of held flows wait for their turn

The agent that held the flow gave the copy to its host, past its queue: from 36.0 to 36.75 s about 900 of 1,000 requests that hosts began came that way, all from callers past their target, and in-time flows waited behind them in the hosts.

Ruled out: slots blocked by callers that left (they are given up after 40 ms, and each host answered about 390 requests per 0.25 s meanwhile, its capacity while cold); slow entries (the first offer came within 1 ms at the median from 36.25 s on).

Change: a packet of a held flow is noted and answered with Taken; the host gets the opening packet in its turn.

Test: TestCopiesOfHeldFlowsWait failed before.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -364,6 +364,32 @@
 	require.Equal(t, []mesh.Kind{mesh.Taken}, b.kinds())
 }
 
+// Guards against held flows that pass the queue: after an outage the routers
+// sent copies of opening packets to other entries, which searched for the flows, and the agent gave the copies to
+// its host. For a second the host worked for those who had waited too long.
+func TestCopiesOfHeldFlowsWait(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	for i := range 4 {
+		b.open(packettest.Key(i))
+	}
+	held := packettest.Key(4)
+	m := mesh.Message{
+		Kind: mesh.Offer, Service: mesh.ServiceTag(service), Entry: entryIP, Body: packettest.Open(held, 0), Count: 1,
+		Candidates: [mesh.MaxCandidates]uint32{ownIP},
+		Offered:    mesh.Terms{Best: mesh.NoCandidate, Target: mesh.WaitOf(150 * time.Millisecond)},
+	}
+	b.Receive(m.Append(nil))
+	require.Equal(t, []mesh.Kind{mesh.Taken}, b.kinds())
+	for _, k := range []mesh.Kind{mesh.Search, mesh.Deliver, mesh.Offer} {
+		b.message(k, packettest.Open(held, 1))
+		require.Empty(t, b.takeHost(), "%s of a copy", k)
+		require.Equal(t, []mesh.Kind{mesh.Taken}, b.kinds(), "%s of a copy", k)
+	}
+	b.FromHost(packettest.Answer(packettest.Key(0), hostSeq+1, 500))
+	require.Len(t, b.takeHost(), 1, "its turn")
+}
+
 // Guards against a flow whose home doesn't know where it is, and against a
 // search that goes round in circles.
 func TestHomeKnowsFlow(t *testing.T) {
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -8,9 +8,13 @@
 
 // deliver gives a packet of a flow to the host, or back to the entry when the flow isn't here.
 func (a *Agent) deliver(m *mesh.Message, s flow.Segment) {
-	if a.hold(s) {
+	switch a.noted(s) {
+	case flowHere:
 		a.toHost(m.Body, contextDeliver)
 		return
+	case flowHeld:
+		a.tell(mesh.Taken, m.Entry, s.Key)
+		return
 	}
 	if a.maySearch(m, s) {
 		a.toHost(m.Body, contextProbe)
@@ -19,16 +23,31 @@
 	a.giveBack(m, s.Key, m.Body)
 }
 
-// hold notes a packet of the caller and says whether its flow is here.
-func (a *Agent) hold(s flow.Segment) bool {
+// whereabouts says what an agent knows of a flow.
+type whereabouts uint8
+
+const (
+	flowUnknown whereabouts = iota
+	// flowHeld waits for room in the host. Its opening packet is given to the host when its turn comes.
+	flowHeld
+	// flowHere is at the host, or its opening packet was given to the host.
+	flowHere
+)
+
+// noted notes a packet of the caller and says where its flow is.
+func (a *Agent) noted(s flow.Segment) whereabouts {
 	shard := a.flows.Lock(s.Key)
 	defer shard.Unlock()
 	r := shard.Get(s.Key)
-	if r == nil || !r.holds(s) {
-		return false
+	switch {
+	case r == nil || !r.holds(s):
+		return flowUnknown
+	case r.phase == held:
+		r.touched = a.cfg.Now()
+		return flowHeld
 	}
 	r.fromCaller(s, a.cfg.Now(), a.load)
-	return true
+	return flowHere
 }
 
 // giveBack tells the entry that asked that a flow isn't here, with the packet.
@@ -45,8 +64,10 @@
 // search delivers a packet if its flow is here or may be, or sends it to the
 // agent that has the flow if this one is its home.
 func (a *Agent) search(m *mesh.Message, s flow.Segment) {
-	if a.hold(s) {
-		a.toHost(m.Body, contextDeliver)
+	if where := a.noted(s); where != flowUnknown {
+		if where == flowHere {
+			a.toHost(m.Body, contextDeliver)
+		}
 		a.tell(mesh.Taken, m.Entry, s.Key)
 		return
 	}
