packetentry: agents whose hosts take no flows are asked last

Such agents have no load, so they were asked first: of the 8 candidates of a flow, the first 5 passed it on at once, and 3 were left to choose from.

Change: agents that told that their host is closed are candidates only when there is no other.

Test: TestClosedHostsAreAskedLast failed before.

--- a/packetentry/bench_test.go
+++ b/packetentry/bench_test.go
@@ -18,6 +18,28 @@
 
 // entryWith returns an entry that knows a number of agents and has one open flow.
 func entryWith(tb testing.TB, agents int) *packetentry.Entry {
+	tb.Helper()
+	e := entryWithout(tb, func(uint32, []byte) {})
+	for n := range agents {
+		reportOf(tb, e, n, host.Ready, mesh.Load{Slots: 4, Open: true})
+	}
+	taken := mesh.Message{Kind: mesh.Taken, Entry: packettest.Address(100), Flow: packettest.Key(1), ConfigVersion: 1}
+	e.Receive(taken.Append(nil))
+	return e
+}
+
+// reportOf gives an entry the report of its n-th agent.
+func reportOf(tb testing.TB, e *packetentry.Entry, n int, s host.State, l mesh.Load) {
+	tb.Helper()
+	ip := packettest.Address(100 + n)
+	body, err := mesh.EncodeReport(mesh.Agent{IP: ip, Incarnation: 1, Version: 1, Service: packettest.FirstService, Host: s, Warm: true})
+	require.NoError(tb, err)
+	m := mesh.Message{Kind: mesh.AgentReport, Entry: ip, ConfigVersion: 1, Body: body, Load: l}
+	e.Receive(m.Append(nil))
+}
+
+// entryWithout returns an entry that knows no agent.
+func entryWithout(tb testing.TB, toMember func(uint32, []byte)) *packetentry.Entry {
 	tb.Helper()
 	var routes routing.Holder
 	at := packettest.Key(0).Service
@@ -25,18 +47,9 @@
 	now := time.Duration(0)
 	e := packetentry.New(packetentry.Config{
 		IP: packettest.Address(1), Zone: "a", Now: func() time.Duration { now += time.Microsecond; return now }, Routes: &routes,
-		ToCaller: func(flow.Endpoint, []byte) {}, ToMember: func(uint32, []byte) {}, NewerConfig: func(uint32) {},
+		ToCaller: func(flow.Endpoint, []byte) {}, ToMember: toMember, NewerConfig: func(uint32) {},
 		Met: func(uint32) {}, Waiting: func(time.Duration) {}, Log: eventlog.New(eventlog.Config{Out: io.Discard}),
 	})
-	for n := range agents {
-		ip := packettest.Address(100 + n)
-		body, err := mesh.EncodeReport(mesh.Agent{IP: ip, Incarnation: 1, Version: 1, Service: packettest.FirstService, Host: host.Ready, Warm: true})
-		require.NoError(tb, err)
-		m := mesh.Message{Kind: mesh.AgentReport, Entry: ip, ConfigVersion: 1, Body: body, Load: mesh.Load{Slots: 4, Open: true}}
-		e.Receive(m.Append(nil))
-	}
-	taken := mesh.Message{Kind: mesh.Taken, Entry: packettest.Address(100), Flow: packettest.Key(1), ConfigVersion: 1}
-	e.Receive(taken.Append(nil))
 	return e
 }
 
--- a/packetentry/entry_test.go
+++ b/packetentry/entry_test.go
@@ -9,6 +9,7 @@
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetentry"
 	"endiveflow.example/endiveflow/packettest"
 	_ "endiveflow.example/endiveflow/testseed"
@@ -90,6 +91,33 @@
 	}
 }
 
+// Guards against offers to agents whose hosts take no flows. They have no load, and
+// so were asked first: after a release and an outage, 5 of 8 candidates were such agents.
+func TestClosedHostsAreAskedLast(t *testing.T) {
+	var first, count int
+	e := entryWithout(t, func(_ uint32, d []byte) {
+		var m mesh.Message
+		require.NoError(t, m.Decode(d))
+		if m.Kind == mesh.Offer {
+			first, count = int(m.Candidates[0]-packettest.Address(100)), int(m.Count)
+		}
+	})
+	closed := mesh.Load{Slots: 2}
+	for n := range 6 {
+		reportOf(t, e, n, host.Unknown, closed)
+	}
+	t.Run("there are none else", func(t *testing.T) {
+		e.FromCaller(packettest.Open(packettest.Key(1), 0))
+		require.Equal(t, 6, count)
+	})
+	t.Run("an open one is the only candidate", func(t *testing.T) {
+		reportOf(t, e, 6, host.Ready, mesh.Load{Slots: 2, Busy: 2, Open: true})
+		e.FromCaller(packettest.Open(packettest.Key(2), 0))
+		require.Equal(t, 6, first)
+		require.Equal(t, 1, count)
+	})
+}
+
 // Guards against an entry that takes its own delay for the silence of agents:
 // it offered each flow again, and two hosts opened it.
 func TestSlowEntryDoesNotBlameAgents(t *testing.T) {
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -222,7 +222,7 @@
 }
 
 // candidates returns the agents that a new flow may be offered to. Agents that
-// are silent are left out unless there are no others.
+// are silent and those whose hosts take no flows are left out unless there are no others.
 func (r *roster) candidates(tag uint32, into []placement.Candidate, excluded func(uint32) bool) []placement.Candidate {
 	now := r.cfg.Now()
 	agents := r.service(tag)
@@ -233,8 +233,8 @@
 				continue
 			}
 			c, silent := a.candidate(r.cfg.Zone, now)
-			silent = silent || a.away(now) || excluded(c.IP)
-			if silent == spare {
+			unlikely := silent || !c.Load.Open || a.away(now) || excluded(c.IP)
+			if unlikely == spare {
 				into = append(into, c)
 			}
 		}
