placement: hosts that fail part of their requests are asked last

A request that fails at once frees its slot at once, so that such a host looks idle and gets more than its share: 480 requests were reset, among them 99 claims, which their callers may not repeat.

Change: the agent counts a reset of a running request and a caller that left after ten times the usual time as failures. From a share of 0.15 on (of about 16 requests) the host is faulty: it takes no flow at once, its expected time grows by what a failure costs its caller, and entries rank it behind full hosts. It is an order and no exclusion, so no cap is needed: when all are faulty, or the others too busy, they are used. Without requests the share halves every 5 s, so that real flows try the host again. Health checks play no part. A change of the judgement is logged with the share.

Ruled out: ejection with a cap as in package outlier, which needs one judge of all upstreams of a service; here each agent sees one host.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -127,6 +127,8 @@
 	Service Wait
 	// Open says whether the host takes new flows.
 	Open bool
+	// Faulty says that the host fails more of its requests than one that is well.
+	Faulty bool
 }
 
 // Sizes and offsets of the head.
@@ -138,6 +140,7 @@
 	flagMustTake = 1 << 0
 	flagCopy     = 1 << 1
 	flagOpen     = 1 << 2
+	flagFaulty   = 1 << 3
 )
 
 // MaxBytes is the size of the largest message with a packet of the given size.
@@ -186,6 +189,9 @@
 	if m.Load.Open {
 		f |= flagOpen
 	}
+	if m.Load.Faulty {
+		f |= flagFaulty
+	}
 	return f
 }
 
@@ -213,7 +219,7 @@
 		},
 		Load: Load{
 			Busy: binary.BigEndian.Uint16(b[42:]), Slots: binary.BigEndian.Uint16(b[44:]),
-			Service: Wait(binary.BigEndian.Uint16(b[46:])), Open: b[2]&flagOpen != 0,
+			Service: Wait(binary.BigEndian.Uint16(b[46:])), Open: b[2]&flagOpen != 0, Faulty: b[2]&flagFaulty != 0,
 		},
 	}
 	m.Step = b[35]
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -36,6 +36,8 @@
 	heardHost atomic.Int64
 	// knowsAll says that the agent was there before its host, so that it knows all flows of it.
 	knowsAll atomic.Bool
+	// faulty is whether the host was last logged as faulty.
+	faulty atomic.Bool
 
 	waitMu sync.Mutex
 	// waits is guarded by waitMu; it is in order of due, as all waits are of one length.
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -230,7 +230,19 @@
 		return false
 	})
 	a.remind(now)
+	a.reassess(now)
 	a.refuseExpired()
 	a.serveHeld()
 	a.searches.Sweep(func(_ flow.Key, s *search) bool { return now-s.at < searchMemory })
 }
+
+// reassess logs when the host begins or ceases to count as faulty.
+func (a *Agent) reassess(now time.Duration) {
+	faulty, share := a.load.Reassess(now)
+	if a.faulty.Swap(faulty) == faulty {
+		return
+	}
+	r, _ := a.host.Current()
+	a.cfg.Log.Warn("host", "host", r.String(), "outcome", "judged", "faulty", faulty, "failedShare", math.Round(share*100)/100)
+	a.cfg.Changed()
+}
--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -8,16 +8,17 @@
 
 // Metrics are documented in docs/metrics/packetagent.md.
 var (
-	badDatagrams = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="datagram"}`)
-	badPackets   = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="packet"}`)
-	wrongService = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="service"}`)
-	bounces      = metrics.NewCounter(`endiveflow_packetagent_bounced_total`)
-	declined     = metrics.NewCounter(`endiveflow_packetagent_declined_total`)
-	missing      = metrics.NewCounter(`endiveflow_packetagent_missing_total`)
-	noRequest    = metrics.NewCounter(`endiveflow_packetagent_no_request_total`)
-	noAnswer     = metrics.NewCounter(`endiveflow_packetagent_no_answer_total`)
-	learnedFlows = metrics.NewCounter(`endiveflow_packetagent_learned_total`)
-	resets       = metrics.NewCounter(`endiveflow_packetagent_resets_total`)
+	badDatagrams   = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="datagram"}`)
+	badPackets     = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="packet"}`)
+	wrongService   = metrics.NewCounter(`endiveflow_packetagent_dropped_total{reason="service"}`)
+	bounces        = metrics.NewCounter(`endiveflow_packetagent_bounced_total`)
+	declined       = metrics.NewCounter(`endiveflow_packetagent_declined_total`)
+	missing        = metrics.NewCounter(`endiveflow_packetagent_missing_total`)
+	noRequest      = metrics.NewCounter(`endiveflow_packetagent_no_request_total`)
+	noAnswer       = metrics.NewCounter(`endiveflow_packetagent_no_answer_total`)
+	failedRequests = metrics.NewCounter(`endiveflow_packetagent_failed_requests_total`)
+	learnedFlows   = metrics.NewCounter(`endiveflow_packetagent_learned_total`)
+	resets         = metrics.NewCounter(`endiveflow_packetagent_resets_total`)
 
 	// holdTimes are the times that flows were held before they were given to the host, in seconds.
 	holdTimes = metrics.NewHistogram(`endiveflow_packetagent_hold_seconds`)
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -88,12 +88,19 @@
 	}
 }
 
-// abandon ends a running request that won't be answered.
+// abandon ends a running request whose caller has left.
 func (r *record) abandon(now time.Duration, load *placement.Host) {
-	load.Ended(r.request, now)
+	load.Abandoned(r.request, now)
 	r.phase, r.since, r.request = idle, now, nil
 }
 
+// fail ends a running request that the host reset.
+func (r *record) fail(now time.Duration, load *placement.Host) {
+	load.Failed(r.request, now)
+	r.phase, r.since, r.request = idle, now, nil
+	failedRequests.Inc()
+}
+
 // holds says whether a packet of the caller belongs to the flow as this host
 // opened it. Another host may have answered a copy of the opening packet, and then
 // the caller acknowledges that host's numbers.
@@ -116,6 +123,9 @@
 	switch {
 	case r.phase == ended:
 	case s.Resetting:
+		if r.phase == running {
+			r.abandon(now, load)
+		}
 		r.moveTo(ended, now, load)
 	case s.Ending && r.phase == running:
 		// The caller gave up; the host drops the request and need not answer.
@@ -147,6 +157,9 @@
 	switch {
 	case r.phase == ended:
 	case s.Resetting:
+		if r.phase == running {
+			r.fail(now, load)
+		}
 		r.moveTo(ended, now, load)
 	case s.Opening && r.phase == opening:
 		r.moveTo(awaited, now, load)
--- a/placement/host.go
+++ b/placement/host.go
@@ -54,7 +54,8 @@
 	mean    time.Duration
 	samples int
 	// gap is the mean time from the opening of a flow to its request.
-	gap time.Duration
+	gap     time.Duration
+	failing failing
 }
 
 // Request is a request in a host.
@@ -122,7 +123,9 @@
 func (h *Host) Decide(key flow.Key, t mesh.Terms, count uint8, now time.Duration) Decision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	d := Decision{Terms: t, Expected: h.wait(now) + h.mean, Load: h.load()}
+	h.failing.judge(now)
+	expected := h.wait(now) + h.mean + h.failing.cost(t.Target.Duration(), now)
+	d := Decision{Terms: t, Expected: expected, Load: h.load()}
 	switch {
 	case !t.MustTake && h.takesAtOnce(t):
 		h.expected++
@@ -139,10 +142,10 @@
 }
 
 // takesAtOnce says whether a slot is free for the flow and no other host would be
-// clearly faster.
+// clearly faster or better.
 func (h *Host) takesAtOnce(t mesh.Terms) bool {
 	slow := t.Usual > 0 && h.mean > time.Duration(h.cfg.SlowFactor*float64(t.Usual.Duration()))
-	return h.open && h.inside() < h.slots && len(h.held) == 0 && !slow
+	return h.open && h.inside() < h.slots && len(h.held) == 0 && !slow && !h.failing.faulty
 }
 
 // inside is the number of flows that use the host or are about to.
@@ -235,7 +238,16 @@
 }
 
 func (h *Host) load() mesh.Load {
-	return mesh.Load{Busy: uint16(h.inside() + len(h.held)), Slots: uint16(h.slots), Service: mesh.WaitOf(h.mean), Open: h.open}
+	return mesh.Load{Busy: uint16(h.inside() + len(h.held)), Slots: uint16(h.slots), Service: mesh.WaitOf(h.mean), Open: h.open, Faulty: h.failing.faulty}
+}
+
+// Reassess judges again whether the host is faulty, for a host that gets no flows,
+// and returns the share of requests that it fails.
+func (h *Host) Reassess(now time.Duration) (faulty bool, share float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failing.judge(now)
+	return h.failing.faulty, h.failing.current(now)
 }
 
 // Load returns the present load.
@@ -303,10 +315,30 @@
 	if !h.remove(r, now) || r.started < 0 {
 		return
 	}
+	h.failing.note(false, now)
 	h.samples = min(h.samples+1, serviceSamples)
 	h.mean += (now - r.started - h.mean) / time.Duration(h.samples+1)
 }
 
+// Failed ends a request whose flow the host reset.
+func (h *Host) Failed(r *Request, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.remove(r, now) {
+		h.failing.note(true, now)
+	}
+}
+
+// Abandoned ends a request without an answer whose caller left. A host that had
+// far more time than usual has failed it.
+func (h *Host) Abandoned(r *Request, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.remove(r, now) && r.started >= 0 && now-r.started > hungFactor*h.mean {
+		h.failing.note(true, now)
+	}
+}
+
 // Ended ends a request without an answer, or with nil a flow that was expected to send one.
 func (h *Host) Ended(r *Request, now time.Duration) {
 	h.mu.Lock()
@@ -347,5 +379,5 @@
 func (h *Host) Restarted() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.expected, h.requests, h.mean, h.samples = 0, nil, h.cfg.ServiceTime, 0
+	h.expected, h.requests, h.mean, h.samples, h.failing = 0, nil, h.cfg.ServiceTime, 0, failing{}
 }
--- a/placement/order.go
+++ b/placement/order.go
@@ -37,6 +37,9 @@
 // coldPenalty is the same for hosts within their warm-up.
 const coldPenalty = 0.25
 
+// faultyPenalty is the same for hosts that fail part of their requests: they come behind hosts that are full.
+const faultyPenalty = 1.0
+
 // Order writes the addresses of the agents to ask into out, the most promising
 // first, and returns their number. Of many candidates, a sample that depends on the
 // flow is weighed. candidates is reordered.
@@ -73,6 +76,9 @@
 	if c.Cold {
 		s += coldPenalty
 	}
+	if c.Load.Faulty {
+		s += faultyPenalty
+	}
 	const spread = 0.25
 	return s + spread*float64(flow.Mix(seed^uint64(c.IP))>>11)/(1<<53)/slots
 }
