packetagent: held flows are refused at their limit, which is when the caller's attempt ends

A request that is given up on has to get its answer at once. The queue looked at its first flow only, though a copy of an opening packet tells that its caller waits longer.

Change: the agent's tick refuses at the limit; the alarm takes the earlier of two times (it kept the first, so a hold of a second would have put off the look for the host's answer after 40 ms). The limit is 1.38 s: a flow can be served as long as the host's answer reaches the caller within its attempt of 1.4 s, and a caller that is refused before is back at once.

Tests: TestHeldFlowIsRefusedAtItsLimit failed before, TestAlarmKeepsTheEarlierTime is new; TestRefusalBeyondPatience computes its hosts from the limit and is closer to it on both sides than before.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -13,6 +13,7 @@
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetagent"
 	"endiveflow.example/endiveflow/packettest"
+	"endiveflow.example/endiveflow/placement"
 	"endiveflow.example/endiveflow/platform"
 )
 
@@ -390,6 +391,32 @@
 	require.Len(t, b.takeHost(), 1, "its turn")
 }
 
+// Guards against callers that learn up to a second late that they were given up.
+func TestHeldFlowIsRefusedAtItsLimit(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	for i := range 4 {
+		b.open(packettest.Key(i))
+	}
+	m := mesh.Message{
+		Kind: mesh.Offer, Service: mesh.ServiceTag(service), Entry: entryIP, Body: packettest.Open(packettest.Key(4), 0), Count: 1,
+		Candidates: [mesh.MaxCandidates]uint32{ownIP},
+		Offered:    mesh.Terms{Best: mesh.NoCandidate, Target: mesh.WaitOf(150 * time.Millisecond), Waited: mesh.WaitOf(200 * time.Millisecond)},
+	}
+	b.Receive(m.Append(nil))
+	b.takeMember()
+	for b.now < placement.DefaultHoldLimit-200*time.Millisecond {
+		require.Empty(t, b.takeCaller())
+		next := b.Tick()
+		require.Positive(t, next)
+		b.now += next
+	}
+	b.Tick()
+	requireResets(t, b.takeCaller(), packettest.Key(4))
+	require.Equal(t, []mesh.Kind{mesh.Refused}, b.kinds())
+	require.LessOrEqual(t, b.now, placement.DefaultHoldLimit-200*time.Millisecond+time.Millisecond)
+}
+
 // Guards against a flow whose home doesn't know where it is, and against a
 // search that goes round in circles.
 func TestHomeKnowsFlow(t *testing.T) {
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -164,10 +164,22 @@
 	return m.Append(nil), nil
 }
 
-// Tick does what is due: it sends on the offers that the host did not answer.
-// It returns the time until something else is due, or 0 when nothing waits.
+// Tick does what is due: it sends on the offers that the host did not answer and
+// refuses the flows that were held for too long. It returns the time until something else is due,
+// or 0 when nothing waits.
 func (a *Agent) Tick() time.Duration {
 	now := a.cfg.Now()
+	answer := a.checkAnswers(now)
+	a.refuseExpired()
+	expiry := a.load.NextExpiry(now)
+	if answer == 0 || expiry == 0 {
+		return max(answer, expiry)
+	}
+	return min(answer, expiry)
+}
+
+// checkAnswers looks at the openings whose time is over. It returns the time until the next, or 0.
+func (a *Agent) checkAnswers(now time.Duration) time.Duration {
 	for {
 		a.waitMu.Lock()
 		if len(a.waits) == 0 {
@@ -231,7 +243,6 @@
 	})
 	a.remind(now)
 	a.reassess(now)
-	a.refuseExpired()
 	a.serveHeld()
 	a.searches.Sweep(func(_ flow.Key, s *search) bool { return now-s.at < searchMemory })
 }
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -40,6 +40,7 @@
 	case placement.Hold:
 		a.record(shard, m, s, held)
 		shard.Unlock()
+		a.cfg.Waiting(a.load.NextExpiry(a.cfg.Now()))
 		a.tell(mesh.Taken, m.Entry, s.Key)
 		a.locate(s.Key, m.Homes)
 	default:
--- /dev/null
+++ b/packetnode/alarm_test.go
@@ -0,0 +1,38 @@
+package packetnode
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against something that is due soon and waits for what is due later: an
+// agent that holds flows for a second would look after 40 ms whether its host answers.
+func TestAlarmKeepsTheEarlierTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAlarm()
+		start := time.Now()
+		var ticks []time.Duration
+		ctx, cancel := context.WithCancel(context.Background())
+		done := a.run(ctx, func() time.Duration {
+			ticks = append(ticks, time.Since(start))
+			if len(ticks) == 1 {
+				return 400 * time.Millisecond
+			}
+			return 0
+		})
+		a.in(time.Second)
+		a.in(100 * time.Millisecond)
+		a.in(600 * time.Millisecond)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []time.Duration{100 * time.Millisecond, 500 * time.Millisecond}, ticks)
+		a.in(10 * time.Millisecond)
+		time.Sleep(time.Second)
+		require.Equal(t, 5010*time.Millisecond, ticks[2])
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
--- a/packetnode/sockets.go
+++ b/packetnode/sockets.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -81,44 +82,63 @@
 	return func() time.Duration { return time.Since(start) }
 }
 
-// alarm runs tick when it is due. Its zero value needs a tick.
+// alarm runs a tick when it is due.
 type alarm struct {
-	wake chan time.Duration
+	// kick says that due is earlier than before.
+	kick chan struct{}
+
+	mu sync.Mutex
+	// due is guarded by mu; zero means that nothing is due.
+	due time.Time
 }
 
-func newAlarm() alarm { return alarm{wake: make(chan time.Duration, 1)} }
+func newAlarm() *alarm { return &alarm{kick: make(chan struct{}, 1)} }
+
+// in asks for a tick after d, if none is due before.
+func (a *alarm) in(d time.Duration) {
+	at := time.Now().Add(max(d, time.Millisecond))
+	a.mu.Lock()
+	earlier := a.due.IsZero() || at.Before(a.due)
+	if earlier {
+		a.due = at
+	}
+	a.mu.Unlock()
+	if earlier {
+		signal(a.kick)
+	}
+}
 
-// in asks for a tick after d. Only the first of several counts: a tick says when the next is due.
-func (a alarm) in(d time.Duration) {
-	select {
-	case a.wake <- d:
-	default:
+// next returns the time until the next tick. With none due it is far away.
+func (a *alarm) next() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.due.IsZero() {
+		return time.Hour
 	}
+	return time.Until(a.due)
 }
 
-// run calls tick when it is due until ctx ends.
-func (a alarm) run(ctx context.Context, tick func() time.Duration) <-chan error {
+// run calls tick when it is due until ctx ends. What tick returns is the time until the next one, 0 for none.
+func (a *alarm) run(ctx context.Context, tick func() time.Duration) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		defer func() { done <- nil }()
-		timer := time.NewTimer(time.Hour)
+		timer := time.NewTimer(a.next())
 		defer timer.Stop()
-		armed := false
 		for {
 			select {
 			case <-ctx.Done():
 				return
-			case d := <-a.wake:
-				if !armed {
-					timer.Reset(max(d, time.Millisecond))
-					armed = true
-				}
+			case <-a.kick:
 			case <-timer.C:
-				next := tick()
-				if armed = next > 0; armed {
-					timer.Reset(max(next, time.Millisecond))
+				a.mu.Lock()
+				a.due = time.Time{}
+				a.mu.Unlock()
+				if d := tick(); d > 0 {
+					a.in(d)
 				}
 			}
+			timer.Reset(a.next())
 		}
 	}()
 	return done
--- a/placement/host.go
+++ b/placement/host.go
@@ -18,9 +18,10 @@
 	// DefaultSlowFactor is how many times the usual time a host may take
 	// before other hosts with a free slot are asked first.
 	DefaultSlowFactor = 2.0
-	// DefaultHoldLimit is how long a flow may be held. Callers give up a flow
-	// that has not opened after 1.4 s; the rest is for the way.
-	DefaultHoldLimit = 1200 * time.Millisecond
+	// DefaultHoldLimit is how long a flow may be held. Callers give up an attempt
+	// that has not opened after 1.4 s; the rest is for the host's answer on its way. A flow that is refused
+	// earlier could still be served, and its caller is back at once.
+	DefaultHoldLimit = 1380 * time.Millisecond
 	// serviceSamples is the number of requests that the mean time mostly rests on.
 	serviceSamples = 16
 )
@@ -277,6 +278,17 @@
 	return h.held.oldest(now - h.cfg.HoldLimit)
 }
 
+// NextExpiry returns the time until Expired returns a flow, if nothing changes; 0 means never.
+func (h *Host) NextExpiry(now time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := h.held.first()
+	if i < 0 {
+		return 0
+	}
+	return max(h.held[i].since+h.cfg.HoldLimit-now, 0) + time.Millisecond
+}
+
 // TakeHeld returns any held flow, for a host that no longer takes flows.
 func (h *Host) TakeHeld() (flow.Key, bool) {
 	h.mu.Lock()
--- a/placement/host_test.go
+++ b/placement/host_test.go
@@ -62,10 +62,12 @@
 // Guards against flows that are held although their callers give up before a
 // slot gets free, and against refusals while there is time.
 func TestRefusalBeyondPatience(t *testing.T) {
-	hosts := []*placement.Host{busyHost(170), busyHost(180)}
+	// The hosts have 4 slots.
+	beyond := 4 + 4*int(placement.DefaultHoldLimit/placement.DefaultServiceTime)
+	hosts := []*placement.Host{busyHost(beyond), busyHost(beyond + 10)}
 	taken, _ := walk(t, hosts, terms(0))
 	require.Equal(t, -1, taken)
-	hosts = append(hosts, busyHost(100))
+	hosts = append(hosts, busyHost(beyond-8))
 	taken, _ = walk(t, hosts, terms(0))
 	require.Equal(t, 2, taken)
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -61,12 +61,25 @@
 	return n
 }
 
-// oldest removes the oldest flow if it came before a time.
+// first returns the place of the flow that has waited longest, -1 for an empty queue. Copies of opening
+// packets tell that their callers have waited before, so it need not have come first.
+func (q queue) first() int {
+	first := -1
+	for i, w := range q {
+		if first < 0 || w.since < q[first].since {
+			first = i
+		}
+	}
+	return first
+}
+
+// oldest removes the flow that has waited longest if that began before a time.
 func (q *queue) oldest(before time.Duration) (flow.Key, bool) {
-	if len(*q) == 0 || (*q)[0].since >= before {
+	i := q.first()
+	if i < 0 || (*q)[i].since >= before {
 		return flow.Key{}, false
 	}
-	return q.remove(0).key, true
+	return q.remove(i).key, true
 }
 
 func (q *queue) remove(i int) waiting {
