routing: flows are kept for as long as the configuration says

Cause, by reading: the configuration's idle time-out was read and not used; entry and agent each had 15 s of their own. With a longer time in force, the agent forgot open flows after 18 s without packets, and the next packet of such a flow found no host.

Change: Holder.IdleTimeout gives the time in force, at least 15 s, to both; one constant with its reason.

Test: TestIdleFlowIsKeptAsConfigured fails with the fixed 15 s.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -15,6 +15,7 @@
 	"endiveflow.example/endiveflow/packettest"
 	"endiveflow.example/endiveflow/placement"
 	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/routing"
 )
 
 const (
@@ -37,6 +38,7 @@
 	toHost   [][]byte
 	toCaller [][]byte
 	toMember []sent
+	idle     time.Duration
 }
 
 type sent struct {
@@ -45,7 +47,7 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t}
+	b := &bench{t: t, idle: routing.MinIdleTimeout}
 	b.Agent = packetagent.New(packetagent.Config{
 		IP: ownIP, Service: service, Host: hostAddress, Zone: "a", CallerPort: 9000, Incarnation: startsAt,
 		Now:       func() time.Duration { return b.now },
@@ -59,7 +61,7 @@
 			require.NoError(t, m.Decode(append([]byte(nil), d...)))
 			b.toMember = append(b.toMember, sent{ip, m})
 		},
-		ConfigVersion: func() uint64 { return 1 }, NewerConfig: func(uint32) {}, Changed: func() {}, Waiting: func(time.Duration) {},
+		ConfigVersion: func() uint64 { return 1 }, IdleTimeout: func() time.Duration { return b.idle }, NewerConfig: func(uint32) {}, Changed: func() {}, Waiting: func(time.Duration) {},
 		Log: eventlog.New(eventlog.Config{Out: io.Discard}),
 	})
 	return b
@@ -417,6 +419,26 @@
 	require.LessOrEqual(t, b.now, placement.DefaultHoldLimit-200*time.Millisecond+time.Millisecond)
 }
 
+// Guards against flows that are forgotten while the configuration keeps them open:
+// the agent had an idle time-out of its own, and the flow's next packet found nobody.
+func TestIdleFlowIsKeptAsConfigured(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	k := packettest.Key(1)
+	b.open(k)
+	b.FromHost(packettest.Answer(k, hostSeq+1, 500))
+	b.takeCaller()
+	b.idle = 40 * time.Second
+	for range 35 {
+		b.now += time.Second
+		b.Sweep()
+	}
+	b.takeMember()
+	b.message(mesh.Deliver, packettest.Packet{Flow: k, Flags: packettest.ACK, Seq: 1200, Ack: hostSeq + 501, Data: 100}.Bytes())
+	require.Len(t, b.takeHost(), 1)
+	require.NotContains(t, b.kinds(), mesh.Missing)
+}
+
 // Guards against a flow whose home doesn't know where it is, and against a
 // search that goes round in circles.
 func TestHomeKnowsFlow(t *testing.T) {
--- a/packetagent/bench_test.go
+++ b/packetagent/bench_test.go
@@ -25,7 +25,7 @@
 		ToHost:        func([]byte) {},
 		ToCaller:      func(flow.Endpoint, []byte) {},
 		ToMember:      func(uint32, []byte) {},
-		ConfigVersion: func() uint64 { return 1 }, NewerConfig: func(uint32) {}, Changed: func() {}, Waiting: func(time.Duration) {},
+		ConfigVersion: func() uint64 { return 1 }, IdleTimeout: func() time.Duration { return time.Minute }, NewerConfig: func(uint32) {}, Changed: func() {}, Waiting: func(time.Duration) {},
 		Log: eventlog.New(eventlog.Config{Out: io.Discard}),
 	})
 	require.NoError(tb, a.Heartbeat(host.Report{ID: "h", Born: bornAt, Sequence: 1, Service: service, Address: hostAddress, Slots: 4, State: host.Ready}))
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -14,8 +14,6 @@
 	// packet, which it does without running anything, before the packet goes to another host. It is
 	// also how long a flow counts as busy before its request arrives.
 	DefaultAnswerTimeout = 40 * time.Millisecond
-	// DefaultIdleTimeout is how long a flow without packets is kept.
-	DefaultIdleTimeout = 15 * time.Second
 	// DefaultMaxFlowAge is the age of the oldest flow that a host may have.
 	DefaultMaxFlowAge = time.Minute
 	// requestLimit is how long a request without an answer counts as busy. Callers have
@@ -45,8 +43,10 @@
 	Incarnation int64
 	// Load decides on offers; nil means one with default settings.
 	Load *placement.Host
-	// AnswerTimeout, IdleTimeout and MaxFlowAge: see the defaults, which 0 means.
-	AnswerTimeout, IdleTimeout, MaxFlowAge time.Duration
+	// AnswerTimeout and MaxFlowAge: see the defaults, which 0 means.
+	AnswerTimeout, MaxFlowAge time.Duration
+	// IdleTimeout returns how long a flow without packets is kept, as the configuration has it now.
+	IdleTimeout func() time.Duration
 	// Now returns a time that never goes back, since any moment before the start.
 	Now func() time.Duration
 	// UnixMilli returns the time of day, by which hosts tell their start; nil means the clock's.
@@ -73,7 +73,6 @@
 		fallback time.Duration
 	}{
 		{&c.AnswerTimeout, DefaultAnswerTimeout},
-		{&c.IdleTimeout, DefaultIdleTimeout},
 		{&c.MaxFlowAge, DefaultMaxFlowAge},
 	} {
 		if *d.field <= 0 {
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -225,13 +225,13 @@
 
 // Sweep forgets what is over. It is called about once a second.
 func (a *Agent) Sweep() {
-	now := a.cfg.Now()
+	now, idle := a.cfg.Now(), a.cfg.IdleTimeout()
 	a.flows.Sweep(func(_ flow.Key, r *record) bool {
 		if r.phase == running && now-r.since > requestLimit {
 			r.abandon(now, a.load)
 			noAnswer.Inc()
 		}
-		keep := a.cfg.IdleTimeout + endedLinger
+		keep := idle + endedLinger
 		if r.phase == ended {
 			keep = endedLinger
 		}
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -21,8 +21,6 @@
 	// DefaultSearchTimeout is how long a copy of an opening packet waits for an agent that knows
 	// the flow before it is offered as new.
 	DefaultSearchTimeout = 10 * time.Millisecond
-	// DefaultIdleTimeout is how long a flow without packets is remembered.
-	DefaultIdleTimeout = 15 * time.Second
 	// maxOffers is the number of times that an opening packet is offered.
 	maxOffers = 3
 )
@@ -34,8 +32,8 @@
 	Zone string
 	// Incarnation is the start of the process in Unix milliseconds.
 	Incarnation int64
-	// OfferTimeout, SearchTimeout and IdleTimeout: see the defaults, which 0 means.
-	OfferTimeout, SearchTimeout, IdleTimeout time.Duration
+	// OfferTimeout and SearchTimeout: see the defaults, which 0 means.
+	OfferTimeout, SearchTimeout time.Duration
 	// Now returns a time that never goes back.
 	Now func() time.Duration
 	// Routes is the configuration in force.
@@ -61,7 +59,6 @@
 	}{
 		{&c.OfferTimeout, DefaultOfferTimeout},
 		{&c.SearchTimeout, DefaultSearchTimeout},
-		{&c.IdleTimeout, DefaultIdleTimeout},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.fallback
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -266,8 +266,8 @@
 
 // Sweep forgets flows without packets and processes that have been silent for long. It is called about once a second.
 func (e *Entry) Sweep() {
-	now := e.cfg.Now()
-	e.flows.Sweep(func(_ flow.Key, r *record) bool { return now-r.touched <= e.cfg.IdleTimeout })
+	now, idle := e.cfg.Now(), e.cfg.Routes.IdleTimeout()
+	e.flows.Sweep(func(_ flow.Key, r *record) bool { return now-r.touched <= idle })
 	for _, ip := range e.roster.sweep() {
 		e.cfg.Log.Warn("process forgotten", "process", flow.IPText(ip), "of", "all that are silent for long")
 	}
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -97,7 +97,7 @@
 		Now: now, Log: r.log,
 		ToHost:   func(packet []byte) { sendTo(hostSide, s.Host, packet) },
 		ToCaller: callerSender(peers, s.Packets.Port()), ToMember: toMember,
-		ConfigVersion: routes.Version, NewerConfig: keeper.newerAt,
+		ConfigVersion: routes.Version, IdleTimeout: routes.IdleTimeout, NewerConfig: keeper.newerAt,
 		Changed: func() { signal(reportNow) },
 		Waiting: wake.in,
 	})
--- a/routing/holder.go
+++ b/routing/holder.go
@@ -1,6 +1,13 @@
 package routing
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
+
+// MinIdleTimeout is how long a flow without packets is remembered at least. Both ends send lost packets again for
+// about 10 s, and one of them may be cut off meanwhile.
+const MinIdleTimeout = 15 * time.Second
 
 // Holder holds the table in force. It is safe for concurrent use; the zero
 // value holds none.
@@ -15,6 +22,15 @@
 // Version returns the version in force, 0 before the first.
 func (h *Holder) Version() uint64 { return VersionOf(h.current.Load()) }
 
+// IdleTimeout returns how long a flow without packets is remembered: the time in force, at least MinIdleTimeout.
+func (h *Holder) IdleTimeout() time.Duration {
+	t := h.current.Load()
+	if t == nil {
+		return MinIdleTimeout
+	}
+	return max(t.IdleTimeout, MinIdleTimeout)
+}
+
 // Offer puts a table into force if it is newer, and says whether it did.
 func (h *Holder) Offer(t *Table) bool {
 	for {
--- a/routing/table.go
+++ b/routing/table.go
@@ -42,7 +42,7 @@
 type Table struct {
 	// Version orders tables; a process never goes back.
 	Version uint64
-	// IdleTimeout is how long a flow without packets is kept.
+	// IdleTimeout is how long a flow without packets is open, see Holder.IdleTimeout.
 	IdleTimeout time.Duration
 	// Encoded is the form in which the table travels; it is what Decode took.
 	Encoded []byte
