packetnode: one starter for entry and agent

Entry and agent opened sockets and store, kept their records and reported in the same 50 lines twice. Process and base have them once; a role is what an entry or an agent adds. No behaviour changes but the order in which parts start.

--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,7 +14,6 @@
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetagent"
 	"endiveflow.example/endiveflow/platform"
-	"endiveflow.example/endiveflow/routing"
 )
 
 const (
@@ -32,121 +30,47 @@
 	entryForget = 4 * maxReportInterval
 )
 
-// AgentRole runs an agent.
-type AgentRole struct {
-	settings platform.Settings
-	log      *eventlog.Log
-	// reloads receives changed settings.
-	reloads chan platform.Settings
-}
-
-// NewAgentRole returns an agent with the settings of its VM.
-func NewAgentRole(s platform.Settings, log *eventlog.Log) AgentRole {
-	return AgentRole{settings: s, log: log, reloads: make(chan platform.Settings, 1)}
-}
-
-// Reload takes changed settings. Seeds are used at once; addresses hold until the next start.
-func (r AgentRole) Reload(s platform.Settings) {
-	select {
-	case r.reloads <- s:
-	default:
-	}
+// NewAgent returns an agent with the settings of its VM.
+func NewAgent(s platform.Settings, log *eventlog.Log) Process {
+	return newProcess(s, log, assembleAgent)
 }
 
-// Run runs the agent until ctx ends, then stops it gracefully, and reports its end.
-func (r AgentRole) Run(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() { done <- r.run(ctx) }()
-	return done
-}
-
-func (r AgentRole) run(stop context.Context) error {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
-	defer cancel()
-	parts := new(group)
-	s := r.settings
-	hostSide, err := listenUDP(ctx, s.HostOutput)
+func assembleAgent(ctx context.Context, b *base) (role, error) {
+	s := b.settings
+	hostSide, err := b.listen(ctx, s.HostOutput)
 	if err != nil {
-		return err
+		return role{}, err
 	}
-	defer func() { _ = hostSide.Close() }()
-	peers, err := listenUDP(ctx, netip.AddrPortFrom(s.IP, s.FirstPort))
-	if err != nil {
-		return err
-	}
-	defer func() { _ = peers.Close() }()
-	store, err := newStore(s)
-	if err != nil {
-		return err
-	}
-	var (
-		routes    routing.Holder
-		wake      = newAlarm()
-		toMember  = memberSender(peers, s.FirstPort)
-		reportNow = make(chan struct{}, 1)
-		interval  atomic.Int64
-		now       = steadyClock()
-		entries   = newHeard(now)
-	)
-	keeper := newConfigKeeper(configKeeper{
-		routes: &routes, store: store, http: newHTTPClient(), port: s.FirstPort, log: r.log, applied: func() {},
-	})
 	agent := packetagent.New(packetagent.Config{
-		IP: flow.EndpointOf(netip.AddrPortFrom(s.IP, 0)).IP, Service: s.Service, Host: flow.EndpointOf(s.Host), Zone: s.Zone,
+		IP: b.ip(), Service: s.Service, Host: flow.EndpointOf(s.Host), Zone: s.Zone,
 		CallerPort: s.Packets.Port(), Incarnation: time.Now().UnixMilli(), MaxFlowAge: s.MaxFlowAge,
-		Now: now, Log: r.log,
+		Now: b.now, Log: b.log,
 		ToHost:   func(packet []byte) { sendTo(hostSide, s.Host, packet) },
-		ToCaller: callerSender(peers, s.Packets.Port()), ToMember: toMember,
-		ConfigVersion: routes.Version, IdleTimeout: routes.IdleTimeout, NewerConfig: keeper.newerAt,
-		Changed: func() { signal(reportNow) },
-		Waiting: wake.in,
+		ToCaller: callerSender(b.peers, s.Packets.Port()), ToMember: b.toMember,
+		ConfigVersion: b.routes.Version, IdleTimeout: b.routes.IdleTimeout, NewerConfig: b.keeper.newerAt,
+		Changed: func() { signal(b.reportNow) }, Waiting: b.wake.in,
 	})
-	book := &members{
-		own: memberRecord{Role: roleAgent, IP: s.IP, Zone: s.Zone, Service: s.Service}, store: store, log: r.log, now: now,
-		heard: entries.addresses, found: func() { signal(reportNow) },
-	}
-	book.seed(s.Seeds)
-	reporter := reporter{
-		message: func() ([]byte, error) { return agent.ReportMessage(time.Duration(interval.Load())) }, interval: &interval, send: toMember, now: reportNow, met: entries.met, log: r.log,
-		audience: func() []uint32 { return union(entries.addresses(), book.addresses(roleEntry)) },
-		each:     agent.Sweep,
-	}
-	beats := newHeartbeats(now)
-	parts.add("host", receive(hostSide, agent.FromHost))
-	parts.add("peers", receive(peers, func(b []byte) {
-		entries.note(b)
-		agent.Receive(b)
-	}))
-	parts.add("alarm", wake.run(ctx, agent.Tick))
-	parts.add("fetches", keeper.catchUp(ctx))
-	parts.add("members", book.run(ctx))
-	parts.add("reloads", book.reload(ctx, r.reloads))
-	parts.add("reports", reporter.run(ctx))
-	parts.add("checks", hostCheck{agent: agent, address: s.Host, beats: beats, interval: s.HeartbeatInterval, log: r.log}.run(ctx))
-	if err := parts.serve(ctx, netip.AddrPortFrom(s.IP, s.FirstPort), internalHandler(&routes)); err != nil {
-		return err
-	}
-	calls := platform.HostAPI{Heartbeat: beats.noted(agent.Heartbeat), Leave: agent.Leave, Log: r.log.Logger}
-	if err := parts.serve(ctx, s.Control, calls.Handler()); err != nil {
-		return err
-	}
-	if s.Ready.IsValid() {
-		if err := parts.serve(ctx, s.Ready, platform.ReadinessHandler(func() bool { return stop.Err() == nil })); err != nil {
-			return err
-		}
-	}
-	r.log.Info("start", "role", roleAgent, "ip", s.IP.String(), "zone", s.Zone, "service", s.Service, "host", s.Host.String())
-	err = parts.wait(stop)
-	r.log.Info("stop", "flows", agent.Flows(), "load", agent.Load().Busy, "error", textOf(err))
-	agent.Stop()
-	if err == nil {
-		began := now()
-		settled(s.StopGrace-stopReserve, func() bool { return now()-began > agentStopMin && agent.Flows() == 0 })
-	}
-	cancel()
-	_ = hostSide.Close()
-	_ = peers.Close()
-	return errors.Join(err, parts.end())
+	entries, beats := newHeard(b.now), newHeartbeats(b.now)
+	b.parts.add("host", receive(hostSide, agent.FromHost))
+	b.parts.add("checks", hostCheck{agent: agent, address: s.Host, beats: beats, interval: s.HeartbeatInterval, log: b.log}.run(ctx))
+	return role{
+		record: memberRecord{Role: roleAgent, IP: s.IP, Zone: s.Zone, Service: s.Service},
+		receive: func(datagram []byte) {
+			entries.note(datagram)
+			agent.Receive(datagram)
+		},
+		tick: agent.Tick, report: agent.ReportMessage, sweep: agent.Sweep,
+		met: entries.met, heard: entries.addresses, audience: roleEntry,
+		serve: func(ctx context.Context, running func() bool) error {
+			calls := platform.HostAPI{Heartbeat: beats.noted(agent.Heartbeat), Leave: agent.Leave, Log: b.log.Logger}
+			if err := b.parts.serve(ctx, s.Control, calls.Handler()); err != nil || !s.Ready.IsValid() {
+				return err
+			}
+			return b.parts.serve(ctx, s.Ready, platform.ReadinessHandler(running))
+		},
+		flows: agent.Flows, leave: agent.Stop,
+		hasLeft: func(since time.Duration) bool { return since > agentStopMin && agent.Flows() == 0 },
+	}, nil
 }
 
 // heard holds the entries that an agent hears from.
--- a/packetnode/start_test.go
+++ b/packetnode/start_test.go
@@ -67,7 +67,7 @@
 	defer served()
 
 	// Nothing listens at the store's address.
-	role := packetnode.NewEntryRole(settings(t, entryIP, "127.0.0.1:1"), eventlog.New(eventlog.Config{Out: io.Discard}))
+	role := packetnode.NewEntry(settings(t, entryIP, "127.0.0.1:1"), eventlog.New(eventlog.Config{Out: io.Discard}))
 	began := time.Now()
 	done := role.Run(ctx)
 
