--- a/placement/crest_test.go
+++ b/placement/crest_test.go
@@ -58,17 +58,17 @@
 	of *caller
 }
 
-// work is the time of a request: about log-normal, and some take seven times as long.
-func (c *crest) work() time.Duration {
-	d := math.Exp(c.random.NormFloat64()*0.5-0.125) * float64(crestMean) * 0.85
-	if c.random.Float64() < 0.03 {
+// workTime is the time of a request: about log-normal, and some take seven times as long.
+func workTime(random *rand.Rand, mean time.Duration) time.Duration {
+	d := math.Exp(random.NormFloat64()*0.5-0.125) * float64(mean) * 0.85
+	if random.Float64() < 0.03 {
 		d *= 7
 	}
 	return time.Duration(d)
 }
 
 func (c *crest) start(h *placement.Host, of *caller, now time.Duration) {
-	c.running = append(c.running, crestRequest{now + c.work(), h, h.Began(now, true, 0), of})
+	c.running = append(c.running, crestRequest{now + workTime(c.random, crestMean), h, h.Began(now, true, 0), of})
 }
 
 // attempt sends one attempt of a caller through the hosts.
--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -15,6 +15,9 @@
 	return flow.Key{Caller: flow.Endpoint{IP: 1, Port: uint16(n)}, Service: flow.Endpoint{IP: 2, Port: 443}}
 }
 
+// flowNumber is n of flowKey.
+func flowNumber(k flow.Key) int { return int(k.Caller.Port) }
+
 // Guards against entries that all ask the same of many idle agents first.
 func TestOrderSpreads(t *testing.T) {
 	first := map[uint32]int{}
