placement: the failures of hosts order them and refuse nobody

Cause, found by reading the diff: what a failure costs the caller was added to the expected time, by which flows are also refused. With all hosts of a service failing most requests and a target of 2 s, the cost alone was above the limit, and 1,932 of 2,000 flows were refused though slots were free. And a reset that answers a request which crossed the host's own end counted as a failure of the host.

Change: the cost raises the expected time up to the limit only. Resets after the host's end don't count.

Tests: the case 'all fail most requests' of TestFaultyHostsAreUsedWhenNeeded and TestResetAfterTheHostsEndIsNoFailure failed before.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -439,6 +439,28 @@
 	require.NotContains(t, b.kinds(), mesh.Missing)
 }
 
+// Guards against a host that is blamed for resets that follow from its own
+// end of a flow: a caller's request crossed it on the way.
+func TestResetAfterTheHostsEndIsNoFailure(t *testing.T) {
+	b := newBench(t)
+	b.heartbeat("h", bornAt, 1, host.Ready)
+	for round, ended := range []bool{true, false} {
+		for i := 0; i < 20 && !b.Load().Faulty; i++ {
+			k := packettest.Key(100*round + i)
+			b.open(k)
+			if ended {
+				b.FromHost(packettest.Answer(k, hostSeq+1, 500))
+				b.FromHost(packettest.Packet{Flow: k, FromHost: true, Flags: packettest.FIN | packettest.ACK, Seq: hostSeq + 501, Ack: 1200}.Bytes())
+				b.message(mesh.Deliver, packettest.Packet{Flow: k, Flags: packettest.ACK, Seq: 1200, Ack: hostSeq + 501, Data: 100}.Bytes())
+			}
+			b.FromHost(packettest.Packet{Flow: k, FromHost: true, Flags: packettest.RST | packettest.ACK, Seq: hostSeq + 502, Ack: 1300}.Bytes())
+			b.takeHost()
+			b.takeCaller()
+		}
+		require.Equal(t, !ended, b.Load().Faulty, "host ended first: %t", ended)
+	}
+}
+
 // Guards against a flow whose home doesn't know where it is, and against a
 // search that goes round in circles.
 func TestHomeKnowsFlow(t *testing.T) {
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -157,7 +157,7 @@
 	switch {
 	case r.phase == ended:
 	case s.Resetting:
-		if r.phase == running {
+		if r.phase == running && !r.hostEnded {
 			r.fail(now, load)
 		}
 		r.moveTo(ended, now, load)
--- a/placement/failing_test.go
+++ b/placement/failing_test.go
@@ -18,10 +18,12 @@
 	hosts  []*placement.Host
 	// fails is the share of requests that each host fails.
 	fails []float64
-	now   time.Duration
-	due   float64
-	flows int
-	runs  []greyRun
+	// target is the target of the route.
+	target time.Duration
+	now    time.Duration
+	due    float64
+	flows  int
+	runs   []greyRun
 }
 
 type greyRun struct {
@@ -41,7 +43,7 @@
 )
 
 func newGrey(fails ...float64) *grey {
-	g := &grey{random: rand.New(rand.NewPCG(3, 3)), fails: make([]float64, greyHosts)}
+	g := &grey{random: rand.New(rand.NewPCG(3, 3)), fails: make([]float64, greyHosts), target: 150 * time.Millisecond}
 	copy(g.fails, fails)
 	for range greyHosts {
 		g.hosts = append(g.hosts, placement.NewHost(placement.HostConfig{Slots: greySlots, ServiceTime: greyWork}))
@@ -112,6 +114,7 @@
 	var order [mesh.MaxCandidates]uint32
 	count := placement.Order(flowKey(g.flows), candidates, &order)
 	o := terms(0)
+	o.Target = mesh.WaitOf(g.target)
 	for {
 		at = int(order[o.At])
 		d := g.hosts[at].Decide(flowKey(g.flows), o, count, g.now)
@@ -153,6 +156,12 @@
 		_, _, refused := g.play(0.6, 5*time.Second)
 		require.Zero(t, refused)
 	})
+	t.Run("all fail most requests of a route with a long target", func(t *testing.T) {
+		g := newGrey(0.9, 0.9, 0.9, 0.9, 0.9, 0.9, 0.9, 0.9, 0.9, 0.9)
+		g.target = 2 * time.Second
+		_, _, refused := g.play(0.6, 5*time.Second)
+		require.Zero(t, refused)
+	})
 	t.Run("load above the capacity of the others", func(t *testing.T) {
 		g := newGrey(0.2, 0.2)
 		_, _, _ = g.play(0.9, time.Second)
--- a/placement/host.go
+++ b/placement/host.go
@@ -125,8 +125,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.failing.judge(now)
-	expected := h.wait(now) + h.mean + h.failing.cost(t.Target.Duration(), now)
-	d := Decision{Terms: t, Expected: expected, Load: h.load()}
+	d := Decision{Terms: t, Expected: h.expect(t, now), Load: h.load()}
 	switch {
 	case !t.MustTake && h.takesAtOnce(t):
 		h.expected++
@@ -142,6 +141,13 @@
 	return d
 }
 
+// expect is the time after which the host would have answered, with what its
+// failures cost. They put the host behind others; a flow is refused for lack of time only.
+func (h *Host) expect(t mesh.Terms, now time.Duration) time.Duration {
+	d := h.wait(now) + h.mean
+	return max(d, min(d+h.failing.cost(t.Target.Duration(), now), h.cfg.HoldLimit))
+}
+
 // takesAtOnce says whether a slot is free for the flow and no other host would be
 // clearly faster or better.
 func (h *Host) takesAtOnce(t mesh.Terms) bool {
