--- a/placement/doc.go
+++ b/placement/doc.go
@@ -8,7 +8,8 @@
 // their measured time, which the agent knows exactly for its own host.
 //
 // It answers these loads: random bursts below capacity (a free slot is found
-// within a few visits), a host that is slow or cold (its longer time counts as wait),
-// and load above capacity (a flow that no host can serve within its target is
-// refused at once, so that those that are taken are served in time).
+// within a few visits), a host that is slow or cold (its longer time counts as wait), hosts that
+// fail part of their requests (they come behind others), and load above capacity (flows
+// that can be answered in time go first; the others go when there is room, and
+// are refused when their callers' attempts end).
 package placement
