--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -80,48 +79,6 @@
 	Up   bool
 }
 
-// Host is a fake host.
-type Host struct {
-	Service string
-	// Up says whether it answers.
-	Up bool
-	// State is what its heartbeats say; DrainedAt is when one that says draining was acknowledged.
-	State     host.State
-	DrainedAt time.Duration
-	Born      int64
-	// Work is the time of a request.
-	Work time.Duration
-	// Flows are the flows that it has, by key, with the first number that it used.
-	Flows map[flow.Key]uint32
-	// Opened counts the flows that it opened.
-	Opened   int
-	sequence uint64
-}
-
-type event struct {
-	at     time.Duration
-	serial int
-	do     func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].serial < e[j].serial
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push and Pop implement heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // NewFleet returns a fleet without entries and agents.
 func NewFleet(seed uint64) *Fleet {
 	f := &Fleet{
@@ -153,6 +110,20 @@
 	f.now = end
 }
 
+// ticker returns a function that ticks a process and repeats it when the process
+// says. whileRunning calls its argument only if the process still runs.
+func (f *Fleet) ticker(tick func() time.Duration, whileRunning func(do func())) func() {
+	var again func()
+	again = func() {
+		whileRunning(func() {
+			if next := tick(); next > 0 {
+				f.After(next, again)
+			}
+		})
+	}
+	return again
+}
+
 // AddEntry starts an entry.
 func (f *Fleet) AddEntry(ip uint32) *Entry {
 	e := &Entry{IP: ip}
@@ -173,17 +144,13 @@
 	routes.Offer(routing.NewTable(1, 0, f.Routes, nil))
 	e.Up = true
 	var started *packetentry.Entry
-	tick := func() {}
-	tick = func() {
+	tick := f.ticker(func() time.Duration { return started.Tick() }, func(do func()) {
 		f.whenRunning(e, func() {
-			if e.Entry != started {
-				return
-			}
-			if next := started.Tick(); next > 0 {
-				f.After(next, tick)
+			if e.Entry == started {
+				do()
 			}
 		})
-	}
+	})
 	started = packetentry.New(packetentry.Config{
 		IP: e.IP, Zone: "a", Incarnation: int64(f.now / time.Millisecond), Now: f.Now, Routes: &routes, Log: quietLog(),
 		ToCaller:    f.callerSender(e.IP),
@@ -222,14 +189,11 @@
 	// The process that acknowledged a drain is gone; the next heartbeat tells its successor.
 	a.Up, a.Host.DrainedAt = true, 0
 	var started *packetagent.Agent
-	tick := func() {}
-	tick = func() {
+	tick := f.ticker(func() time.Duration { return started.Tick() }, func(do func()) {
 		if a.Up && a.Agent == started {
-			if next := started.Tick(); next > 0 {
-				f.After(next, tick)
-			}
+			do()
 		}
-	}
+	})
 	started = packetagent.New(packetagent.Config{
 		IP: a.IP, Service: a.Host.Service, Host: flow.Endpoint{IP: a.IP, Port: 8165}, Zone: "a", CallerPort: 9000,
 		Incarnation: int64(f.now/time.Millisecond) + 1, Now: f.Now, Log: quietLog(),
@@ -245,29 +209,6 @@
 	f.After(0, func() { f.reportAgent(a) })
 }
 
-// StartHost starts the host of an agent as another incarnation.
-func (f *Fleet) StartHost(a *Agent) {
-	a.Host.Up, a.Host.State, a.Host.sequence = true, host.Ready, 0
-	a.Host.Born = int64(f.now/time.Millisecond) + 2
-	a.Host.Flows = map[flow.Key]uint32{}
-	f.After(time.Millisecond, func() { f.Beat(a) })
-}
-
-// Beat sends a heartbeat of a host that is up to its agent.
-func (f *Fleet) Beat(a *Agent) {
-	if !a.Host.Up || !a.Up {
-		return
-	}
-	a.Host.sequence++
-	err := a.Heartbeat(host.Report{
-		ID: fmt.Sprintf("h-%d", a.IP), Born: a.Host.Born, Sequence: a.Host.sequence, Service: a.Host.Service,
-		Address: flow.Endpoint{IP: a.IP, Port: 8165}, Slots: 4, State: a.Host.State,
-	})
-	if err == nil && a.Host.State == host.Draining && a.Host.DrainedAt == 0 {
-		a.Host.DrainedAt = f.now
-	}
-}
-
 func quietLog() *eventlog.Log { return eventlog.New(eventlog.Config{Out: io.Discard}) }
 
 // every repeats something for as long as the fleet runs.
@@ -340,61 +281,6 @@
 	})
 }
 
-// toHost gives a packet to the host of an agent, which answers as the platform's hosts do.
-func (f *Fleet) toHost(a *Agent, packet []byte) {
-	p := append([]byte(nil), packet...)
-	f.After(hostDelay, func() {
-		if a.Host.Up {
-			f.hostGot(a, p)
-		}
-	})
-}
-
-func (f *Fleet) hostGot(a *Agent, packet []byte) {
-	s, err := platform.DecodePacket(packet, platform.FromCaller)
-	if err != nil {
-		f.Broken = append(f.Broken, "a host got no packet")
-		return
-	}
-	h := a.Host
-	first, has := h.Flows[s.Key]
-	switch {
-	case s.Opens():
-		if !has {
-			first = f.Random.Uint32()
-			h.Flows[s.Key] = first
-			h.Opened++
-			f.checkOpening(a)
-		}
-		f.fromHost(a, Accept(s.Key, first))
-	case !has || !flow.Near(first, s.Ack):
-		f.fromHost(a, Bounce(packet))
-	case s.Data > 0:
-		f.After(h.Work, func() { f.fromHost(a, Answer(s.Key, first+1, 500)) })
-	}
-}
-
-// drainSlack is how long after its acknowledgement a draining host may still get flows that were under way.
-const drainSlack = 50 * time.Millisecond
-
-func (f *Fleet) checkOpening(a *Agent) {
-	if a.Host.Service != FirstService {
-		f.Broken = append(f.Broken, "a flow was opened at another service")
-	}
-	if a.Host.DrainedAt > 0 && f.now > a.Host.DrainedAt+drainSlack {
-		f.Broken = append(f.Broken, "a flow was opened at a draining host")
-	}
-}
-
-func (f *Fleet) fromHost(a *Agent, packet []byte) {
-	born := a.Host.Born
-	f.After(hostDelay, func() {
-		if a.Up && a.Host.Up && a.Host.Born == born {
-			a.FromHost(packet)
-		}
-	})
-}
-
 // Owner returns the agent whose host has the flow that its caller uses.
 func (f *Fleet) Owner(key flow.Key, first uint32) *Agent {
 	for _, a := range f.Agents {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -50,28 +50,35 @@
 }
 
 // serve hands packets to their flows until the socket is closed.
-func (c *callers) serve() <-chan error {
+func (c *callers) serve() <-chan error { return readPackets(c.conn, c.got) }
+
+func (c *callers) got(packet []byte) {
+	s, err := platform.DecodePacket(packet, platform.FromHost)
+	if err != nil {
+		c.run.fail("a caller got what is no packet")
+		return
+	}
+	c.mu.Lock()
+	inbox := c.flows[s.Key]
+	c.mu.Unlock()
+	select {
+	case inbox <- s:
+	default:
+	}
+}
+
+// readPackets passes packets to got, which keeps no part of them, until the socket is closed.
+func readPackets(conn *net.UDPConn, got func(packet []byte)) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		defer func() { done <- nil }()
 		buffer := make([]byte, platform.MaxPacketBytes+1)
 		for {
-			n, _, err := c.conn.ReadFromUDPAddrPort(buffer)
+			n, _, err := conn.ReadFromUDPAddrPort(buffer)
 			if err != nil {
 				return
 			}
-			s, err := platform.DecodePacket(buffer[:n], platform.FromHost)
-			if err != nil {
-				c.run.fail("a caller got what is no packet")
-				continue
-			}
-			c.mu.Lock()
-			inbox := c.flows[s.Key]
-			c.mu.Unlock()
-			select {
-			case inbox <- s:
-			default:
-			}
+			got(buffer[:n])
 		}
 	}()
 	return done
--- a/soak/host.go
+++ b/soak/host.go
@@ -111,19 +111,7 @@
 
 // serve answers packets until the socket is closed.
 func (h *host) serve() <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		defer func() { done <- nil }()
-		buffer := make([]byte, platform.MaxPacketBytes+1)
-		for {
-			n, _, err := h.conn.ReadFromUDPAddrPort(buffer)
-			if err != nil {
-				return
-			}
-			h.got(bytes.Clone(buffer[:n]))
-		}
-	}()
-	return done
+	return readPackets(h.conn, func(packet []byte) { h.got(bytes.Clone(packet)) })
 }
 
 func (h *host) got(packet []byte) {
