platform: answers, watches and deletes belong to an era of the store

The store may come back from a copy some seconds old and then gives revisions out again. Nothing read Store-Era: a watch that continued from a revision given out again lacked what came before it, a delete by a revision could remove a newer record, a list could mix pages of two states, and a lost member record came back only with the next list, 10 s later and perhaps from stale data.

The client decodes the era once, keeps the highest, discards answers of older ones, and ends with Restored what depends on a position of an ended era: watches, further pages, deletes (which aren't sent at all when the client knows). Lists begin again. Configuration watches read again at once. Member records are checked against a current list within a second of the news; entries report the era they know, so that agents, whose own calls are far apart, learn of it too. The configuration in force still follows its own version only. Missing, empty or bad headers count as no news, are counted, and logged once per reason.

A delete still can't be exact if the store is restored between the client's last answer and the delete. It touches only records of processes that nobody has heard from for 15 min; their revisions are below any copy's, so they aren't given out again.

A revision that the store doesn't have already ended a watch before, by the 410.

The stand-in store has the header and Restore. The soak has restores as a fault of its own; its old seeds play without it, as another kind of fault would change their draws.

Open: on the QUIC path the view still orders objects by revision alone (docs/proofs.md, Not proved).

--- a/cmd/endiveflow/soak.go
+++ b/cmd/endiveflow/soak.go
@@ -62,7 +62,7 @@
 		return false, fmt.Errorf("creating a directory: %w", err)
 	}
 	report, err := soak.Run(ctx, soak.Config{
-		Program: c.Program, Dir: dir, Seed: seed, FaultTime: c.Time, Entries: c.Entries, Hosts: c.Hosts, FlowsPerSecond: c.Flows,
+		Program: c.Program, Dir: dir, Seed: seed, FaultTime: c.Time, Entries: c.Entries, Hosts: c.Hosts, FlowsPerSecond: c.Flows, Restores: true,
 	})
 	if err != nil {
 		return false, fmt.Errorf("running the soak: %w", err)
--- a/confsync/watch.go
+++ b/confsync/watch.go
@@ -34,7 +34,7 @@
 	}
 	s.apply(l)
 	onSuccess()
-	after := l.Revision
+	after := l
 	for {
 		l, err := s.cfg.Client.Watch(ctx, config.StorePrefix, after)
 		if ctx.Err() != nil {
@@ -46,8 +46,7 @@
 		}
 		s.apply(l)
 		onSuccess()
-		// A stale answer must not move the watch back.
-		after = max(after, l.Revision)
+		after = l
 	}
 }
 
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -46,6 +46,8 @@
 	Agents  []uint32 `cbor:"5,keyasint,omitempty"`
 	// IntervalMs is the time until the next regular report, in milliseconds.
 	IntervalMs uint32 `cbor:"6,keyasint,omitempty"`
+	// StoreEra is the newest era of the store that the entry knows, 0 if none.
+	StoreEra uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // SilenceTimeout returns the time without a message after which a process with a report interval is considered
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -46,6 +46,8 @@
 	// PeerDiscovered is called with the address of a process of which the entry had no record, so that a report
 	// is sent to it immediately.
 	PeerDiscovered func(ip uint32)
+	// StoreEra returns the newest era of the store that the process knows, for the entry's reports; nil means none.
+	StoreEra func() uint64
 	// ScheduleTick is called with the time until Tick must be called, when a new timer is started.
 	ScheduleTick func(time.Duration)
 	// Log receives the decisions.
@@ -64,5 +66,8 @@
 			*d.field = d.fallback
 		}
 	}
+	if c.StoreEra == nil {
+		c.StoreEra = func() uint64 { return 0 }
+	}
 	return c
 }
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -245,7 +245,7 @@
 	turn := int(e.reportCount.Add(1))
 	body, err := mesh.EncodeReport(mesh.EntryReport{
 		IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone, IntervalMs: uint32(interval.Milliseconds()),
-		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn),
+		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn), StoreEra: e.cfg.StoreEra(),
 	})
 	if err != nil {
 		return nil, err
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -51,7 +51,7 @@
 		ConfigVersion: b.routes.Version, IdleTimeout: b.routes.IdleTimeout, NewerConfig: b.config.noteNewer,
 		ReportChanged: func() { signal(b.reportNow) }, ScheduleTick: b.alarm.schedule,
 	})
-	entries, heartbeats := newKnownEntries(b.now), newHeartbeats(b.now)
+	entries, heartbeats := newKnownEntries(b.now, b.noteStoreEra), newHeartbeats(b.now)
 	b.parts.add("host", receive(hostConn, agent.FromHost))
 	b.parts.add("checks", hostCheck{agent: agent, address: s.HostAddr, heartbeats: heartbeats, interval: s.HeartbeatInterval, log: b.log}.run(ctx))
 	return role{
@@ -79,6 +79,8 @@
 	now func() time.Duration
 	// discovered receives the addresses of entries that were unknown before.
 	discovered chan uint32
+	// storeEra is called with the era of the store in each report.
+	storeEra func(uint64)
 
 	mu sync.Mutex
 	// lastSeen is the time of an entry's last report or, if it hasn't reported yet, the time when another entry
@@ -86,8 +88,8 @@
 	lastSeen map[uint32]time.Duration
 }
 
-func newKnownEntries(now func() time.Duration) *knownEntries {
-	return &knownEntries{now: now, discovered: make(chan uint32, 64), lastSeen: make(map[uint32]time.Duration)}
+func newKnownEntries(now func() time.Duration, storeEra func(uint64)) *knownEntries {
+	return &knownEntries{now: now, storeEra: storeEra, discovered: make(chan uint32, 64), lastSeen: make(map[uint32]time.Duration)}
 }
 
 // observe records the sender of an entry's report and the entries listed in it.
@@ -100,6 +102,7 @@
 	if err != nil || report.IP != m.Origin {
 		return
 	}
+	e.storeEra(report.StoreEra)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, ip := range append(report.Entries, report.IP) {
--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -134,7 +134,7 @@
 			if ctx.Err() != nil {
 				break
 			}
-			if errors.Is(err, platform.Compacted) {
+			if errors.Is(err, platform.Compacted) || errors.Is(err, platform.Restored) {
 				continue
 			}
 			failures++
@@ -171,7 +171,7 @@
 	onSuccess()
 	u.logStoreRegained()
 	u.applyObject(o)
-	for after := o.Version; ; {
+	for after := (platform.Listing{Revision: o.Version, Era: o.Era}); ; {
 		l, err := u.store.Watch(ctx, platform.RoutesPrefix, after)
 		if err != nil {
 			return fmt.Errorf("watching the configuration: %w", err)
@@ -182,7 +182,7 @@
 				u.applyObject(o)
 			}
 		}
-		after = max(after, l.Revision)
+		after = l
 	}
 }
 
--- /dev/null
+++ b/packetnode/config_test.go
@@ -0,0 +1,58 @@
+package packetnode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/eventlog"
+	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/routing"
+	"endiveflow.example/endiveflow/standin"
+)
+
+// Guards against a process that returns to the configuration of the copy that the store came back from, and one
+// that misses the next configuration, because it gets a revision that the process has seen before.
+func TestConfigurationAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewPlatform(standin.PlatformConfig{})
+		newClient := func() *platform.Client {
+			c, err := platform.New(platform.Config{
+				URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}, MaxAttempts: 1, WatchWait: watchWait, Timeout: storeTimeout,
+			})
+			require.NoError(t, err)
+			return c
+		}
+		operator := newClient()
+		write := func(version, base uint64) uint64 {
+			revision, err := operator.Put(t.Context(), platform.RoutesKey, []byte(fmt.Sprintf(`{"version":%d,"routes":[]}`, version)), base)
+			require.NoError(t, err)
+			return revision
+		}
+		var routes routing.Holder
+		updater := newConfigUpdater(configUpdater{
+			routes: &routes, store: newClient(), log: eventlog.New(eventlog.Config{Out: io.Discard}), applied: func() {},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := updater.followStore(ctx)
+		first := write(10, 0)
+		second := write(20, first)
+		time.Sleep(time.Second)
+		require.EqualValues(t, 20, routes.Version())
+
+		store.Restore(first)
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 20, routes.Version(), "the store's older configuration is not in force")
+		require.Equal(t, second, write(30, first))
+		time.Sleep(100 * time.Millisecond)
+		require.EqualValues(t, 30, routes.Version())
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -33,7 +33,7 @@
 	entry := packetentry.New(packetentry.Config{
 		IP: b.ip(), Zone: s.Zone, Incarnation: time.Now().UnixMilli(), Now: b.now, Routes: &b.routes, Log: b.log,
 		ToCaller: callerSender(callerConn, s.PacketAddr.Port()), ToMember: b.toMember,
-		NewerConfig: b.config.noteNewer, ScheduleTick: b.alarm.schedule,
+		NewerConfig: b.config.noteNewer, ScheduleTick: b.alarm.schedule, StoreEra: b.store.Era,
 		PeerDiscovered: func(ip uint32) {
 			select {
 			case discovered <- ip:
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 	// process, listPause the pause otherwise.
 	listPauseAlone = time.Second
 	listPause      = 10 * time.Second
+	// restoreSpread is the time over which the processes of a fleet spread the reads and writes that follow a
+	// restore of the store. It leaves time to write the own record within two seconds.
+	restoreSpread = time.Second
 )
 
 var (
@@ -63,6 +67,8 @@
 	// listed is called after each list of the records and after each change of the seeds.
 	listed func()
 	now    func() time.Duration
+	// restored is signalled when the store came back from an older copy, in which the own record may be missing.
+	restored chan struct{}
 	// tracker is used only by the goroutine of run.
 	tracker absence.Tracker
 
@@ -128,10 +134,10 @@
 	done := make(chan error, 1)
 	go func() {
 		defer func() { done <- nil }()
-		failures := 0
+		failures, restored := 0, false
 		backoff := platform.Backoff{Base: storeRetryBase, Max: storeRetryMax}
 		for ctx.Err() == nil {
-			if err := m.reconcile(ctx, failures > 0); err != nil {
+			if err := m.reconcile(ctx, failures > 0 || restored); err != nil {
 				failures++
 				if failures == 1 && ctx.Err() == nil {
 					m.log.Warn("cannot synchronize member records with the store", "error", err.Error())
@@ -143,29 +149,44 @@
 				m.log.Info("member records synchronized again", "failures", failures)
 			}
 			failures = 0
+			pause := listPause
 			if len(m.known()) == 0 {
-				sleep(ctx, listPauseAlone)
-			} else {
-				sleep(ctx, listPause)
+				pause = listPauseAlone
 			}
+			restored = m.awaitRestore(ctx, pause)
 		}
 	}()
 	return done
 }
 
+// awaitRestore waits for a pause, or until the store was restored and a random part of restoreSpread has passed.
+// It reports whether the store was restored.
+func (m *memberRegistry) awaitRestore(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-m.restored:
+		sleep(ctx, time.Duration(rand.Int64N(int64(restoreSpread))))
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // reconcile lists the records and writes the process's own one if it is missing. An entry also removes an
-// outdated one. After an outage it reads a current list, because a stale one may still contain a record that
-// was lost.
-func (m *memberRegistry) reconcile(ctx context.Context, afterOutage bool) error {
+// outdated one. If records may have been lost, after an outage or a restore, it reads a current list, because a
+// stale one may still contain them.
+func (m *memberRegistry) reconcile(ctx context.Context, mayHaveLost bool) error {
 	freshness := platform.Stale
-	if afterOutage {
+	if mayHaveLost {
 		freshness = platform.Current
 	}
 	l, err := m.store.List(ctx, membersPrefix, freshness)
 	if err != nil {
 		return fmt.Errorf("listing members: %w", err)
 	}
-	versions, ownWritten := m.updateRecorded(l.Objects)
+	records, ownWritten := m.updateRecorded(l.Objects)
 	m.listed()
 	if !ownWritten {
 		if err := m.write(ctx); err != nil {
@@ -176,20 +197,19 @@
 	if m.own.Role != roleEntry {
 		return nil
 	}
-	return m.removeAbsent(ctx, versions)
+	return m.removeAbsent(ctx, records)
 }
 
-// recordID identifies a stored record by the process's IP and the record's key.
-type recordID struct {
-	ip  netip.Addr
-	key string
+// storedRecord is a record as it was read from the store.
+type storedRecord struct {
+	ip     netip.Addr
+	object platform.Object
 }
 
-// updateRecorded replaces the recorded processes by the listed ones. It returns the versions of the records
-// and whether the process's own record is among them.
-func (m *memberRegistry) updateRecorded(objects []platform.Object) (versions map[recordID]uint64, ownWritten bool) {
+// updateRecorded replaces the recorded processes by the listed ones. It returns the records and whether the
+// process's own one is among them.
+func (m *memberRegistry) updateRecorded(objects []platform.Object) (records []storedRecord, ownWritten bool) {
 	recorded := make(map[uint32]string, len(objects))
-	versions = make(map[recordID]uint64, len(objects))
 	for _, o := range objects {
 		var r memberRecord
 		if err := json.Unmarshal(o.Value, &r); err != nil || !r.IP.Is4() || r.key() != o.Key {
@@ -197,22 +217,22 @@
 			continue
 		}
 		recorded[addressOf(r.IP)] = r.Role
-		versions[recordID{r.IP, o.Key}] = o.Version
+		records = append(records, storedRecord{r.IP, o})
 		ownWritten = ownWritten || r == m.own
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recorded = recorded
-	return versions, ownWritten
+	return records, ownWritten
 }
 
 // removeAbsent removes the record of a process that no entry can have received reports from for a long time.
 // If the process is alive after all, it writes its record again.
-func (m *memberRegistry) removeAbsent(ctx context.Context, versions map[recordID]uint64) error {
+func (m *memberRegistry) removeAbsent(ctx context.Context, records []storedRecord) error {
 	var recorded, known []netip.Addr
-	for id := range versions {
-		if id.ip != m.own.IP {
-			recorded = append(recorded, id.ip)
+	for _, r := range records {
+		if r.ip != m.own.IP {
+			recorded = append(recorded, r.ip)
 		}
 	}
 	for _, ip := range m.known() {
@@ -222,15 +242,19 @@
 	if !found {
 		return nil
 	}
-	for id, version := range versions {
-		if id.ip != absent {
+	for _, r := range records {
+		if r.ip != absent {
+			continue
+		}
+		err := m.store.Delete(ctx, r.object)
+		if errors.Is(err, platform.Conflict) || errors.Is(err, platform.Restored) {
 			continue
 		}
-		if err := m.store.Delete(ctx, id.key, version); err != nil && !errors.Is(err, platform.Conflict) {
+		if err != nil {
 			return fmt.Errorf("removing the record of a dead process: %w", err)
 		}
 		recordsRemoved.Inc()
-		m.log.Info("member record removed", "key", id.key, "revision", version, "silentFor", absence.DefaultMinAbsence.String())
+		m.log.Info("member record removed", "key", r.object.Key, "revision", r.object.Version, "era", r.object.Era, "silentFor", absence.DefaultMinAbsence.String())
 	}
 	return nil
 }
--- a/packetnode/members_test.go
+++ b/packetnode/members_test.go
@@ -28,8 +28,11 @@
 func runRegistry(t *testing.T, known []uint32, test func(fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewPlatform(standin.PlatformConfig{})
+		restored := make(chan struct{}, 1)
 		newClient := func() *platform.Client {
-			c, err := platform.New(platform.Config{URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}, MaxAttempts: 1})
+			c, err := platform.New(platform.Config{
+				URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}, MaxAttempts: 1, OnRestore: func(uint64) { signal(restored) },
+			})
 			require.NoError(t, err)
 			return c
 		}
@@ -38,6 +41,7 @@
 			own: memberRecord{Role: roleEntry, IP: netip.MustParseAddr("10.0.0.1"), Zone: "a"}, store: newClient(),
 			log:   eventlog.New(eventlog.Config{Out: io.Discard}),
 			known: func() []uint32 { return known }, listed: func() {}, now: func() time.Duration { return time.Since(start) },
+			restored: restored,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := registry.run(ctx)
@@ -51,7 +55,7 @@
 func (f fixture) delete(key string) {
 	o, err := f.client.Get(f.t.Context(), key)
 	require.NoError(f.t, err)
-	require.NoError(f.t, f.client.Delete(f.t.Context(), key, o.Version))
+	require.NoError(f.t, f.client.Delete(f.t.Context(), o))
 }
 
 func (f fixture) requireRecord(key string) {
@@ -84,6 +88,45 @@
 	})
 }
 
+// Guards against a process whose record is missing in the copy that the store came back from, and that writes it
+// again only at its next list.
+func TestRecordLostByRestoreIsWrittenAgain(t *testing.T) {
+	for name, restore := range map[string]func(f fixture){
+		"once":           func(f fixture) { f.store.Restore(0) },
+		"twice in a row": func(f fixture) { f.store.Restore(0); f.store.Restore(0) },
+		"while another process writes": func(f fixture) {
+			f.store.Restore(0)
+			_, err := f.client.Put(f.t.Context(), membersPrefix+"agent-10.0.0.9", []byte(`{"role":"agent","ip":"10.0.0.9","zone":"a"}`), 0)
+			require.NoError(f.t, err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runRegistry(t, otherMember, func(f fixture) {
+				restore(f)
+				// Any call of the process notices the restore, such as the watch of its configuration.
+				_, _ = f.registry.store.Get(f.t.Context(), platform.RoutesKey)
+				time.Sleep(2 * time.Second)
+				f.requireRecord(f.registry.own.key())
+			})
+		})
+	}
+}
+
+// Guards against an agent that learns of a restore only from its own calls to the store, which are far apart.
+func TestReportedEraTriggersList(t *testing.T) {
+	store := standin.NewPlatform(standin.PlatformConfig{})
+	client, err := platform.New(platform.Config{URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}})
+	require.NoError(t, err)
+	b := &base{store: client, storeRestored: make(chan struct{}, 1)}
+	b.noteStoreEra(7)
+	require.Empty(t, b.storeRestored, "an agent that knows no era yet has written nothing")
+	_, _ = client.Get(t.Context(), platform.RoutesKey)
+	b.noteStoreEra(1)
+	require.Empty(t, b.storeRestored)
+	b.noteStoreEra(2)
+	require.Len(t, b.storeRestored, 1)
+}
+
 // Guards against records of dead processes that are never removed.
 func TestRecordOfSilentProcessIsRemoved(t *testing.T) {
 	runRegistry(t, otherMember, func(f fixture) {
--- a/packetnode/process.go
+++ b/packetnode/process.go
@@ -129,24 +129,30 @@
 	alarm     *alarm
 	toMember  func(uint32, []byte)
 	reportNow chan struct{}
-	now       func() time.Duration
+	// storeRestored is signalled when the store came back from an older copy.
+	storeRestored chan struct{}
+	now           func() time.Duration
 }
 
 func newBase(ctx context.Context, s platform.Settings, log *eventlog.Log) (*base, error) {
-	store, err := platform.New(platform.Config{
-		URL: s.StoreURL, HTTP: newHTTPClient(), Timeout: storeTimeout, WatchWait: watchWait, MaxAttempts: 1,
+	b := &base{
+		settings: s, log: log, alarm: newAlarm(), reportNow: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), now: monotonicClock(),
+	}
+	var err error
+	b.store, err = platform.New(platform.Config{
+		URL: s.StoreURL, HTTP: newHTTPClient(), Timeout: storeTimeout, WatchWait: watchWait, MaxAttempts: 1, Log: log.Logger,
+		OnRestore: func(uint64) { signal(b.storeRestored) },
 	})
 	if err != nil {
 		return nil, fmt.Errorf("opening the store: %w", err)
 	}
-	b := &base{settings: s, log: log, store: store, alarm: newAlarm(), reportNow: make(chan struct{}, 1), now: monotonicClock()}
 	b.peerConn, err = b.listen(ctx, netip.AddrPortFrom(s.IP, s.FirstPort))
 	if err != nil {
 		return nil, err
 	}
 	b.toMember = memberSender(b.peerConn, s.FirstPort)
 	b.config = newConfigUpdater(configUpdater{
-		routes: &b.routes, store: store, http: newHTTPClient(), port: s.FirstPort, log: log, applied: func() {},
+		routes: &b.routes, store: b.store, http: newHTTPClient(), port: s.FirstPort, log: log, applied: func() {},
 	})
 	return b, nil
 }
@@ -165,12 +171,22 @@
 	}
 }
 
+// noteStoreEra handles the era of the store that another process reports: it may have noticed a restore before
+// this process, whose own calls are far apart.
+func (b *base) noteStoreEra(era uint64) {
+	if known := b.store.Era(); known != 0 && era > known {
+		signal(b.storeRestored)
+	}
+}
+
 // ip returns the VM's address in the form that flows use.
 func (b *base) ip() uint32 { return addressOf(b.settings.IP) }
 
 // start starts the parts that entries and agents have in common.
 func (b *base) start(ctx context.Context, r role, reloads <-chan platform.Settings) {
-	registry := &memberRegistry{own: r.record, store: b.store, log: b.log, now: b.now, known: r.known, listed: func() { signal(b.reportNow) }}
+	registry := &memberRegistry{
+		own: r.record, store: b.store, log: b.log, now: b.now, known: r.known, listed: func() { signal(b.reportNow) }, restored: b.storeRestored,
+	}
 	registry.setSeeds(b.settings.Seeds)
 	var interval atomic.Int64
 	reports := reporter{
--- a/soak/config.go
+++ b/soak/config.go
@@ -20,6 +20,8 @@
 	// Entries and Hosts are the numbers of processes. A quarter of the hosts, but at least one, belong to a
 	// second service, which must receive no flows.
 	Entries, Hosts int
+	// Restores adds restores of the store from older copies to the faults.
+	Restores bool
 	// FlowsPerSecond is the number of flows that callers open per second.
 	FlowsPerSecond int
 	// Out receives a line for each fault and failure; nil means none.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -54,7 +55,21 @@
 	}},
 }
 
+// restore brings the store back from an older copy.
+var restore = fault{"restore", func(r *run, ctx context.Context) (string, func()) {
+	lost := uint64(r.random.IntN(maxLostWrites + 1))
+	r.store.SetSwitches(standin.Switches{Outage: true})
+	return fmt.Sprintf("store comes back without its last %d writes", lost), func() {
+		if !r.restoreStore(ctx, lost) {
+			r.fail("the configuration could not be written after a restore of the store")
+		}
+	}
+}}
+
 const (
+	// maxLostWrites is the largest number of writes that a restore of the store loses. It exceeds the number of
+	// member records of a small fleet.
+	maxLostWrites = 8
 	// meanFaultPause is the mean time between faults, meanFaultTime the mean duration of a fault.
 	meanFaultPause = 700 * time.Millisecond
 	meanFaultTime  = 1500 * time.Millisecond
@@ -63,6 +78,10 @@
 // injectFaults injects faults for the configured time. They may overlap.
 func (r *run) injectFaults(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
+	kinds := faults
+	if r.cfg.Restores {
+		kinds = append(slices.Clone(faults), restore)
+	}
 	go func() {
 		var ends []<-chan time.Time
 		for ctx.Err() == nil {
@@ -71,7 +90,7 @@
 			if remaining <= 0 {
 				break
 			}
-			what, end := faults[r.random.IntN(len(faults))].inject(r, ctx)
+			what, end := kinds[r.random.IntN(len(kinds))].inject(r, ctx)
 			r.recordFault(what)
 			duration := min(time.Duration(r.random.ExpFloat64()*float64(meanFaultTime)), remaining)
 			ended := make(chan time.Time, 1)
--- a/soak/run.go
+++ b/soak/run.go
@@ -37,6 +37,9 @@
 	inRotation []netip.Addr
 	// sentPackets holds the packets that callers sent, without the fields that the system writes.
 	sentPackets map[string]struct{}
+	// configVersion is the version of the configuration written last, withToggled whether it has the toggled route.
+	configVersion uint64
+	withToggled   bool
 	// routeDroppedAt is when the toggled route was removed; zero while it exists.
 	routeDroppedAt time.Time
 }
@@ -119,7 +122,10 @@
 func (r *run) configure(ctx context.Context, withToggled bool) error {
 	o, err := r.client.Get(ctx, platform.RoutesKey)
 	version := o.Version
-	text := fmt.Sprintf(`{"version":%d,"routes":[%s`, version+1, routeText("first", stableRouteAddr))
+	r.mu.Lock()
+	next := r.configVersion + 1
+	r.mu.Unlock()
+	text := fmt.Sprintf(`{"version":%d,"routes":[%s`, next, routeText("first", stableRouteAddr))
 	if withToggled {
 		text += "," + routeText("second", toggledRouteAddr)
 	}
@@ -132,6 +138,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if withToggled == r.withToggled && r.configVersion > 0 {
+		r.configVersion = next
+		return nil
+	}
+	r.configVersion, r.withToggled = next, withToggled
 	r.routeDroppedAt = time.Time{}
 	if !withToggled {
 		r.routeDroppedAt = time.Now()
@@ -139,6 +150,31 @@
 	return nil
 }
 
+// restoreStore brings the store back from a copy that lacks its last writes, and writes the configuration again
+// as the operator does. It reports whether that succeeded.
+func (r *run) restoreStore(ctx context.Context, lostWrites uint64) bool {
+	revision := r.store.Revision()
+	r.store.Restore(revision - min(lostWrites, revision))
+	r.store.SetSwitches(standin.Switches{})
+	for range restoreAttempts {
+		r.mu.Lock()
+		withToggled := r.withToggled
+		r.mu.Unlock()
+		if r.configure(ctx, withToggled) == nil {
+			return true
+		}
+		time.Sleep(restorePause)
+	}
+	return false
+}
+
+const (
+	// restoreAttempts and restorePause are the number of attempts to write the configuration after a restore and
+	// the time between them. Together they exceed the longest overlapping outage.
+	restoreAttempts = 50
+	restorePause    = 100 * time.Millisecond
+)
+
 func routeText(name string, at flow.Endpoint) string {
 	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":"/%d/","type":"idempotent","timeoutMs":3000,"targetLatencyMs":250,"priority":1,"service":%q}`,
 		name, at.Addr(), at.Port, packettest.FirstService)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,17 +12,20 @@
 	"endiveflow.example/endiveflow/soak"
 )
 
-// regressions are seeds that failed in the past, with the cause of each failure.
+// regressions are seeds that failed in the past, with the cause of each failure, and one with restores of the
+// store. Restores change which faults a seed gives.
 var regressions = []struct {
-	name string
-	seed uint64
+	name     string
+	seed     uint64
+	restores bool
 }{
 	// A restarted host accepted flows before its first heartbeat, which then ended them.
-	{"flows before the first heartbeat", 1},
+	{"flows before the first heartbeat", 1, false},
 	// A host whose port had refused a connection once was never used again.
-	{"refused connection", 104},
+	{"refused connection", 104, false},
 	// A paused agent reset flows that had been opened at another host meanwhile.
-	{"flows opened elsewhere", 109},
+	{"flows opened elsewhere", 109, false},
+	{"restored store", 2, true},
 }
 
 // Guards against guarantees that the real programs violate under faults: flows reset while their hosts run,
@@ -34,7 +37,7 @@
 	require.NoError(t, err, string(out))
 	for _, r := range regressions {
 		t.Run(r.name, func(t *testing.T) {
-			report, err := soak.Run(t.Context(), soak.Config{Program: program, Dir: t.TempDir(), Seed: r.seed, FaultTime: 8 * time.Second})
+			report, err := soak.Run(t.Context(), soak.Config{Program: program, Dir: t.TempDir(), Seed: r.seed, Restores: r.restores, FaultTime: 8 * time.Second})
 			require.NoError(t, err)
 			var timeline strings.Builder
 			require.NoError(t, report.WriteTimeline(&timeline))
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -54,6 +54,8 @@
 	mu  sync.Mutex
 	// The fields below are guarded by mu.
 	revision uint64
+	// era is the era of the store, which rises with each Restore.
+	era uint64
 	// versions holds every version of each key, oldest first.
 	versions map[string][]platform.Object
 	// changes holds the newest writes, oldest first, at most cfg.KeepChanges of them.
@@ -83,6 +85,7 @@
 	}
 	return &Platform{
 		cfg:      cfg,
+		era:      1,
 		versions: make(map[string][]platform.Object),
 		wakeup:   make(chan struct{}),
 		calls:    make(map[string]uint64),
@@ -149,6 +152,29 @@
 	return p.revision
 }
 
+// Restore brings the store back from a copy of a past revision: what was written since is gone, and its revisions
+// are given out again.
+func (p *Platform) Restore(revision uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.era++
+	p.revision = min(p.revision, revision)
+	for key, versions := range p.versions {
+		kept := sort.Search(len(versions), func(i int) bool { return versions[i].Version > p.revision })
+		p.versions[key] = versions[:kept:kept]
+	}
+	kept := sort.Search(len(p.changes), func(i int) bool { return p.changes[i].revision > p.revision })
+	p.changes = p.changes[:kept:kept]
+	p.compactedRevision = min(p.compactedRevision, p.revision)
+	p.wake()
+}
+
+func (p *Platform) currentEra() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
+}
+
 // Calls returns the number of calls so far by operation, including refused ones.
 func (p *Platform) Calls() map[string]uint64 {
 	p.mu.Lock()
@@ -248,11 +274,11 @@
 
 // changesAfter returns the newest versions of the keys under a prefix that changed after a revision, and the
 // channel that is closed when there may be more. A deleted key has no value. available is false if the
-// changes after the revision are no longer kept.
+// changes after the revision are no longer kept, or the store doesn't have the revision.
 func (p *Platform) changesAfter(prefix string, after uint64) (l page, wakeup <-chan struct{}, available bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if after < p.compactedRevision {
+	if after < p.compactedRevision || after > p.revision {
 		return page{}, nil, false
 	}
 	l = page{revision: p.readRevision()}
--- a/standin/platform_http.go
+++ b/standin/platform_http.go
@@ -32,7 +32,31 @@
 	mux.HandleFunc("GET /switches", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Switches()) })
 	mux.HandleFunc("PUT /switches", p.serveSwitches)
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Calls()) })
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux.ServeHTTP(eraWriter{w, p}, r)
+	})
+}
+
+// eraWriter adds the header with the store's era to an answer, as of the moment when the answer begins.
+type eraWriter struct {
+	http.ResponseWriter
+	platform *Platform
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w eraWriter) WriteHeader(status int) {
+	w.setEra()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w eraWriter) Write(b []byte) (int, error) {
+	w.setEra()
+	return w.ResponseWriter.Write(b)
+}
+
+func (w eraWriter) setEra() {
+	w.Header().Set("Store-Era", strconv.FormatUint(w.platform.currentEra(), 10))
 }
 
 // withSwitches applies the switches that affect every call.
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -39,7 +39,7 @@
 
 	watched := make(chan error, 1)
 	go func() {
-		_, err := c.Watch(t.Context(), "a/", o.Version)
+		_, err := c.Watch(t.Context(), "a/", platform.Listing{Revision: o.Version})
 		watched <- err
 	}()
 	require.Eventually(t, func() bool { return p.Calls()["watch"] == 1 }, 10*time.Second, time.Millisecond)
