--- a/packetnode/config_test.go
+++ b/packetnode/config_test.go
@@ -52,6 +52,12 @@
 		require.Equal(t, second, write(30, first))
 		time.Sleep(100 * time.Millisecond)
 		require.EqualValues(t, 30, routes.Version())
+
+		// The waiting watch is as far as the store's revision again, before it notices the restore.
+		store.Restore(first)
+		write(40, first)
+		time.Sleep(watchWait + time.Second)
+		require.EqualValues(t, 40, routes.Version())
 		cancel()
 		require.NoError(t, <-done)
 	})
