packetentry: repeated offers and searches draw on a budget

The work that a lost packet causes at an entry is larger than the packet: a repeated offer each, and searches that send a packet of up to 1 kB to all agents of the service. A narrow link that was full once stays full.

Ruled out: processor time (0.036 of 0.192 cores at most) and hosts (idle).

Repeated offers, the steps of a search that follow the first, and searches at all agents take from it; the last go to as many agents as it allows, in turn. A caller's own copies are never held back: an offer that lapsed is made again with the next one, and a search begins again with the directory agents.

Played load (packettest, new): a link of 550 kB/s under a burst of three times the usual load.

--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -18,8 +18,11 @@
 	cfg    Config
 	roster *roster
 	flows  *flowtable.Table[record]
-	// reportCount is the number of reports that the entry has sent.
-	reportCount atomic.Uint64
+	// repeats limits what the entry sends on its own account.
+	repeats *repeats
+	// reportCount is the number of reports that the entry has sent, searchTurn the number of agents that it has
+	// searched at in last steps.
+	reportCount, searchTurn atomic.Uint64
 	// stopping reports whether the entry is stopping; it still forwards packets.
 	stopping atomic.Bool
 
@@ -54,6 +57,8 @@
 	unresponsiveAgents [maxOffers]uint32
 	// offerCount is the number of offers made.
 	offerCount int
+	// offerLapsed reports whether the last offer was not answered and not repeated.
+	offerLapsed bool
 	// lastSearch is when the current search step began, searchCount the number of steps before it, and
 	// searchedPackets the number of packets searched for in this step.
 	lastSearch      time.Duration
@@ -64,7 +69,7 @@
 // New returns an entry that has no record of other processes.
 func New(cfg Config) *Entry {
 	cfg = cfg.withDefaults()
-	return &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record]()}
+	return &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now)}
 }
 
 // FromCaller handles a packet of a caller.
@@ -87,6 +92,8 @@
 		agent := r.agent
 		shard.Unlock()
 		e.resendOffer(s, packet, agent)
+	case s.Opens() && r.offerLapsed:
+		e.placeAgain(shard, s.Key, r)
 	case s.Opens():
 		// This is a retransmission; the flow is already being placed.
 		shard.Unlock()
@@ -125,6 +132,17 @@
 	e.sendOffer(shard, s.Key, r, route)
 }
 
+// placeAgain offers a flow again whose caller sent another copy of its opening packet; it unlocks the shard.
+func (e *Entry) placeAgain(shard *flowtable.Shard[record], key flow.Key, r *record) {
+	route, ok := e.cfg.Routes.Current().Find(key.Service)
+	if !ok {
+		shard.Delete(key)
+		shard.Unlock()
+		return
+	}
+	e.sendOffer(shard, key, r, route)
+}
+
 // rejectNoRoute rejects an opening packet to an address without a route.
 func (e *Entry) rejectNoRoute(s flow.Segment, table *routing.Table) {
 	noRoutes.Inc()
@@ -163,7 +181,7 @@
 	}
 	now := e.cfg.Now()
 	m.Terms.Waited = mesh.MillisOf(now - r.callerStarted)
-	r.agent, r.offerUpdated = m.Candidates[0], now
+	r.agent, r.offerUpdated, r.offerLapsed = m.Candidates[0], now, false
 	r.offerCount++
 	offers := r.offerCount
 	m.Body = r.openingPacket
@@ -172,6 +190,7 @@
 		a.countOffer()
 	}
 	e.send(m.Candidates[0], &m)
+	e.repeats.packetForwarded()
 	e.startTimer(&e.offerTimers, timer{key, now + e.offerTimeout()})
 	offersSent.Inc()
 	if e.cfg.Log.AllowOrdinary() {
@@ -229,6 +248,7 @@
 	}
 	forwarded.Inc()
 	e.send(agent, &m)
+	e.repeats.packetForwarded()
 }
 
 func (e *Entry) send(ip uint32, m *mesh.Message) { m.Send(ip, e.cfg.ToMember) }
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -13,5 +13,6 @@
 	gaveUp           = metrics.NewCounter(`endiveflow_packetentry_gave_up_total`)
 	forwarded        = metrics.NewCounter(`endiveflow_packetentry_forwarded_total`)
 	floods           = metrics.NewCounter(`endiveflow_packetentry_floods_total`)
+	withheldRepeats  = metrics.NewCounter(`endiveflow_packetentry_withheld_repeats_total`)
 	searches         = metrics.NewCounter(`endiveflow_packetentry_searches_total`)
 )
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -197,6 +197,11 @@
 		}
 		return
 	}
+	if r.offerCount > 0 && e.repeats.take(1) == 0 {
+		r.offerLapsed = true
+		shard.Unlock()
+		return
+	}
 	e.sendOffer(shard, key, r, route)
 }
 
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// searchRetryAfter is the time after which an unsuccessful search for a flow continues with its next step, or
-	// repeats its last one. It is shorter than the time after which callers retransmit a packet, and doubles
+	// searchRetryAfter is the time after which an unsuccessful search for a flow continues with its next step, and
+	// begins again after the last one. It is shorter than the time after which callers retransmit a packet, and doubles
 	// with each step, up to maxSearchDoublings times.
 	searchRetryAfter   = 150 * time.Millisecond
 	maxSearchDoublings = 3
@@ -35,7 +35,7 @@
 		r.lastSearch, r.searchedPackets = now, 0
 	}
 	r.searchedPackets++
-	return uint8(min(r.searchCount, mesh.StepAll)), r.searchedPackets <= searchBurst
+	return uint8(r.searchCount % (mesh.StepAll + 1)), r.searchedPackets <= searchBurst
 }
 
 // search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one
@@ -53,28 +53,53 @@
 	} else {
 		step = mesh.StepAll
 	}
-	m.Step = step
-	searches.Inc()
-	if e.cfg.Log.AllowRare() {
-		e.cfg.Log.Info("search", "flow", s.Key.String(), "step", step, "opening", s.IsSYN, "config", m.ConfigVersion)
+	if step == mesh.StepAll {
+		agents := e.roster.allAgents()
+		if known {
+			agents = agents[:0]
+			for _, share := range route.Shares {
+				agents = append(agents, e.roster.serviceAgents(mesh.ServiceTag(share.Service))...)
+			}
+		}
+		if e.searchAll(s, m, agents) || !known {
+			return
+		}
+		step = 0
 	}
-	if step < mesh.StepAll {
-		e.send(m.Directories[step], &m)
+	if m.Directories[step] == 0 {
 		return
 	}
-	agents := e.roster.allAgents()
-	if known {
-		agents = agents[:0]
-		for _, share := range route.Shares {
-			agents = append(agents, e.roster.serviceAgents(mesh.ServiceTag(share.Service))...)
-		}
+	m.Step = step
+	e.logSearch(s, step, 1, m.ConfigVersion)
+	e.send(m.Directories[step], &m)
+	e.repeats.packetForwarded()
+}
+
+// searchAll sends a search to as many agents as the entry may send datagrams on its own account, and reports
+// whether there were any. Which ones these are changes with each search, so that copies of a packet reach all in
+// turn.
+func (e *Entry) searchAll(s flow.Segment, m mesh.Message, agents []*agent) bool {
+	allowed := e.repeats.take(len(agents))
+	if allowed == 0 {
+		return false
 	}
+	m.Step = mesh.StepAll
 	floods.Inc()
-	for _, a := range agents {
-		report := a.report.Load()
+	e.logSearch(s, mesh.StepAll, allowed, m.ConfigVersion)
+	first := int(e.searchTurn.Add(uint64(allowed)) % uint64(len(agents)))
+	for i := range allowed {
+		report := agents[(first+i)%len(agents)].report.Load()
 		m.Service = mesh.ServiceTag(report.Service)
 		e.send(report.IP, &m)
 	}
+	return true
+}
+
+func (e *Entry) logSearch(s flow.Segment, step uint8, agents int, version uint64) {
+	searches.Inc()
+	if e.cfg.Log.AllowRare() {
+		e.cfg.Log.Info("search", "flow", s.Key.String(), "step", step, "agents", agents, "opening", s.IsSYN, "config", version)
+	}
 }
 
 // continueSearch continues the search for the flow of a packet that an agent returned.
@@ -98,7 +123,7 @@
 	case s.IsSYN && unplaced && m.Step+1 >= mesh.StepAll:
 		// No directory agent has a record of the flow, so no other entry has placed it.
 		e.retryOffer(s.Key, e.cfg.Now(), true)
-	case m.Step < mesh.StepAll:
+	case m.Step < mesh.StepAll && e.repeats.take(1) == 1:
 		e.search(s, m.Body, m.Step+1)
 	}
 }
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -21,6 +21,9 @@
 	SecondService = "draws"
 )
 
+// DefaultSlots is the number of slots of a host.
+const DefaultSlots = 4
+
 // One-way delays of the fleet's network.
 const (
 	callerDelay = 3 * time.Millisecond
@@ -37,6 +40,10 @@
 	Agents  []*Agent
 	// Drop reports whether a datagram between two addresses is lost.
 	Drop func(from, to uint32) bool
+	// Links holds the links of VMs by address; a VM without one has a link without limits.
+	Links map[uint32]*Link
+	// Traffic counts the datagrams of each process by address.
+	Traffic map[uint32]*Traffic
 	// ToCaller receives each packet for a caller.
 	ToCaller func(s flow.Segment, from uint32)
 	// Violations collects violations of guarantees, such as a flow opened at a draining host.
@@ -85,7 +92,7 @@
 func NewFleet(seed uint64) *Fleet {
 	f := &Fleet{
 		Random: rand.New(rand.NewPCG(seed, 1)), Drop: func(uint32, uint32) bool { return false },
-		ToCaller: func(flow.Segment, uint32) {},
+		ToCaller: func(flow.Segment, uint32) {}, Links: make(map[uint32]*Link), Traffic: make(map[uint32]*Traffic),
 	}
 	endpoint := Key(0).Service
 	f.Routes = []routing.Route{{Name: "r", Endpoint: endpoint, Shares: []routing.Share{{Service: FirstService, Weight: 1}}, TargetLatency: 150 * time.Millisecond}}
@@ -173,7 +180,7 @@
 
 // AddAgent adds an agent with a ready host of 4 slots and starts both.
 func (f *Fleet) AddAgent(ip uint32, service string) *Agent {
-	a := &Agent{IP: ip, Host: &Host{Service: service, Up: true, State: host.Ready, WorkTime: 30 * time.Millisecond, Flows: map[flow.Key]uint32{}}}
+	a := &Agent{IP: ip, Host: &Host{Service: service, Up: true, State: host.Ready, WorkTime: 30 * time.Millisecond, Slots: DefaultSlots, Flows: map[flow.Key]uint32{}}}
 	f.Agents = append(f.Agents, a)
 	f.StartAgent(a)
 	f.StartHost(a)
@@ -259,24 +266,38 @@
 
 // toMember delivers a datagram to the process at an address.
 func (f *Fleet) toMember(from, to uint32, datagram []byte) {
-	if from != to && f.Drop(from, to) {
-		return
+	f.countTraffic(from, datagram)
+	delay, sent := time.Duration(0), true
+	if from != to {
+		delay, sent = f.sendDelay(from, len(datagram))
+		if !sent || f.Drop(from, to) {
+			return
+		}
 	}
 	d := append([]byte(nil), datagram...)
-	f.After(memberDelay, func() {
-		for _, e := range f.Entries {
-			if e.IP == to {
-				f.whenRunning(e, func() { e.Receive(d) })
-			}
-		}
-		for _, a := range f.Agents {
-			if a.IP == to && a.Up {
-				a.Receive(d)
-			}
+	f.After(delay+memberDelay, func() {
+		if from == to {
+			f.deliver(to, d)
+			return
 		}
+		f.arrive(to, len(d), func() { f.deliver(to, d) })
 	})
 }
 
+// deliver passes a datagram to the process at an address.
+func (f *Fleet) deliver(to uint32, datagram []byte) {
+	for _, e := range f.Entries {
+		if e.IP == to {
+			f.whenRunning(e, func() { e.Receive(datagram) })
+		}
+	}
+	for _, a := range f.Agents {
+		if a.IP == to && a.Up {
+			a.Receive(datagram)
+		}
+	}
+}
+
 func (f *Fleet) callerSender(from uint32) func(flow.Endpoint, []byte) {
 	return func(_ flow.Endpoint, packet []byte) {
 		s, err := platform.DecodePacket(packet, platform.FromHost)
@@ -284,7 +305,9 @@
 			f.Violations = append(f.Violations, "a caller received an invalid packet")
 			return
 		}
-		f.After(callerDelay, func() { f.ToCaller(s, from) })
+		if delay, sent := f.sendDelay(from, len(packet)); sent {
+			f.After(delay+callerDelay, func() { f.ToCaller(s, from) })
+		}
 	}
 }
 
@@ -292,10 +315,34 @@
 func (f *Fleet) FromCaller(e *Entry, packet []byte) {
 	p := append([]byte(nil), packet...)
 	f.After(callerDelay, func() {
-		f.whenRunning(e, func() { e.FromCaller(p) })
+		f.arrive(e.IP, len(p), func() { f.whenRunning(e, func() { e.FromCaller(p) }) })
 	})
 }
 
+// PowerOff takes all VMs down for a time. Their processes and hosts then start within startSpread, the hosts
+// cold.
+func (f *Fleet) PowerOff(down time.Duration) {
+	for _, e := range f.Entries {
+		e.Up = false
+		f.After(down+f.randomDelay(startSpread), func() { f.StartEntry(e) })
+	}
+	for _, a := range f.Agents {
+		a.Up, a.Host.Up = false, false
+		f.After(down+f.randomDelay(startSpread), func() { f.StartAgent(a) })
+		f.After(down+f.randomDelay(startSpread), func() {
+			f.StartHost(a)
+			a.Host.coldUntil = f.now + a.Host.ColdTime
+		})
+	}
+}
+
+// startSpread is the time within which the processes of VMs start that get power at the same moment.
+const startSpread = 300 * time.Millisecond
+
+func (f *Fleet) randomDelay(limit time.Duration) time.Duration {
+	return time.Duration(f.Random.Int64N(int64(limit)))
+}
+
 // Owner returns the agent whose running host has the flow with the given initial sequence number, or nil.
 func (f *Fleet) Owner(key flow.Key, initialSeq uint32) *Agent {
 	for _, a := range f.Agents {
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -20,20 +20,39 @@
 	DrainAckedAt time.Duration
 	// StartedAt identifies the incarnation: its start in milliseconds of simulated time.
 	StartedAt int64
-	// WorkTime is the processing time of a request.
-	WorkTime time.Duration
+	// WorkTime is the processing time of a request. If WorkSpread is set, the time is drawn from an exponential
+	// distribution of that mean on top of it.
+	WorkTime, WorkSpread time.Duration
+	// Slots is the number of requests that the host processes at a time; others wait in the host.
+	Slots int
+	// ColdTime is how long the host is slow after a loss of power, ColdFactor how much slower.
+	ColdTime   time.Duration
+	ColdFactor float64
 	// Flows maps the host's open flows to the initial sequence numbers that it chose.
 	Flows map[flow.Key]uint32
 	// Opened counts the flows opened at the host.
 	Opened   int
 	sequence uint64
+	// coldUntil is when the host ceases to be slow.
+	coldUntil time.Duration
+	// requests holds the requests of this incarnation that have arrived; true once answered.
+	requests map[requestID]bool
+	// waiting holds the requests that wait for a slot; busy is the number of slots in use.
+	waiting []requestID
+	busy    int
+}
+
+// requestID identifies a request by its flow and the sequence number of its data.
+type requestID struct {
+	key flow.Key
+	seq uint32
 }
 
 // StartHost starts a new incarnation of an agent's host, without flows.
 func (f *Fleet) StartHost(a *Agent) {
 	a.Host.Up, a.Host.State, a.Host.sequence = true, host.Ready, 0
 	a.Host.StartedAt = int64(f.now/time.Millisecond) + 2
-	a.Host.Flows = map[flow.Key]uint32{}
+	a.Host.Flows, a.Host.requests, a.Host.waiting, a.Host.busy = map[flow.Key]uint32{}, map[requestID]bool{}, nil, 0
 	f.After(time.Millisecond, func() { f.SendHeartbeat(a) })
 }
 
@@ -45,7 +64,7 @@
 	a.Host.sequence++
 	err := a.Heartbeat(host.Report{
 		ID: fmt.Sprintf("h-%d", a.IP), StartedAt: a.Host.StartedAt, Sequence: a.Host.sequence, Service: a.Host.Service,
-		Address: flow.Endpoint{IP: a.IP, Port: 8165}, Slots: 4, State: a.Host.State,
+		Address: flow.Endpoint{IP: a.IP, Port: 8165}, Slots: a.Host.Slots, State: a.Host.State,
 	})
 	if err == nil && a.Host.State == host.Draining && a.Host.DrainAckedAt == 0 {
 		a.Host.DrainAckedAt = f.now
@@ -84,10 +103,57 @@
 	case !flow.WithinWindow(initialSeq, s.Ack):
 		f.fromHost(a, Packet{Flow: s.Key, FromHost: true, Flags: RST, Seq: s.Ack}.Bytes())
 	case s.DataBytes > 0:
-		f.After(h.WorkTime, func() { f.fromHost(a, Answer(s.Key, initialSeq+1, 500)) })
+		f.hostRequest(a, requestID{s.Key, s.Seq})
+	}
+}
+
+// hostRequest handles a request that arrives at a host, or a copy of it.
+func (f *Fleet) hostRequest(a *Agent, id requestID) {
+	h := a.Host
+	answered, exists := h.requests[id]
+	switch {
+	case answered:
+		f.answer(a, id)
+	case exists:
+	case h.busy < h.Slots:
+		h.requests[id] = false
+		f.work(a, id)
+	default:
+		h.requests[id] = false
+		h.waiting = append(h.waiting, id)
+	}
+}
+
+// work processes a request and then the next one that waits.
+func (f *Fleet) work(a *Agent, id requestID) {
+	h, startedAt := a.Host, a.Host.StartedAt
+	h.busy++
+	d := h.WorkTime + time.Duration(f.Random.ExpFloat64()*float64(h.WorkSpread))
+	if f.now < h.coldUntil {
+		d = time.Duration(h.ColdFactor * float64(d))
 	}
+	f.After(d, func() {
+		if !h.Up || h.StartedAt != startedAt {
+			return
+		}
+		h.requests[id] = true
+		h.busy--
+		f.answer(a, id)
+		if len(h.waiting) > 0 {
+			next := h.waiting[0]
+			h.waiting = h.waiting[1:]
+			f.work(a, next)
+		}
+	})
+}
+
+func (f *Fleet) answer(a *Agent, id requestID) {
+	f.fromHost(a, Answer(id.key, a.Host.Flows[id.key]+1, answerBytes))
 }
 
+// answerBytes is the size of an answer.
+const answerBytes = 500
+
 // drainGrace is how long after the acknowledgement of its drain a host may still receive flows that were in
 // flight.
 const drainGrace = 50 * time.Millisecond
--- /dev/null
+++ b/packettest/load_test.go
@@ -0,0 +1,79 @@
+package packettest_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/packettest"
+)
+
+// newLoadedFleet returns a fleet of one availability zone whose entries and agents know each other, with hosts
+// of 2 slots.
+func newLoadedFleet(seed uint64, entries, agents int) *packettest.Fleet {
+	f := packettest.NewFleet(seed)
+	for i := range entries {
+		f.AddEntry(packettest.Address(1 + i))
+	}
+	for i := range agents {
+		h := f.AddAgent(packettest.Address(100+i), packettest.FirstService).Host
+		h.Slots, h.WorkTime, h.WorkSpread, h.ColdTime, h.ColdFactor = 2, 14*time.Millisecond, 10*time.Millisecond, 2*time.Second, 1.6
+	}
+	f.Run(2 * time.Second)
+	return f
+}
+
+// requests returns a class of repeatable requests that begin at a rate.
+func requests(perSecond func(time.Duration) float64) *packettest.Class {
+	return &packettest.Class{
+		PerSecond: perSecond, Target: 200 * time.Millisecond, Deadline: 2500 * time.Millisecond, LateCredit: 0.3,
+		Retries: 2, Repeatable: true, RequestBytes: 900,
+	}
+}
+
+// burst returns a rate that is higher within a time span.
+func burst(usual, high float64, from, to time.Duration) func(time.Duration) float64 {
+	return func(now time.Duration) float64 {
+		if now >= from && now < to {
+			return high
+		}
+		return usual
+	}
+}
+
+// requireInTime checks that nearly all requests that begin in each second of a time span are answered in time.
+func requireInTime(t *testing.T, l *packettest.Load, from, to time.Duration) {
+	t.Helper()
+	for at := from; at < to; at += time.Second {
+		share, n := l.Share(at, at+time.Second)
+		require.Positive(t, n)
+		require.GreaterOrEqual(t, share, 0.99, "second from %s", at)
+	}
+}
+
+// requireOwnTrafficBounded checks that processes send little on their own account, compared with what they send
+// for callers.
+func requireOwnTrafficBounded(t *testing.T, f *packettest.Fleet) {
+	t.Helper()
+	for _, e := range f.Entries {
+		traffic := f.Traffic[e.IP]
+		require.LessOrEqual(t, float64(traffic.Own), 0.1*float64(traffic.ForCallers), "%+v", traffic)
+	}
+}
+
+// Guards against an entry with a narrow link that stays overloaded after a burst: each packet that was lost caused
+// searches at all agents and repeated offers, which kept the link full.
+func TestNarrowLinkRecoversFromBurst(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newLoadedFleet(seed, 3, 35)
+		f.Links[f.Entries[2].IP] = &packettest.Link{BytesPerSecond: 5.5e5, MaxDelay: 100 * time.Millisecond}
+		clear(f.Traffic)
+		l := packettest.StartLoad(f, requests(burst(500, 1500, 5*time.Second, 8*time.Second)))
+		f.Run(22 * time.Second)
+		requireInTime(t, l, 2*time.Second, 5*time.Second)
+		requireInTime(t, l, 10*time.Second, 20*time.Second)
+		requireOwnTrafficBounded(t, f)
+		require.Empty(t, f.Violations)
+	}
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -21,12 +21,15 @@
 type BudgetConfig struct {
 	// Burst is the largest number of retries that the budget accumulates; 0 means DefaultBurst.
 	Burst int
+	// PerSecond is the number of retries that the budget earns per second in addition, without requests. Without it,
+	// retries are bounded by the share of the requests alone.
+	PerSecond float64
 }
 
 // Budget is a token bucket that is filled by requests and emptied by retries. It is safe
 // for concurrent use.
 //
-// It starts empty, so at any time the number of retries since its creation is at most the configured
+// Unless it earns retries without requests, it starts empty, so at any time the number of retries since its creation is at most the configured
 // share of the number of requests. golang.org/x/time/rate is not suitable: it adds tokens over time,
 // so an outage under low traffic would allow more retries than the share.
 type Budget struct {
@@ -34,6 +37,9 @@
 	mu sync.Mutex
 	// units is between 0 and limit.
 	units, limit int64
+	// unitsPerSecond is earned without requests, since lastRefill.
+	unitsPerSecond float64
+	lastRefill     time.Time
 	// lastRequest is the time of the latest request.
 	lastRequest time.Time
 }
@@ -43,7 +49,7 @@
 	if cfg.Burst <= 0 {
 		cfg.Burst = DefaultBurst
 	}
-	return &Budget{limit: int64(cfg.Burst) * unitsPerToken}
+	return &Budget{limit: int64(cfg.Burst) * unitsPerToken, unitsPerSecond: cfg.PerSecond * unitsPerToken}
 }
 
 // AddRequest adds share, from 0 to 1, of a retry to the budget. Call it once for
@@ -58,15 +64,17 @@
 }
 
 // Take takes one retry from the budget and reports whether there was one.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now time.Time) bool { return b.TakeUpTo(1, now) == 1 }
+
+// TakeUpTo takes up to n retries from the budget and returns how many there were.
+func (b *Budget) TakeUpTo(n int, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expire(now)
-	if b.units < unitsPerToken {
-		return false
-	}
-	b.units -= unitsPerToken
-	return true
+	b.refill(now)
+	n = min(n, int(b.units/unitsPerToken))
+	b.units -= int64(n) * unitsPerToken
+	return n
 }
 
 // expire empties the budget if there has been no request for idleExpiry.
@@ -75,3 +83,12 @@
 		b.units = 0
 	}
 }
+
+// refill adds what the budget earned without requests.
+func (b *Budget) refill(now time.Time) {
+	if b.unitsPerSecond == 0 {
+		return
+	}
+	earned := int64(min(now.Sub(b.lastRefill).Seconds()*b.unitsPerSecond, float64(b.limit)))
+	b.units, b.lastRefill = min(b.units+earned, b.limit), now
+}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -110,3 +110,13 @@
 		require.Equal(t, c.reason == retry.ReasonNotRun, d.Retry)
 	}
 }
+
+// Guards against a budget that withholds everything from a process without requests, and against one that
+// accumulates more than its limit.
+func TestBudgetEarnsRetriesOverTime(t *testing.T) {
+	budget := retry.NewBudget(retry.BudgetConfig{Burst: 8, PerSecond: 4})
+	require.Equal(t, 8, budget.TakeUpTo(20, now))
+	require.False(t, budget.Take(now.Add(200*time.Millisecond)))
+	require.Equal(t, 2, budget.TakeUpTo(20, now.Add(700*time.Millisecond)))
+	require.Equal(t, 8, budget.TakeUpTo(20, now.Add(time.Hour)))
+}
