packetentry: an entry that is cut off from the agents is not ready

Entries that are cut off go on taking flows for as long as the cut lasts, since readiness looks at the list of known agents alone.

An entry that hears no agent for 250 ms, while three or more leave offers unanswered, sends echoes to other entries. It is cut off if one of them hears agents or most don't answer, until it hears an agent.

Tried and dropped: silence of all processes as the evidence.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -39,12 +39,16 @@
 	// KindMarker is sent by an entry to itself. When it arrives, the entry has read all messages that arrived
 	// before.
 	KindMarker
+	// KindEcho asks another entry for a message of kind KindEchoed, which shows that the two reach each other. Its
+	// Step is EchoedHearsAgents if the other entry hears agents.
+	KindEcho
+	KindEchoed
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
 	names := [...]string{
-		"none", "offer", "deliver", "search", "taken", "passed", "refused", "missing", "agentReport", "entryReport", "located", "marker",
+		"none", "offer", "deliver", "search", "taken", "passed", "refused", "missing", "agentReport", "entryReport", "located", "marker", "echo", "echoed",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -62,6 +66,10 @@
 // of the flow each, which returns the packet if it has no record of the flow.
 const StepAll = DirectoryCount
 
+// EchoedHearsAgents is the Step of a message of kind KindEchoed whose sender received a message of an agent
+// recently.
+const EchoedHearsAgents = 1
+
 // Millis is a duration in milliseconds, as encoded in a message.
 type Millis uint16
 
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -19,7 +19,8 @@
 	roster *roster
 	flows  *flowtable.Table[record]
 	// repeats limits what the entry sends on its own account.
-	repeats *repeats
+	repeats   *repeats
+	isolation isolation
 	// reportCount is the number of reports that the entry has sent, searchTurn the number of agents that it has
 	// searched at in last steps.
 	reportCount, searchTurn atomic.Uint64
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -1,6 +1,7 @@
 package packetentry
 
 import (
+	"slices"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
@@ -22,11 +23,17 @@
 		if m.Origin == e.cfg.IP {
 			e.handleMarker()
 		}
+	case mesh.KindEcho:
+		e.answerEcho(m.Origin)
+	case mesh.KindEchoed:
+		e.isolation.echoAnswered(m.Origin, m.Step == mesh.EchoedHearsAgents)
 	case mesh.KindAgentReport:
+		e.isolation.agentHeard(e.cfg.Now())
 		e.handleAgentReport(&m)
 	case mesh.KindEntryReport:
 		e.handleEntryReport(&m)
 	case mesh.KindTaken, mesh.KindPassed, mesh.KindRefused, mesh.KindMissing:
+		e.isolation.agentHeard(e.cfg.Now())
 		if a := e.roster.agent(m.Origin); a != nil {
 			a.recordMessage(m.Load, e.cfg.Now())
 		}
@@ -211,6 +218,9 @@
 		r.unresponsiveAgents[r.offerCount-1] = r.agent
 	}
 	unansweredOffers.Inc()
+	if e.isolation.offerUnanswered(r.agent, r.offerUpdated, e.cfg.Now()) {
+		e.sendEchoes()
+	}
 	if a := e.roster.agent(r.agent); a != nil {
 		a.markUnresponsive()
 	}
@@ -220,6 +230,27 @@
 	}
 }
 
+// sendEchoes asks other entries for an answer, to learn whether this one is cut off.
+func (e *Entry) sendEchoes() {
+	entries, _ := e.roster.activePeers()
+	entries = slices.DeleteFunc(entries, func(ip uint32) bool { return ip == e.cfg.IP })
+	entries = entries[:min(len(entries), maxEchoes)]
+	m := mesh.Message{Kind: mesh.KindEcho, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP}
+	for _, ip := range entries {
+		e.send(ip, &m)
+	}
+	e.isolation.echoesSent(len(entries), e.cfg.Now())
+	e.cfg.Log.Warn("no agent answers", "asked", len(entries))
+}
+
+func (e *Entry) answerEcho(entry uint32) {
+	m := mesh.Message{Kind: mesh.KindEchoed, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP}
+	if e.isolation.hearsAgents(e.cfg.Now()) {
+		m.Step = mesh.EchoedHearsAgents
+	}
+	e.send(entry, &m)
+}
+
 // Ready reports whether the entry can place flows, and if it can't, the reason.
 func (e *Entry) Ready() (bool, string) {
 	switch {
@@ -229,6 +260,8 @@
 		return false, "no configuration"
 	case len(e.roster.allAgents()) == 0:
 		return false, "no agents"
+	case e.isolation.isCutOff(e.cfg.Now()):
+		return false, "cut off"
 	}
 	return true, ""
 }
--- a/packettest/load_test.go
+++ b/packettest/load_test.go
@@ -1,6 +1,7 @@
 package packettest_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,10 @@
 	}
 }
 
+func constant(perSecond float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return perSecond }
+}
+
 // burst returns a rate that is higher within a time span.
 func burst(usual, high float64, from, to time.Duration) func(time.Duration) float64 {
 	return func(now time.Duration) float64 {
@@ -77,3 +82,82 @@
 		require.Empty(t, f.Violations)
 	}
 }
+
+// cut cuts entries off from all other processes, but not from each other.
+func cut(f *packettest.Fleet, entries ...*packettest.Entry) {
+	isCut := func(ip uint32) bool {
+		return slices.ContainsFunc(entries, func(e *packettest.Entry) bool { return e.IP == ip })
+	}
+	f.Drop = func(from, to uint32) bool { return isCut(from) != isCut(to) }
+}
+
+func heal(f *packettest.Fleet) { f.Drop = func(uint32, uint32) bool { return false } }
+
+// Guards against an entry that is cut off and goes on taking flows: those that came through it got no answer for
+// as long as the cut lasted.
+func TestCutOffEntriesLeaveTheRotation(t *testing.T) {
+	for name, count := range map[string]int{"one": 1, "two of five": 2} {
+		t.Run(name, func(t *testing.T) {
+			f := newLoadedFleet(1, 5, 12)
+			entries := f.Entries[1 : 1+count]
+			l := packettest.StartLoad(f, requests(constant(300)))
+			f.Run(3 * time.Second)
+			cut(f, entries...)
+			f.Run(1500 * time.Millisecond)
+			for _, e := range entries {
+				require.False(t, l.InRotation(e))
+			}
+			f.Run(3500 * time.Millisecond)
+			heal(f)
+			f.Run(1600 * time.Millisecond)
+			for _, e := range entries {
+				require.True(t, l.InRotation(e))
+			}
+			f.Run(5 * time.Second)
+			requireInTime(t, l, 2*time.Second, 4*time.Second)
+			requireInTime(t, l, 7*time.Second, 12*time.Second)
+		})
+	}
+}
+
+// Guards against entries that all leave the rotation for a fault that they share, which moves the load around
+// and serves nobody better.
+func TestEntriesStayForSharedFaults(t *testing.T) {
+	for name, inject := range map[string]func(*packettest.Fleet){
+		"all agents are down": func(f *packettest.Fleet) {
+			for _, a := range f.Agents {
+				a.Up = false
+			}
+		},
+		"half of all datagrams are lost": func(f *packettest.Fleet) {
+			f.Drop = func(uint32, uint32) bool { return f.Random.IntN(2) == 0 }
+		},
+		"all links are slow": func(f *packettest.Fleet) {
+			for _, e := range f.Entries {
+				f.Links[e.IP] = &packettest.Link{BytesPerSecond: 5e4, MaxDelay: 300 * time.Millisecond}
+			}
+		},
+		"all entries are busy by turns": func(f *packettest.Fleet) {
+			for _, e := range f.Entries {
+				for n := range 6 {
+					f.After(time.Duration(n)*time.Second, func() { e.Pause(f, 400*time.Millisecond) })
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLoadedFleet(1, 4, 12)
+			l := packettest.StartLoad(f, requests(constant(300)))
+			f.Run(time.Second)
+			inject(f)
+			for range 50 {
+				f.Run(100 * time.Millisecond)
+				for _, e := range f.Entries {
+					ready, why := e.Ready()
+					require.True(t, ready, why)
+					require.True(t, l.InRotation(e))
+				}
+			}
+		})
+	}
+}
--- a/packettest/traffic.go
+++ b/packettest/traffic.go
@@ -23,7 +23,8 @@
 	switch {
 	case m.Kind == mesh.KindDeliver, m.Kind == mesh.KindOffer && !m.Terms.Resent, m.Kind == mesh.KindSearch && m.Step == 0:
 		t.ForCallers++
-	case m.Kind == mesh.KindOffer, m.Kind == mesh.KindSearch, m.Kind == mesh.KindAgentReport, m.Kind == mesh.KindEntryReport:
+	case m.Kind == mesh.KindOffer, m.Kind == mesh.KindSearch, m.Kind == mesh.KindAgentReport, m.Kind == mesh.KindEntryReport,
+		m.Kind == mesh.KindEcho, m.Kind == mesh.KindEchoed:
 		t.Own++
 	}
 }
