packetentry: flows wait for knowledge instead of being rejected without it

After a start of all processes, callers lose their attempts to refusals by processes that know nothing yet, and time to opening packets that are dropped for lack of an agent.

An agent can't know whether another one has the flow, either, once an entry has offered it twice.

A refusal is the entry's: the last agent of an offer tells it. It resets the flow only if it has run for a second, all hosts of the service have reported, and the flow was offered once, from the first copy of its opening packet. Otherwise, and without a configuration or an agent, the flow is parked and placed when agents take flows, as many at a time as there are slots. Held flows that were offered more than once end silently at the hold limit, when the caller's attempt ends anyway.

TestStartingProcessesRejectNothing failed before ("should be zero, but was 7" resets in the first second).

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -27,7 +27,7 @@
 	KindTaken
 	// KindPassed notifies an entry that the sender passed an offer on to another candidate.
 	KindPassed
-	// KindRefused notifies an entry that the sender refused and reset a flow.
+	// KindRefused notifies an entry that the sender, and each candidate before it, takes no flow of the offer.
 	KindRefused
 	// KindMissing returns a packet to an entry, as the sender doesn't have the packet's flow.
 	KindMissing
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -120,7 +120,8 @@
 	}
 }
 
-// refuseExpired refuses the held flows that exceeded the hold limit.
+// refuseExpired refuses the held flows that exceeded the hold limit. A flow that was offered more than once isn't
+// reset, as another agent may have it; its caller's attempt ends at this moment anyway.
 func (a *Agent) refuseExpired() {
 	for {
 		key, ok := a.load.DequeueExpired(a.cfg.Now())
@@ -136,7 +137,10 @@
 			badPackets.Inc()
 			continue
 		}
-		a.refuse(offer.message.Origin, s)
+		if !offer.message.Terms.Resent {
+			a.resetFlow(s.Key, s.Seq)
+		}
+		a.notify(mesh.KindRefused, offer.message.Origin, s.Key)
 		if a.cfg.Log.AllowRare() {
 			a.cfg.Log.Warn("held flow refused", "flow", key.String(), "why", "held too long", "busy", a.load.Load().Busy)
 		}
@@ -166,7 +170,8 @@
 		// This host was the best candidate when the others were visited, but can no longer take the flow.
 		a.passOffer(m, s.Key)
 	default:
-		a.refuse(m.Origin, s)
+		// The entry knows whether another agent may have the flow, and resets it if not.
+		a.notify(mesh.KindRefused, m.Origin, s.Key)
 	}
 }
 
@@ -178,12 +183,6 @@
 	a.send(m.Origin, &notice)
 }
 
-// refuse resets a flow that no host can serve, and notifies the entry.
-func (a *Agent) refuse(entry uint32, s flow.Segment) {
-	a.resetFlow(s.Key, s.Seq)
-	a.notify(mesh.KindRefused, entry, s.Key)
-}
-
 // decline passes on the offer of a flow that the host did not accept.
 func (a *Agent) decline(key flow.Key, offer *pendingOffer, why string) {
 	m := offer.message
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -27,8 +27,13 @@
 	// stopping reports whether the entry is stopping; it still forwards packets.
 	stopping atomic.Bool
 
+	// started is when the process started, in the time of Config.Now.
+	started time.Duration
+
 	// timersMu guards the fields below.
 	timersMu sync.Mutex
+	// parked holds the parked flows; some may have been placed since.
+	parked []flow.Key
 	// offerTimers and searchTimers are roughly in order of due.
 	offerTimers, searchTimers []timer
 	// meanAnswerDelay is the moving average of the time from an offer to an agent's first answer.
@@ -58,6 +63,12 @@
 	unresponsiveAgents [maxOffers]uint32
 	// offerCount is the number of offers made.
 	offerCount int
+	// firstCopy reports whether the opening packet is the first that the caller sent, so that no other entry has
+	// placed the flow before.
+	firstCopy bool
+	// parked reports whether the flow waits to be placed, not before retryAt.
+	parked  bool
+	retryAt time.Duration
 	// offerLapsed reports whether the last offer was not answered and not repeated.
 	offerLapsed bool
 	// lastSearch is when the current search step began, searchCount the number of steps before it, and
@@ -70,7 +81,7 @@
 // New returns an entry that has no record of other processes.
 func New(cfg Config) *Entry {
 	cfg = cfg.withDefaults()
-	return &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now)}
+	return &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), started: cfg.Now()}
 }
 
 // FromCaller handles a packet of a caller.
@@ -115,14 +126,20 @@
 func (e *Entry) placeFlow(shard *flowtable.Shard[record], s flow.Segment, packet []byte) {
 	table := e.cfg.Routes.Current()
 	route, ok := table.Find(s.Key.Service)
-	if !ok {
+	if !ok && table != nil {
 		shard.Unlock()
 		e.rejectNoRoute(s, table)
 		return
 	}
 	now := e.cfg.Now()
-	r := &record{lastPacket: now, offerUpdated: now, callerStarted: now - s.Waited(), openingPacket: append([]byte(nil), packet...)}
+	r := &record{
+		lastPacket: now, offerUpdated: now, callerStarted: now - s.Waited(), firstCopy: s.Ack == 0, openingPacket: append([]byte(nil), packet...),
+	}
 	shard.Put(s.Key, r)
+	if table == nil {
+		e.park(shard, s.Key, r, 0)
+		return
+	}
 	if s.Ack > 0 {
 		// This is a retransmission: another entry may have placed the flow.
 		shard.Unlock()
@@ -174,9 +191,7 @@
 	m.Directories = e.roster.directories(m.Service, key)
 	m.Count = placement.Order(key, candidates, &m.Candidates)
 	if m.Count == 0 {
-		shard.Delete(key)
-		shard.Unlock()
-		noAgents.Inc()
+		e.park(shard, key, r, 0)
 		e.logNoAgent(key, service)
 		return
 	}
@@ -203,7 +218,7 @@
 
 func (e *Entry) logNoAgent(key flow.Key, service string) {
 	if e.cfg.Log.AllowRare() {
-		e.cfg.Log.Warn("open", "flow", key.String(), "outcome", "dropped", "why", "no agent",
+		e.cfg.Log.Warn("open", "flow", key.String(), "outcome", "parked", "why", "no agent",
 			"service", service, "config", e.cfg.Routes.Version())
 	}
 }
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -8,6 +8,8 @@
 	badPackets       = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="packet"}`)
 	noAgents         = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="noAgent"}`)
 	noRoutes         = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noRoute"}`)
+	refusedFlows     = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noHost"}`)
+	parkedFlows      = metrics.NewCounter(`endiveflow_packetentry_parked_total`)
 	offersSent       = metrics.NewCounter(`endiveflow_packetentry_offers_total`)
 	unansweredOffers = metrics.NewCounter(`endiveflow_packetentry_silent_total`)
 	gaveUp           = metrics.NewCounter(`endiveflow_packetentry_gave_up_total`)
--- /dev/null
+++ b/packetentry/parked.go
@@ -0,0 +1,160 @@
+package packetentry
+
+import (
+	"time"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/flowtable"
+	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/placement"
+	"endiveflow.example/endiveflow/platform"
+)
+
+const (
+	// settleTime is the time after its start in which an entry rejects no flow: it may not have heard of all agents
+	// yet, and their hosts may not have reported.
+	settleTime = time.Second
+	// parkInterval is the time between attempts to place parked flows, refusedPause the minimum time until a flow
+	// that was refused is offered again.
+	parkInterval = 10 * time.Millisecond
+	refusedPause = 100 * time.Millisecond
+	// maxParked bounds the number of parked flows. Further ones are dropped; their callers send another copy.
+	maxParked = 4096
+)
+
+// Parked flows are those that can't be placed yet for lack of knowledge: the entry has no configuration, no agent of
+// the service that takes flows, or a refusal that it can't rely on. They wait until an agent takes flows, or
+// until their callers' attempts end. This answers a start of all processes at once: a caller that is rejected
+// there uses up its attempts within milliseconds, and one that is ignored waits for its next copy.
+
+// park parks a flow and unlocks the shard.
+func (e *Entry) park(shard *flowtable.Shard[record], key flow.Key, r *record, pause time.Duration) {
+	r.parked, r.retryAt = true, e.cfg.Now()+pause
+	e.timersMu.Lock()
+	full := len(e.parked) >= maxParked
+	if !full {
+		e.parked = append(e.parked, key)
+	}
+	e.timersMu.Unlock()
+	if full {
+		shard.Delete(key)
+	}
+	shard.Unlock()
+	if full {
+		noAgents.Inc()
+		return
+	}
+	parkedFlows.Inc()
+	e.cfg.ScheduleTick(parkInterval)
+}
+
+// placeParked offers parked flows. In each round, a service gets as many as its hosts have slots: agents that
+// begin to take flows one after the other share the flows that have waited for them.
+func (e *Entry) placeParked(now time.Duration) {
+	e.timersMu.Lock()
+	keys := e.parked
+	e.parked = nil
+	e.timersMu.Unlock()
+	if len(keys) == 0 {
+		return
+	}
+	table := e.cfg.Routes.Current()
+	slots := make(map[uint32]int)
+	var waiting []flow.Key
+	for _, key := range keys {
+		shard := e.flows.Lock(key)
+		r := shard.Get(key)
+		if r == nil || !r.parked {
+			shard.Unlock()
+			continue
+		}
+		if now-r.callerStarted > placement.DefaultHoldLimit {
+			shard.Delete(key)
+			shard.Unlock()
+			noAgents.Inc()
+			continue
+		}
+		route, known := table.Find(key.Service)
+		if !known && table != nil {
+			shard.Delete(key)
+			shard.Unlock()
+			e.resetUnopened(key, r)
+			continue
+		}
+		tag := mesh.ServiceTag(route.Service(key))
+		if _, counted := slots[tag]; known && !counted {
+			slots[tag] = e.roster.openSlots(tag)
+		}
+		if !known || now < r.retryAt || slots[tag] <= 0 {
+			shard.Unlock()
+			waiting = append(waiting, key)
+			continue
+		}
+		slots[tag]--
+		r.parked = false
+		e.sendOffer(shard, key, r, route)
+	}
+	e.timersMu.Lock()
+	e.parked = append(e.parked, waiting...)
+	e.timersMu.Unlock()
+}
+
+// resetUnopened resets a flow that was not offered to any host.
+func (e *Entry) resetUnopened(key flow.Key, r *record) {
+	if s, err := platform.DecodePacket(r.openingPacket, platform.FromCaller); err == nil {
+		e.resetFlow(key, s.Seq)
+	}
+}
+
+// handleRefusal handles the answer of an agent that no candidate of an offer takes the flow; it unlocks the shard.
+func (e *Entry) handleRefusal(shard *flowtable.Shard[record], key flow.Key, r *record) {
+	switch {
+	case !e.isSettled(key):
+		e.park(shard, key, r, refusedPause)
+	case r.offerCount == 1 && r.firstCopy:
+		shard.Delete(key)
+		shard.Unlock()
+		refusedFlows.Inc()
+		e.resetUnopened(key, r)
+		if e.cfg.Log.AllowRare() {
+			e.cfg.Log.Info("open", "flow", key.String(), "outcome", "refused", "why", "no host can serve it in time", "config", e.cfg.Routes.Version())
+		}
+	default:
+		// An agent that did not answer an earlier offer, or one that another entry asked, may have the flow.
+		shard.Delete(key)
+		shard.Unlock()
+	}
+}
+
+// isSettled reports whether the entry knows enough of the agents of a flow's service to rely on a refusal.
+func (e *Entry) isSettled(key flow.Key) bool {
+	route, known := e.cfg.Routes.Current().Find(key.Service)
+	return known && e.cfg.Now()-e.started >= settleTime && !e.roster.hasUnknownHost(mesh.ServiceTag(route.Service(key)))
+}
+
+// openSlots returns the number of slots of the hosts of a service that take flows, as far as is known.
+func (r *roster) openSlots(tag uint32) int {
+	now, slots := r.cfg.Now(), 0
+	for _, a := range r.serviceAgents(tag) {
+		report := a.report.Load()
+		if report.Leaving || report.HostState == host.Draining || report.HostState == host.Gone || a.timedOut(now) {
+			continue
+		}
+		if c, unresponsive := a.candidate(r.cfg.Zone, now); c.Load.Open && !unresponsive {
+			slots += int(c.Load.Slots)
+		}
+	}
+	return slots
+}
+
+// hasUnknownHost reports whether a host of a service has not reported to its agent yet.
+func (r *roster) hasUnknownHost(tag uint32) bool {
+	now := r.cfg.Now()
+	for _, a := range r.serviceAgents(tag) {
+		if report := a.report.Load(); report.HostState == host.Unknown && !report.Leaving && !a.timedOut(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -99,7 +99,8 @@
 		}
 	case r == nil || r.taken:
 	case m.Kind == mesh.KindRefused:
-		shard.Delete(m.Flow)
+		e.handleRefusal(shard, m.Flow, r)
+		return
 	case m.Terms.Current < m.Count:
 		r.agent, r.offerUpdated = m.Candidates[m.Terms.Current], now
 	}
@@ -115,9 +116,13 @@
 // returns the time until it must be called again, or 0 if there are no timers.
 func (e *Entry) Tick() time.Duration {
 	now := e.cfg.Now()
+	e.placeParked(now)
 	e.timersMu.Lock()
 	defer e.timersMu.Unlock()
 	next := time.Duration(0)
+	if len(e.parked) > 0 {
+		next = parkInterval
+	}
 	for _, timers := range [][]timer{e.offerTimers, e.searchTimers} {
 		if len(timers) == 0 {
 			continue
@@ -131,7 +136,7 @@
 			e.send(e.cfg.IP, &m)
 		}
 	}
-	if next > 0 && e.markerSent != 0 {
+	if next > 0 && e.markerSent != 0 && len(e.parked) == 0 {
 		next = max(next, markerPollInterval)
 	}
 	return next
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -64,7 +64,7 @@
 	a.Host.sequence++
 	err := a.Heartbeat(host.Report{
 		ID: fmt.Sprintf("h-%d", a.IP), StartedAt: a.Host.StartedAt, Sequence: a.Host.sequence, Service: a.Host.Service,
-		Address: flow.Endpoint{IP: a.IP, Port: 8165}, Slots: a.Host.Slots, State: a.Host.State,
+		Address: flow.Endpoint{IP: a.IP, Port: 8165}, Slots: a.Host.Slots, State: a.Host.State, Warmup: max(a.Host.coldUntil-f.now, 0),
 	})
 	if err == nil && a.Host.State == host.Draining && a.Host.DrainAckedAt == 0 {
 		a.Host.DrainAckedAt = f.now
--- a/packettest/load_test.go
+++ b/packettest/load_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/packettest"
 )
 
@@ -161,3 +162,28 @@
 		})
 	}
 }
+
+// Guards against processes that reject flows right after their start, when they don't know yet which hosts take
+// flows: the callers used up their attempts within milliseconds.
+func TestStartingProcessesRejectNothing(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newLoadedFleet(seed, 4, 8)
+		l := packettest.StartLoad(f, requests(constant(150)))
+		f.Run(2 * time.Second)
+		back := f.Now() + time.Second
+		deliver, rejected := f.ToCaller, 0
+		f.ToCaller = func(s flow.Segment, from uint32) {
+			if s.IsRST && f.Now() < back+time.Second {
+				rejected++
+			}
+			deliver(s, from)
+		}
+		f.PowerOff(time.Second)
+		f.Run(8 * time.Second)
+		require.Zero(t, rejected)
+		share, n := l.Share(back+300*time.Millisecond, back+time.Second)
+		require.Positive(t, n)
+		require.GreaterOrEqual(t, share, 0.9, "requests that begin once all hosts are back are served in time")
+		requireInTime(t, l, back+time.Second, back+5*time.Second)
+	}
+}
