placement: of the flows that can be in time, the newest is served first

Under overload the oldest flow that can still be in time is served with just the margin left that the criterion demands, two mean service times. That is too little for long requests if it is small, and gives up flows that could be in time if it is large. Served newest first, a flow has nearly its whole target left, and the criterion hardly matters.

Newest first among those that can be in time by one mean service time; the others stay oldest first.

--- a/packettest/load_test.go
+++ b/packettest/load_test.go
@@ -187,3 +187,21 @@
 		requireInTime(t, l, back+time.Second, back+5*time.Second)
 	}
 }
+
+// Guards against an overload in which nearly every caller gets a late answer, because service times are close to
+// the target: flows that waited as long as possible were served too late, and no flow counted as one that can be in
+// time.
+func TestOverloadWithServiceTimesCloseToTheTarget(t *testing.T) {
+	f := newLoadedFleet(1, 3, 8)
+	for _, a := range f.Agents {
+		a.Host.WorkTime, a.Host.WorkSpread = 25*time.Millisecond, 10*time.Millisecond
+	}
+	class := requests(burst(200, 600, 4*time.Second, 8*time.Second))
+	class.Target, class.Deadline, class.LateCredit, class.Retries = 80*time.Millisecond, 800*time.Millisecond, 0, 0
+	l := packettest.StartLoad(f, class)
+	f.Run(12 * time.Second)
+	// The hosts can serve three quarters of the load, which leaves little time for a wait.
+	const servable = 0.75
+	share, _ := l.Share(4*time.Second, 8*time.Second)
+	require.GreaterOrEqual(t, share, servable/3)
+}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -20,8 +20,8 @@
 //
 // Under a load above capacity, serving the longest-waiting flow first would serve every flow too late for its
 // target. So flows that can still meet their target are served first, and the others when there is room left.
-// Within both groups flows are served by priority and then by age, as the callers of the oldest flows give up
-// first.
+// Among the first, the newest of the same priority is served first: it has the most time left for a service time
+// above the mean. Among the others, it is the oldest, whose caller gives up first.
 type queue []heldFlow
 
 // dequeue removes the flow to serve next; the queue must not be empty. serviceTime is the expected time to an
@@ -36,19 +36,21 @@
 	return q.removeAt(best)
 }
 
-// precedes reports whether w is served before a flow that was queued earlier.
+// precedes reports whether f is served before a flow that was queued earlier.
 func (f heldFlow) precedes(older heldFlow, now, serviceTime time.Duration) bool {
-	if a, b := f.meetsTarget(now, serviceTime), older.meetsTarget(now, serviceTime); a != b {
-		return a
+	meets, olderMeets := f.meetsTarget(now, serviceTime), older.meetsTarget(now, serviceTime)
+	switch {
+	case meets != olderMeets:
+		return meets
+	case f.priority != older.priority:
+		return f.priority < older.priority
 	}
-	return f.priority < older.priority
+	return meets && f.since > older.since
 }
 
-// meetsTarget reports whether the flow can be expected to meet its target. Service times vary, so twice the
-// mean must fit.
+// meetsTarget reports whether the flow can be expected to meet its target.
 func (f heldFlow) meetsTarget(now, serviceTime time.Duration) bool {
-	const margin = 2
-	return now-f.since+margin*serviceTime <= f.target
+	return now-f.since+serviceTime <= f.target
 }
 
 // countMeetingTarget returns the number of flows that can be expected to meet their target.
