packetentry: a refusal settles its offer

A flow that was refused several times while the entry knew no hosts yet counted as offered as often, was given up after three offers, and the next unanswered one would have been recorded beyond the array of unresponsive agents. A refusal now settles its offer; a second notice of it is ignored. An offer of a flow that this entry first saw by a copy of its opening packet is marked as repeated, as another entry may have placed it, so that agents don't reset it at the hold limit. TestRefusalsRightAfterTheStart covers the first.

--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -61,7 +61,7 @@
 	callerStarted time.Duration
 	// unresponsiveAgents are the agents that did not answer an offer of the flow.
 	unresponsiveAgents [maxOffers]uint32
-	// offerCount is the number of offers made.
+	// offerCount is the number of offers made that were not refused.
 	offerCount int
 	// firstCopy reports whether the opening packet is the first that the caller sent, so that no other entry has
 	// placed the flow before.
@@ -180,7 +180,8 @@
 	m := mesh.Message{
 		Kind: mesh.KindOffer, Service: mesh.ServiceTag(service), ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP,
 		Terms: mesh.Terms{
-			Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), TargetLatency: mesh.MillisOf(route.TargetLatency), Resent: r.offerCount > 0,
+			Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), TargetLatency: mesh.MillisOf(route.TargetLatency),
+			Resent: r.offerCount > 0 || !r.firstCopy,
 		},
 	}
 	scratch := candidatePool.Get().(*[]placement.Candidate)
--- a/packetentry/entry_test.go
+++ b/packetentry/entry_test.go
@@ -118,6 +118,25 @@
 	})
 }
 
+// Guards against an entry that stops or gives up a flow after several refusals, while it doesn't know the hosts yet.
+func TestRefusalsRightAfterTheStart(t *testing.T) {
+	f, callers := newFleet(1, 2)
+	for _, a := range f.Agents {
+		a.Host.Up = false
+		f.StartAgent(a)
+	}
+	f.StartEntry(f.Entries[0])
+	f.Run(10 * time.Millisecond)
+	c := callers.Start(f, packettest.Key(1), through(f.Entries[0]))
+	f.Run(500 * time.Millisecond)
+	require.False(t, c.Reset)
+	f.Agents[0].Up = false
+	f.Agents[1].Host.Up = true
+	f.SendHeartbeat(f.Agents[1])
+	f.Run(300 * time.Millisecond)
+	requireAnswered(t, f, c, 1)
+}
+
 // Guards against an entry that mistakes its own delay for that of agents: it offered each flow again, and two
 // hosts opened it.
 func TestSlowEntryDoesNotMarkAgentsUnresponsive(t *testing.T) {
--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -111,6 +111,7 @@
 func (e *Entry) handleRefusal(shard *flowtable.Shard[record], key flow.Key, r *record) {
 	switch {
 	case !e.isSettled(key):
+		r.offerCount--
 		e.park(shard, key, r, refusedPause)
 	case r.offerCount == 1 && r.firstCopy:
 		shard.Delete(key)
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -97,7 +97,7 @@
 			// The agent no longer has the flow.
 			shard.Delete(m.Flow)
 		}
-	case r == nil || r.taken:
+	case r == nil || r.taken || r.parked || r.offerCount == 0:
 	case m.Kind == mesh.KindRefused:
 		e.handleRefusal(shard, m.Flow, r)
 		return
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -54,27 +54,29 @@
 		step = mesh.StepAll
 	}
 	if step == mesh.StepAll {
-		agents := e.roster.allAgents()
-		if known {
-			agents = agents[:0]
-			for _, share := range route.Shares {
-				agents = append(agents, e.roster.serviceAgents(mesh.ServiceTag(share.Service))...)
-			}
-		}
-		if e.searchAll(s, m, agents) || !known {
+		if e.searchAll(s, m, e.searchedAgents(route, known)) || m.Directories[0] == 0 {
 			return
 		}
 		step = 0
 	}
-	if m.Directories[step] == 0 {
-		return
-	}
 	m.Step = step
 	e.logSearch(s, step, 1, m.ConfigVersion)
 	e.send(m.Directories[step], &m)
 	e.repeats.packetForwarded()
 }
 
+// searchedAgents returns the agents that may have the flows of a route, or all agents if the route isn't known.
+func (e *Entry) searchedAgents(route routing.Route, known bool) []*agent {
+	if !known {
+		return e.roster.allAgents()
+	}
+	var agents []*agent
+	for _, share := range route.Shares {
+		agents = append(agents, e.roster.serviceAgents(mesh.ServiceTag(share.Service))...)
+	}
+	return agents
+}
+
 // searchAll sends a search to as many agents as the entry may send datagrams on its own account, and reports
 // whether there were any. Which ones these are changes with each search, so that copies of a packet reach all in
 // turn.
--- a/packettest/traffic.go
+++ b/packettest/traffic.go
@@ -1,11 +1,14 @@
 package packettest
 
-import "endiveflow.example/endiveflow/mesh"
+import (
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/platform"
+)
 
 // Traffic counts the datagrams that a process sent to other processes.
 type Traffic struct {
-	// ForCallers counts packets of callers on their way to an agent for the first time, Own all repeats,
-	// further steps of searches, and reports.
+	// ForCallers counts packets and copies that callers sent, on their way to an agent, Own the repeats of the
+	// process itself, further steps of searches, and reports.
 	ForCallers, Own int
 }
 
@@ -20,8 +23,13 @@
 		t = new(Traffic)
 		f.Traffic[from] = t
 	}
+	callersCopy := false
+	if m.Kind == mesh.KindOffer {
+		s, err := platform.DecodePacket(m.Body, platform.FromCaller)
+		callersCopy = err == nil && s.Ack > 0
+	}
 	switch {
-	case m.Kind == mesh.KindDeliver, m.Kind == mesh.KindOffer && !m.Terms.Resent, m.Kind == mesh.KindSearch && m.Step == 0:
+	case m.Kind == mesh.KindDeliver, m.Kind == mesh.KindOffer && (!m.Terms.Resent || callersCopy), m.Kind == mesh.KindSearch && m.Step == 0:
 		t.ForCallers++
 	case m.Kind == mesh.KindOffer, m.Kind == mesh.KindSearch, m.Kind == mesh.KindAgentReport, m.Kind == mesh.KindEntryReport,
 		m.Kind == mesh.KindEcho, m.Kind == mesh.KindEchoed:
