--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -224,6 +224,9 @@
 	}
 }
 
+// awaitsAnswer reports whether the flow was offered and no agent has taken or refused it. r may be nil.
+func (r *record) awaitsAnswer() bool { return r != nil && !r.taken && !r.parked && r.offerCount > 0 }
+
 func (r *record) wasUnresponsive(ip uint32) bool {
 	for _, agent := range r.unresponsiveAgents[:min(r.offerCount, maxOffers)] {
 		if agent == ip {
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -82,7 +82,7 @@
 	shard := e.flows.Lock(m.Flow)
 	r := shard.Get(m.Flow)
 	now := e.cfg.Now()
-	if r != nil && !r.taken && r.offerCount > 0 {
+	if r.awaitsAnswer() {
 		e.recordAnswerDelay(now - r.offerUpdated)
 	}
 	switch {
@@ -97,7 +97,7 @@
 			// The agent no longer has the flow.
 			shard.Delete(m.Flow)
 		}
-	case r == nil || r.taken || r.parked || r.offerCount == 0:
+	case !r.awaitsAnswer():
 	case m.Kind == mesh.KindRefused:
 		e.handleRefusal(shard, m.Flow, r)
 		return
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -267,21 +267,16 @@
 // toMember delivers a datagram to the process at an address.
 func (f *Fleet) toMember(from, to uint32, datagram []byte) {
 	f.countTraffic(from, datagram)
-	delay, sent := time.Duration(0), true
-	if from != to {
-		delay, sent = f.sendDelay(from, len(datagram))
-		if !sent || f.Drop(from, to) {
-			return
-		}
-	}
 	d := append([]byte(nil), datagram...)
-	f.After(delay+memberDelay, func() {
-		if from == to {
-			f.deliver(to, d)
-			return
-		}
-		f.arrive(to, len(d), func() { f.deliver(to, d) })
-	})
+	if from == to {
+		f.After(memberDelay, func() { f.deliver(to, d) })
+		return
+	}
+	if delay, sent := f.sendDelay(from, len(d)); sent && !f.Drop(from, to) {
+		f.After(delay+memberDelay, func() {
+			f.arrive(to, len(d), func() { f.deliver(to, d) })
+		})
+	}
 }
 
 // deliver passes a datagram to the process at an address.
