packetentry: one check of agents that take no new flows

The number of open slots repeated the check of the candidates; both now call agent.isClosing, and what reads the roster stands in roster.go. packettest: the two kinds of callers share the check of a reset's number; InRotation uses slices.Contains. No change of behaviour.

--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -5,7 +5,6 @@
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/flowtable"
-	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/placement"
 	"endiveflow.example/endiveflow/platform"
@@ -133,29 +132,3 @@
 	route, known := e.cfg.Routes.Current().Find(key.Service)
 	return known && e.cfg.Now()-e.started >= settleTime && !e.roster.hasUnknownHost(mesh.ServiceTag(route.Service(key)))
 }
-
-// openSlots returns the number of slots of the hosts of a service that take flows, as far as is known.
-func (r *roster) openSlots(tag uint32) int {
-	now, slots := r.cfg.Now(), 0
-	for _, a := range r.serviceAgents(tag) {
-		report := a.report.Load()
-		if report.Leaving || report.HostState == host.Draining || report.HostState == host.Gone || a.timedOut(now) {
-			continue
-		}
-		if c, unresponsive := a.candidate(r.cfg.Zone, now); c.Load.Open && !unresponsive {
-			slots += int(c.Load.Slots)
-		}
-	}
-	return slots
-}
-
-// hasUnknownHost reports whether a host of a service has not reported to its agent yet.
-func (r *roster) hasUnknownHost(tag uint32) bool {
-	now := r.cfg.Now()
-	for _, a := range r.serviceAgents(tag) {
-		if report := a.report.Load(); report.HostState == host.Unknown && !report.Leaving && !a.timedOut(now) {
-			return true
-		}
-	}
-	return false
-}
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -45,6 +45,12 @@
 	return now-time.Duration(a.lastHeard.Load()) > mesh.SilenceTimeout(a.report.Load().IntervalMs)
 }
 
+// isClosing reports whether the agent or its host is leaving, so that it takes no new flows.
+func (a *agent) isClosing() bool {
+	r := a.report.Load()
+	return r.Leaving || r.HostState == host.Draining || r.HostState == host.Gone
+}
+
 func (a *agent) countOffer() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -233,8 +239,7 @@
 	agents := r.serviceAgents(tag)
 	for _, fallback := range []bool{false, true} {
 		for _, a := range agents {
-			report := a.report.Load()
-			if report.Leaving || report.HostState == host.Draining || report.HostState == host.Gone {
+			if a.isClosing() {
 				continue
 			}
 			c, unresponsive := a.candidate(r.cfg.Zone, now)
@@ -250,6 +255,31 @@
 	return dst
 }
 
+// openSlots returns the number of slots of the hosts of a service that take flows, as far as is known.
+func (r *roster) openSlots(tag uint32) int {
+	now, slots := r.cfg.Now(), 0
+	for _, a := range r.serviceAgents(tag) {
+		if a.isClosing() || a.timedOut(now) {
+			continue
+		}
+		if c, unresponsive := a.candidate(r.cfg.Zone, now); c.Load.Open && !unresponsive {
+			slots += int(c.Load.Slots)
+		}
+	}
+	return slots
+}
+
+// hasUnknownHost reports whether a host of a service has not reported to its agent yet.
+func (r *roster) hasUnknownHost(tag uint32) bool {
+	now := r.cfg.Now()
+	for _, a := range r.serviceAgents(tag) {
+		if report := a.report.Load(); report.HostState == host.Unknown && !report.Leaving && !a.timedOut(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // directories returns the directory agents of a flow of a service, which record its location: the agents with
 // the highest rendezvous hashes. Entries with records of the same agents return the same directory agents.
 func (r *roster) directories(tag uint32, key flow.Key) [mesh.DirectoryCount]uint32 {
--- a/packettest/caller.go
+++ b/packettest/caller.go
@@ -29,6 +29,11 @@
 // acknowledged.
 const resetWindow = 76_800
 
+// isValidReset reports whether a reset of an open flow carries about the number that the caller last acknowledged.
+func isValidReset(s flow.Segment, acknowledged uint32) bool {
+	return s.Seq-acknowledged+resetWindow <= 2*resetWindow
+}
+
 // Callers are the callers of a fleet by flow.
 type Callers map[flow.Key]*Caller
 
@@ -83,8 +88,7 @@
 func (c *Caller) receive(s flow.Segment) {
 	switch {
 	case s.IsRST:
-		// On an open flow, a reset must carry about the number that the caller last acknowledged.
-		c.Reset = c.Reset || !c.Open || s.Seq-c.InitialSeq+resetWindow <= 2*resetWindow
+		c.Reset = c.Reset || !c.Open || isValidReset(s, c.InitialSeq)
 	case s.IsSYN && !c.Open && !c.Reset:
 		c.Open, c.InitialSeq = true, s.Seq
 		c.Request()
--- a/packettest/load.go
+++ b/packettest/load.go
@@ -1,6 +1,7 @@
 package packettest
 
 import (
+	"slices"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
@@ -122,14 +123,7 @@
 }
 
 // InRotation reports whether the fabric sends packets to an entry.
-func (l *Load) InRotation(e *Entry) bool {
-	for _, r := range l.rotation {
-		if r == e {
-			return true
-		}
-	}
-	return false
-}
+func (l *Load) InRotation(e *Entry) bool { return slices.Contains(l.rotation, e) }
 
 func (l *Load) send(a *attempt, packet []byte) {
 	l.fleet.FromCaller(l.rotation[a.key.Hash()%uint64(len(l.rotation))], packet)
@@ -189,7 +183,7 @@
 
 func (l *Load) receive(a *attempt, s flow.Segment) {
 	switch {
-	case s.IsRST && a.open && s.Seq-a.initialSeq+resetWindow > 2*resetWindow:
+	case s.IsRST && a.open && !isValidReset(s, a.initialSeq):
 		// A reset with another number is void on an open flow.
 	case s.IsRST:
 		l.endAttempt(a, !a.open || a.request.class.Repeatable)
