packetentry: the timers of earlier offers leave a parked flow alone

Cause: a flow that is refused within a second of the entry's start waits (parked) and is offered again later. The timers of its earlier offers went on and offered it as well. The timer of a search did the same with a flow that was offered when the search had ended.

Ruled out: a flow that lapsed and is offered again by a copy of its opening packet; that path is bounded by retryOffer.

Change: the timers skip parked flows and those that were offered after their search. Before, the tests failed with 3 offers instead of 1 (TestParkedFlowIsNotOfferedByEarlierTimers) and 2 instead of 1 (TestSearchedFlowIsOfferedOnce).

--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -186,7 +186,8 @@
 func (e *Entry) retryOffer(key flow.Key, now time.Duration, searchDone bool) {
 	shard := e.flows.Lock(key)
 	r := shard.Get(key)
-	if r == nil || r.taken || r.openingPacket == nil {
+	if r == nil || r.taken || r.parked || r.openingPacket == nil || searchDone && r.offerCount > 0 {
+		// The timer is one of an earlier offer or search. Parked flows are offered by placeParked only.
 		shard.Unlock()
 		return
 	}
