announce: reports are spread over time instead of sent in one burst

Cause: a process sent its report to all others at once, 295 of them on the large deployment. An entry with 20 Mbit/s and 0.06 of a core needed about 30 ms for that, and the offers that it made meanwhile left after their answers were due. Processes that start together did so in the same moments. Each new configuration set off the same burst from every process.

Change: package announce schedules reports. Regular ones go to each recipient in turn, evenly, 5 a second to entries and to agents; the interval grows with the fleet. Announcements (a start, a changed host, a newly known process) use at most 4% of the VM's link. A new configuration is told to 8 entries and 8 agents, which tell others. As reports become rare in a large fleet, an agent that leaves an offer unanswered is avoided for 2 s, doubling up to 32 s, instead of until its next message.

--- a/mesh/report.go
+++ b/mesh/report.go
@@ -44,10 +44,40 @@
 	// recently.
 	Entries []uint32 `cbor:"4,keyasint,omitempty"`
 	Agents  []uint32 `cbor:"5,keyasint,omitempty"`
-	// IntervalMs is the time until the next regular report, in milliseconds.
-	IntervalMs uint32 `cbor:"6,keyasint,omitempty"`
-	// StoreEra is the newest era of the store that the entry knows, 0 if none.
-	StoreEra uint64 `cbor:"7,keyasint,omitempty"`
+	// IntervalMs is the time until the next regular report to the same entry, AgentIntervalMs until the next one to
+	// the same agent, both in milliseconds.
+	IntervalMs      uint32 `cbor:"6,keyasint,omitempty"`
+	AgentIntervalMs uint32 `cbor:"8,keyasint,omitempty"`
+	// AgentCount is the number of agents that the entry has reports of.
+	AgentCount uint32 `cbor:"9,keyasint,omitempty"`
+	// Store is what the entry knows of the store.
+	Store StoreStatus `cbor:"7,keyasint"`
+}
+
+// StoreStatus is what an entry knows of the store.
+type StoreStatus struct {
+	// Era is the newest known era of the store, 0 if none.
+	Era uint64 `cbor:"1,keyasint,omitempty"`
+	// AgeMs is the time since the last known answer of the store to any entry, in milliseconds plus 1; 0 means that
+	// none is known.
+	AgeMs uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// NewStoreStatus returns the status for an era and the age of the last known answer.
+func NewStoreStatus(era uint64, age func() (time.Duration, bool)) StoreStatus {
+	s := StoreStatus{Era: era}
+	if d, known := age(); known {
+		s.AgeMs = uint32(min(max(d.Milliseconds(), 0), maxAgeMs)) + 1
+	}
+	return s
+}
+
+// maxAgeMs bounds the age in a StoreStatus, in milliseconds.
+const maxAgeMs = 1 << 31
+
+// Age returns the time since the last known answer, and false if none is known.
+func (s StoreStatus) Age() (time.Duration, bool) {
+	return time.Duration(s.AgeMs-min(s.AgeMs, 1)) * time.Millisecond, s.AgeMs > 0
 }
 
 // SilenceTimeout returns the time without a message after which a process with a report interval is considered
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -5,6 +5,7 @@
 
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/routing"
 )
 
@@ -46,8 +47,10 @@
 	// PeerDiscovered is called with the address of a process of which the entry had no record, so that a report
 	// is sent to it immediately.
 	PeerDiscovered func(ip uint32)
-	// StoreEra returns the newest era of the store that the process knows, for the entry's reports; nil means none.
-	StoreEra func() uint64
+	// StoreStatus returns what the process knows of the store, for the entry's reports. StoreReported is called with
+	// what another entry reports. Either may be nil.
+	StoreStatus   func() mesh.StoreStatus
+	StoreReported func(mesh.StoreStatus)
 	// ScheduleTick is called with the time until Tick must be called, when a new timer is started.
 	ScheduleTick func(time.Duration)
 	// Log receives the decisions.
@@ -66,8 +69,11 @@
 			*d.field = d.fallback
 		}
 	}
-	if c.StoreEra == nil {
-		c.StoreEra = func() uint64 { return 0 }
+	if c.StoreStatus == nil {
+		c.StoreStatus = func() mesh.StoreStatus { return mesh.StoreStatus{} }
+	}
+	if c.StoreReported == nil {
+		c.StoreReported = func(mesh.StoreStatus) {}
 	}
 	return c
 }
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -50,7 +50,8 @@
 		return
 	}
 	isNew, changed := e.roster.updateAgent(report, m.Load)
-	if changed {
+	// The agent logs each change of its host itself, so that a sample of what entries learn is enough.
+	if changed && e.cfg.Log.AllowOrdinary() {
 		e.cfg.Log.Info("agent", "agent", flow.IPText(report.IP), "incarnation", report.Incarnation,
 			"report", report.Version, "service", report.Service, "host", report.HostID, "state", report.HostState.String(),
 			"leaving", report.Leaving, "warm", report.HostWarm, "slots", m.Load.Slots)
@@ -67,9 +68,12 @@
 		return
 	}
 	if e.roster.updateEntry(report) {
-		e.cfg.Log.Info("entry", "entry", flow.IPText(report.IP), "incarnation", report.Incarnation, "zone", report.Zone)
+		if e.cfg.Log.AllowOrdinary() {
+			e.cfg.Log.Info("entry", "entry", flow.IPText(report.IP), "incarnation", report.Incarnation, "zone", report.Zone)
+		}
 		e.cfg.PeerDiscovered(report.IP)
 	}
+	e.cfg.StoreReported(report.Store)
 	for _, ip := range report.Agents {
 		if e.roster.agent(ip) == nil {
 			e.cfg.PeerDiscovered(ip)
@@ -228,7 +232,7 @@
 		e.sendEchoes()
 	}
 	if a := e.roster.agent(r.agent); a != nil {
-		a.markUnresponsive()
+		a.markUnresponsive(e.cfg.Now())
 	}
 	if e.cfg.Log.AllowRare() {
 		e.cfg.Log.Warn("agent", "agent", flow.IPText(r.agent), "outcome", "silent", "flow", key.String(),
@@ -278,18 +282,22 @@
 // ActivePeers returns the addresses of the processes that sent a message recently.
 func (e *Entry) ActivePeers() (entries, agents []uint32) { return e.roster.activePeers() }
 
+// ZonePeers returns the addresses of the other entries of the availability zone that sent a message recently.
+func (e *Entry) ZonePeers() []uint32 { return e.roster.zonePeers() }
+
 // maxReportedPeers is the maximum number of entries and of agents that a report names. Which ones it names
 // changes with each report, so that all are named in turn.
-const maxReportedPeers = 16
+const maxReportedPeers = 8
 
-// ReportMessage returns the encoded message that carries the entry's report, which contains the time until
-// its next regular report.
-func (e *Entry) ReportMessage(interval time.Duration) ([]byte, error) {
+// ReportMessage returns the encoded message that carries the entry's report, which contains the times until its next
+// regular reports to the same entry and to the same agent.
+func (e *Entry) ReportMessage(entryInterval, agentInterval time.Duration) ([]byte, error) {
 	entries, agents := e.roster.activePeers()
 	turn := int(e.reportCount.Add(1))
 	body, err := mesh.EncodeReport(mesh.EntryReport{
-		IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone, IntervalMs: uint32(interval.Milliseconds()),
-		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn), StoreEra: e.cfg.StoreEra(),
+		IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
+		IntervalMs: uint32(entryInterval.Milliseconds()), AgentIntervalMs: uint32(agentInterval.Milliseconds()),
+		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn), AgentCount: uint32(len(agents)), Store: e.cfg.StoreStatus(),
 	})
 	if err != nil {
 		return nil, err
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -26,15 +26,25 @@
 	load            mesh.Load
 	loadAt          time.Duration
 	offersSinceLoad int
-	// unresponsive reports whether the agent left an offer unanswered and has sent no message since.
-	unresponsive bool
+	// unansweredOffers is the number of offers that the agent left unanswered since its last message, up to
+	// maxUnanswered; unresponsiveUntil is when the next one may be sent to it.
+	unansweredOffers  int
+	unresponsiveUntil time.Duration
 }
 
+// unresponsiveBase is the time for which an agent that left an offer unanswered gets no others while there are
+// alternatives. It doubles with each further one, up to maxUnanswered. The loss of one datagram must not exclude an agent
+// until its next report, which may be far away.
+const (
+	unresponsiveBase = 2 * time.Second
+	maxUnanswered    = 4
+)
+
 func (a *agent) recordMessage(l mesh.Load, now time.Duration) {
 	a.lastHeard.Store(int64(now))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unresponsive = false
+	a.unansweredOffers, a.unresponsiveUntil = 0, 0
 	if l.Slots > 0 {
 		a.load, a.loadAt, a.offersSinceLoad = l, now, 0
 	}
@@ -57,10 +67,11 @@
 	a.offersSinceLoad++
 }
 
-func (a *agent) markUnresponsive() {
+func (a *agent) markUnresponsive(now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unresponsive = true
+	a.unresponsiveUntil = now + unresponsiveBase<<a.unansweredOffers
+	a.unansweredOffers = min(a.unansweredOffers+1, maxUnanswered)
 }
 
 func (a *agent) candidate(zone string, now time.Duration) (c placement.Candidate, unresponsive bool) {
@@ -69,7 +80,7 @@
 	defer a.mu.Unlock()
 	return placement.Candidate{
 		IP: r.IP, SameZone: r.Zone == zone, Load: a.load, LoadAge: now - a.loadAt, OffersSinceLoad: a.offersSinceLoad, WarmingUp: !r.HostWarm,
-	}, a.unresponsive
+	}, now < a.unresponsiveUntil
 }
 
 // roster holds the agents and entries that the entry has reports of.
@@ -205,6 +216,20 @@
 	return entries, agents
 }
 
+// zonePeers returns the addresses of the other entries of the availability zone that sent a message recently.
+func (r *roster) zonePeers() []uint32 {
+	now := r.cfg.Now()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var out []uint32
+	for ip, e := range r.entries {
+		if ip != r.cfg.IP && e.report.Zone == r.cfg.Zone && now-e.lastHeard <= mesh.SilenceTimeout(e.report.IntervalMs) {
+			out = append(out, ip)
+		}
+	}
+	return out
+}
+
 // removalFactor is the time without a message after which the record of a process is removed, as a multiple of
 // mesh.SilenceTimeout.
 const removalFactor = 8
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"endiveflow.example/endiveflow/announce"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
@@ -26,9 +27,10 @@
 	// agentStopMin is the minimum time for which a stopping agent keeps receiving packets. It gives entries
 	// time to learn of the stop.
 	agentStopMin = 300 * time.Millisecond
-	// entryExpiry is how long an agent keeps sending reports to an entry that no longer reports. It is longer
-	// than the longest interval between reports of a live entry.
-	entryExpiry = 4 * maxReportInterval
+	// minEntryExpiry is the shortest time for which an agent keeps sending reports to an entry that no longer reports.
+	minEntryExpiry = 2 * time.Minute
+	// reportsPerEntry is the number of regular reports of agents per second that an entry receives at most.
+	reportsPerEntry = 10
 )
 
 // NewAgent returns an agent that runs with the settings of its VM.
@@ -60,8 +62,9 @@
 			entries.observe(datagram)
 			agent.Receive(datagram)
 		},
-		tick: agent.Tick, report: agent.ReportMessage, sweep: agent.Sweep,
-		discovered: entries.discovered, known: entries.addresses, recipientRole: roleEntry,
+		tick: agent.Tick, sweep: agent.Sweep,
+		report:     func(i *reportIntervals) ([]byte, error) { return agent.ReportMessage(i.of(announce.Entries)) },
+		discovered: entries.discovered, known: entries.addresses, ratePerSecond: entries.reportRate,
 		serve: func(ctx context.Context, running func() bool) error {
 			calls := platform.HostAPI{Heartbeat: heartbeats.recordTime(agent.Heartbeat), Leave: agent.HostLeft, Log: b.log.Logger}
 			if err := b.parts.serve(ctx, s.ControlAddr, calls.Handler()); err != nil || !s.ReadinessAddr.IsValid() {
@@ -77,19 +80,28 @@
 // knownEntries records the entries that have reported to the agent and those listed in such reports.
 type knownEntries struct {
 	now func() time.Duration
-	// discovered receives the addresses of entries that were unknown before.
+	// discovered receives the addresses of entries that were unknown before or have restarted.
 	discovered chan uint32
 	// storeEra is called with the era of the store in each report.
 	storeEra func(uint64)
 
 	mu sync.Mutex
-	// lastSeen is the time of an entry's last report or, if it hasn't reported yet, the time when another entry
-	// first listed it. Guarded by mu.
-	lastSeen map[uint32]time.Duration
+	// byIP holds the entries by address. Guarded by mu.
+	byIP map[uint32]knownEntry
+	// agentCount is the number of agents of the fleet, according to the last report. Guarded by mu.
+	agentCount int
+}
+
+// knownEntry is an entry that an agent knows.
+type knownEntry struct {
+	// incarnation is 0 if the entry hasn't reported yet.
+	incarnation int64
+	// expires is when the agent forgets the entry unless it reports again.
+	expires time.Duration
 }
 
 func newKnownEntries(now func() time.Duration, storeEra func(uint64)) *knownEntries {
-	return &knownEntries{now: now, storeEra: storeEra, discovered: make(chan uint32, 64), lastSeen: make(map[uint32]time.Duration)}
+	return &knownEntries{now: now, storeEra: storeEra, discovered: make(chan uint32, 64), byIP: make(map[uint32]knownEntry)}
 }
 
 // observe records the sender of an entry's report and the entries listed in it.
@@ -102,30 +114,44 @@
 	if err != nil || report.IP != m.Origin {
 		return
 	}
-	e.storeEra(report.StoreEra)
+	e.storeEra(report.Store.Era)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, ip := range append(report.Entries, report.IP) {
-		_, known := e.lastSeen[ip]
-		if !known {
-			select {
-			case e.discovered <- ip:
-			default:
-			}
-		}
-		if !known || ip == report.IP {
-			e.lastSeen[ip] = e.now()
+	e.agentCount = int(report.AgentCount)
+	for _, ip := range report.Entries {
+		if _, known := e.byIP[ip]; !known {
+			e.add(ip, knownEntry{expires: e.now() + minEntryExpiry})
 		}
 	}
+	previous, known := e.byIP[report.IP]
+	current := knownEntry{report.Incarnation, e.now() + max(minEntryExpiry, mesh.SilenceTimeout(report.AgentIntervalMs))}
+	if !known || previous.incarnation != report.Incarnation {
+		e.add(report.IP, current)
+		return
+	}
+	e.byIP[report.IP] = current
 }
 
-func (e *knownEntries) addresses() []uint32 {
+// add adds an entry and has a report sent to it; e.mu must be held.
+func (e *knownEntries) add(ip uint32, entry knownEntry) {
+	select {
+	case e.discovered <- ip:
+	default:
+	}
+	e.byIP[ip] = entry
+}
+
+// addresses returns the known entries; there are no known processes of other groups.
+func (e *knownEntries) addresses(g announce.Group) []uint32 {
+	if g != announce.Entries {
+		return nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var out []uint32
-	for ip, at := range e.lastSeen {
-		if e.now()-at > entryExpiry {
-			delete(e.lastSeen, ip)
+	for ip, entry := range e.byIP {
+		if e.now() > entry.expires {
+			delete(e.byIP, ip)
 			continue
 		}
 		out = append(out, ip)
@@ -133,6 +159,14 @@
 	return out
 }
 
+// reportRate returns the largest number of regular reports per second to a group, so that the reports of all agents
+// together don't exceed what entries are to receive.
+func (e *knownEntries) reportRate(announce.Group) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return min(announce.RegularPerSecond, reportsPerEntry*float64(max(len(e.byIP), 1))/float64(max(e.agentCount, 1)))
+}
+
 // hostCheck checks whether a host that doesn't respond is down.
 type hostCheck struct {
 	agent      *packetagent.Agent
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -5,7 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"endiveflow.example/endiveflow/announce"
 	"endiveflow.example/endiveflow/eventlog"
+	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetentry"
 	"endiveflow.example/endiveflow/platform"
 )
@@ -33,7 +35,10 @@
 	entry := packetentry.New(packetentry.Config{
 		IP: b.ip(), Zone: s.Zone, Incarnation: time.Now().UnixMilli(), Now: b.now, Routes: &b.routes, Log: b.log,
 		ToCaller: callerSender(callerConn, s.PacketAddr.Port()), ToMember: b.toMember,
-		NewerConfig: b.config.noteNewer, ScheduleTick: b.alarm.schedule, StoreEra: b.store.Era,
+		NewerConfig: b.config.noteNewer, ScheduleTick: b.alarm.schedule,
+		StoreStatus: func() mesh.StoreStatus {
+			return mesh.NewStoreStatus(b.store.Era(), func() (time.Duration, bool) { return 0, false })
+		},
 		PeerDiscovered: func(ip uint32) {
 			select {
 			case discovered <- ip:
@@ -47,15 +52,22 @@
 		entry.FromCaller(packet)
 	}))
 	// Reports carry the configuration's version, which makes other processes fetch a newer one.
-	b.config.applied = func() { signal(b.reportNow) }
+	b.config.applied = func() { signal(b.configured) }
 	b.parts.add("configuration", b.config.followStore(ctx))
 	return role{
 		record:  memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone},
-		receive: entry.Receive, tick: entry.Tick, report: entry.ReportMessage, sweep: entry.Sweep, discovered: discovered,
-		known: func() []uint32 {
+		receive: entry.Receive, tick: entry.Tick, sweep: entry.Sweep, discovered: discovered,
+		report: func(i *reportIntervals) ([]byte, error) {
+			return entry.ReportMessage(i.of(announce.Entries), i.of(announce.Agents))
+		},
+		known: func(g announce.Group) []uint32 {
 			entries, agents := entry.ActivePeers()
-			return append(entries, agents...)
+			if g == announce.Entries {
+				return entries
+			}
+			return agents
 		},
+		ratePerSecond: func(announce.Group) float64 { return announce.RegularPerSecond },
 		serve: func(ctx context.Context, _ func() bool) error {
 			if s.ControlAddr.IsValid() {
 				relay := hostRelay{port: s.ControlAddr.Port(), http: newHTTPClient(), log: b.log}
--- a/packetnode/process.go
+++ b/packetnode/process.go
@@ -6,17 +6,15 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
+	"endiveflow.example/endiveflow/announce"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
 )
 
 const (
-	// reportInterval is the time between a process's reports to the processes that it knows.
-	reportInterval = time.Second
 	// stopReserve is the part of a planned stop's grace period that is left unused.
 	stopReserve = time.Second
 	// stopPoll is the time between checks of whether a stop can complete.
@@ -97,15 +95,15 @@
 	// receive handles a datagram of another process. tick runs due work and returns the time until more is due.
 	receive func([]byte)
 	tick    func() time.Duration
-	// report returns the message for other processes; sweep is called before each regular report.
-	report func(interval time.Duration) ([]byte, error)
+	// report returns the message for other processes; sweep is called once a second.
+	report func(*reportIntervals) ([]byte, error)
 	sweep  func()
-	// discovered delivers the address of each process that becomes known; known returns the addresses of all
-	// processes that report to this one.
+	// discovered delivers the address of each process that becomes known; known returns the addresses of the processes
+	// of a group that report to this one.
 	discovered <-chan uint32
-	known      func() []uint32
-	// recipientRole is the role of the recorded processes that receive reports; "" means all.
-	recipientRole string
+	known      func(announce.Group) []uint32
+	// ratePerSecond returns the largest number of regular reports per second to a group.
+	ratePerSecond func(announce.Group) float64
 	// serve starts the HTTP endpoints for hosts, routers and others. running returns false once a planned
 	// stop has begun.
 	serve func(ctx context.Context, running func() bool) error
@@ -122,13 +120,15 @@
 	parts    group
 	peerConn *net.UDPConn
 	// sockets are closed at the end of the process, which ends the parts that read them.
-	sockets   []*net.UDPConn
-	store     *platform.Client
-	routes    routing.Holder
-	config    *configUpdater
-	alarm     *alarm
-	toMember  func(uint32, []byte)
-	reportNow chan struct{}
+	sockets  []*net.UDPConn
+	store    *platform.Client
+	routes   routing.Holder
+	config   *configUpdater
+	alarm    *alarm
+	toMember func(uint32, []byte)
+	// reportNow is signalled after a change that all have to know, configured after a new configuration, listed after
+	// each list of the member records.
+	reportNow, configured, listed chan struct{}
 	// storeRestored is signalled when the store came back from an older copy.
 	storeRestored chan struct{}
 	now           func() time.Duration
@@ -136,12 +136,17 @@
 
 func newBase(ctx context.Context, s platform.Settings, log *eventlog.Log) (*base, error) {
 	b := &base{
-		settings: s, log: log, alarm: newAlarm(), reportNow: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1), now: monotonicClock(),
+		settings: s, log: log, alarm: newAlarm(), now: monotonicClock(),
+		reportNow: make(chan struct{}, 1), configured: make(chan struct{}, 1), listed: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 	}
 	var err error
 	b.store, err = platform.New(platform.Config{
 		URL: s.StoreURL, HTTP: newHTTPClient(), Timeout: storeTimeout, WatchWait: watchWait, MaxAttempts: 1, Log: log.Logger,
-		OnRestore: func(uint64) { signal(b.storeRestored) },
+		OnRestore: func(uint64) {
+			signal(b.storeRestored)
+			// Other processes learn of the restore from the era in reports.
+			signal(b.reportNow)
+		},
 	})
 	if err != nil {
 		return nil, fmt.Errorf("opening the store: %w", err)
@@ -185,14 +190,17 @@
 // start starts the parts that entries and agents have in common.
 func (b *base) start(ctx context.Context, r role, reloads <-chan platform.Settings) {
 	registry := &memberRegistry{
-		own: r.record, store: b.store, log: b.log, now: b.now, known: r.known, listed: func() { signal(b.reportNow) }, restored: b.storeRestored,
+		own: r.record, store: b.store, log: b.log, now: b.now, listed: func() { signal(b.listed) }, restored: b.storeRestored,
+		known: func() []uint32 { return append(r.known(announce.Entries), r.known(announce.Agents)...) },
 	}
 	registry.setSeeds(b.settings.Seeds)
-	var interval atomic.Int64
-	reports := reporter{
-		message:    func() ([]byte, error) { return r.report(time.Duration(interval.Load())) },
-		recipients: func() []uint32 { return union(r.known(), registry.addresses(r.recipientRole)) },
-		interval:   &interval, send: b.toMember, trigger: b.reportNow, discovered: r.discovered, beforeRegular: r.sweep, log: b.log,
+	intervals := new(reportIntervals)
+	reports := &reporter{
+		schedule:   announce.New(announce.Config{LinkBytesPerSecond: b.settings.LinkBytesPerSecond}),
+		message:    func() ([]byte, error) { return r.report(intervals) },
+		recipients: func(g announce.Group) []uint32 { return b.recipients(r, registry, g) }, ratePerSecond: r.ratePerSecond,
+		intervals: intervals, send: b.toMember, changed: b.reportNow, configured: b.configured, listed: b.listed, discovered: r.discovered,
+		beforeRegular: r.sweep, log: b.log, now: b.now,
 	}
 	b.parts.add("peers", receive(b.peerConn, r.receive))
 	b.parts.add("alarm", b.alarm.run(ctx, r.tick))
@@ -202,6 +210,18 @@
 	b.parts.add("reports", reports.run(ctx))
 }
 
+// recipients returns the processes of a group that get reports: entries get those of all processes, agents those of
+// entries.
+func (b *base) recipients(r role, registry *memberRegistry, g announce.Group) []uint32 {
+	if g == announce.Entries {
+		return union(r.known(g), registry.addresses(roleEntry))
+	}
+	if r.record.Role == roleAgent {
+		return nil
+	}
+	return union(r.known(g), registry.addresses(roleAgent))
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/packetnode/report.go
+++ b/packetnode/report.go
@@ -6,87 +6,115 @@
 	"sync/atomic"
 	"time"
 
+	"endiveflow.example/endiveflow/announce"
 	"endiveflow.example/endiveflow/eventlog"
 )
 
-// reporter sends a process's report to the processes that it knows: at an interval, immediately after a
-// change, and to each newly discovered process.
+// reporter sends a process's report to the processes that it knows, as its schedule says.
 type reporter struct {
-	message    func() ([]byte, error)
-	recipients func() []uint32
-	send       func(uint32, []byte)
-	trigger    <-chan struct{}
-	discovered <-chan uint32
-	// beforeRegular is called before each regular report.
+	schedule *announce.Schedule
+	message  func() ([]byte, error)
+	// recipients returns the processes of a group that get regular reports; ratePerSecond returns the largest number of
+	// such reports per second.
+	recipients    func(announce.Group) []uint32
+	ratePerSecond func(announce.Group) float64
+	send          func(uint32, []byte)
+	// changed is signalled after a change that all recipients have to know, configured after a new configuration,
+	// listed when there may be new recipients.
+	changed, configured, listed <-chan struct{}
+	discovered                  <-chan uint32
+	// beforeRegular is called once a second.
 	beforeRegular func()
 	log           *eventlog.Log
-	// interval is the current report interval in nanoseconds, which the reports announce.
-	interval *atomic.Int64
+	now           func() time.Duration
+	// intervals are the current intervals of the groups in nanoseconds, which the reports announce.
+	intervals *reportIntervals
+	// announced is the longest interval that all entries were told of. Used only by the goroutine of run.
+	announced time.Duration
 }
 
-const (
-	// reportsPerSecond bounds the regular reports that a process sends per second. With more recipients, each
-	// one receives reports less often, so that a process's traffic does not grow with the fleet.
-	reportsPerSecond = 40
-	// maxReportInterval bounds the interval that results.
-	maxReportInterval = 30 * time.Second
-)
+// reportIntervals are the times between regular reports to the processes of each group, in nanoseconds.
+type reportIntervals [2]atomic.Int64
 
-// intervalFor returns the time between regular reports for a number of recipients.
-func intervalFor(recipients int) time.Duration {
-	return min(max(reportInterval, time.Duration(recipients)*time.Second/reportsPerSecond), maxReportInterval)
-}
+func (i *reportIntervals) of(g announce.Group) time.Duration { return time.Duration(i[g].Load()) }
+
+// configAnnouncements is the number of entries and of agents that a process tells of a new configuration. Each of
+// them that fetches it tells others, so that it spreads without a message from every process to every other.
+const configAnnouncements = 8
 
-func (r reporter) run(ctx context.Context) <-chan error {
+// groups are the groups of recipients.
+var groups = []announce.Group{announce.Entries, announce.Agents}
+
+func (r *reporter) run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		defer func() { done <- nil }()
-		ticker := time.NewTicker(reportInterval)
-		defer ticker.Stop()
-		r.report(r.recipients())
-		last, announced := time.Now(), time.Duration(0)
-		// introduced holds the processes that received an individual report since the last regular one. At
-		// startup, every process is discovered through many others at the same time.
+		second := time.NewTicker(announce.MinInterval)
+		defer second.Stop()
+		// introduced holds the processes that were answered in this second. At startup, every process is discovered
+		// through many others at the same time.
 		introduced := make(map[uint32]bool)
-		for {
+		r.refresh()
+		for wait := r.sendDue(); ; wait = r.sendDue() {
+			timer := time.NewTimer(wait)
 			select {
 			case <-ctx.Done():
+				timer.Stop()
 				return
-			case <-ticker.C:
+			case <-timer.C:
+			case <-second.C:
 				r.beforeRegular()
 				clear(introduced)
-				recipients := r.recipients()
-				interval := intervalFor(len(recipients))
-				r.interval.Store(int64(interval))
-				// A longer interval is announced before it takes effect, because recipients use the announced
-				// one to decide whether this process is silent.
-				if time.Since(last) > interval-reportInterval/2 || interval > announced {
-					last, announced = time.Now(), interval
-					r.report(recipients)
+				r.refresh()
+			case <-r.listed:
+				r.refresh()
+			case <-r.changed:
+				r.schedule.AnnounceAll()
+			case <-r.configured:
+				for _, g := range groups {
+					r.schedule.AnnounceSome(g, configAnnouncements)
 				}
-			case <-r.trigger:
-				last = time.Now()
-				r.report(r.recipients())
 			case ip := <-r.discovered:
 				if !introduced[ip] {
 					introduced[ip] = true
-					r.report([]uint32{ip})
+					r.schedule.Announce(ip)
 				}
 			}
+			timer.Stop()
 		}
 	}()
 	return done
 }
 
-func (r reporter) report(to []uint32) {
+// refresh updates the recipients and the intervals that result. Entries judge by the announced interval whether the
+// process is silent, so that they are told at once if it has become much longer.
+func (r *reporter) refresh() {
+	for _, g := range groups {
+		r.schedule.SetRate(g, r.ratePerSecond(g))
+		r.schedule.SetRecipients(g, r.recipients(g))
+		r.intervals[g].Store(int64(r.schedule.Interval(g)))
+	}
+	if interval := r.intervals.of(announce.Entries); interval > r.announced*3/2 {
+		r.announced = interval
+		r.schedule.AnnounceAll()
+	}
+}
+
+// sendDue sends the reports that are due and returns the time until more may be.
+func (r *reporter) sendDue() time.Duration {
+	due, wait := r.schedule.Due(r.now())
+	if len(due) == 0 {
+		return wait
+	}
 	b, err := r.message()
 	if err != nil {
 		r.log.Error("cannot encode report", "error", err.Error())
-		return
+		return wait
 	}
-	for _, ip := range to {
+	for _, ip := range due {
 		r.send(ip, b)
 	}
+	return wait
 }
 
 func signal(c chan<- struct{}) {
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -4,8 +4,10 @@
 	"container/heap"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"endiveflow.example/endiveflow/announce"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/host"
@@ -40,6 +42,8 @@
 	Agents  []*Agent
 	// Drop reports whether a datagram between two addresses is lost.
 	Drop func(from, to uint32) bool
+	// Delay returns the time by which a datagram between two processes is late.
+	Delay func(from, to uint32) time.Duration
 	// Links holds the links of VMs by address; a VM without one has a link without limits.
 	Links map[uint32]*Link
 	// Traffic counts the datagrams of each process by address.
@@ -60,8 +64,8 @@
 	IP uint32
 	// Up is set while the process runs.
 	Up bool
-	// introduced holds the processes that received an individual report since the last regular one.
-	introduced map[uint32]bool
+	// reports schedules the reports of the process.
+	reports *announce.Schedule
 	// pausedUntil is the time until which the process is paused.
 	pausedUntil time.Duration
 }
@@ -86,12 +90,14 @@
 	Host *Host
 	IP   uint32
 	Up   bool
+	// reports schedules the reports of the process.
+	reports *announce.Schedule
 }
 
 // NewFleet returns a fleet without entries and agents.
 func NewFleet(seed uint64) *Fleet {
 	f := &Fleet{
-		Random: rand.New(rand.NewPCG(seed, 1)), Drop: func(uint32, uint32) bool { return false },
+		Random: rand.New(rand.NewPCG(seed, 1)), Drop: func(uint32, uint32) bool { return false }, Delay: func(uint32, uint32) time.Duration { return 0 },
 		ToCaller: func(flow.Segment, uint32) {}, Links: make(map[uint32]*Link), Traffic: make(map[uint32]*Traffic),
 	}
 	endpoint := Key(0).Service
@@ -135,14 +141,12 @@
 
 // AddEntry adds an entry and starts it.
 func (f *Fleet) AddEntry(ip uint32) *Entry {
-	e := &Entry{IP: ip, introduced: make(map[uint32]bool)}
+	e := &Entry{IP: ip}
 	f.Entries = append(f.Entries, e)
 	f.StartEntry(e)
 	f.every(time.Second, func() {
 		if e.Up {
 			e.Sweep()
-			clear(e.introduced)
-			f.reportEntry(e)
 		}
 	})
 	return e
@@ -166,16 +170,20 @@
 		ToCaller:       f.callerSender(e.IP),
 		ToMember:       func(ip uint32, d []byte) { f.toMember(e.IP, ip, d) },
 		NewerConfig:    func(uint32) {},
-		PeerDiscovered: func(ip uint32) { f.introduce(e, ip) },
+		PeerDiscovered: func(ip uint32) { e.reports.Announce(ip) },
 		ScheduleTick:   func(d time.Duration) { f.After(d, tick) },
 	})
 	e.Entry = started
-	f.After(0, func() {
-		f.reportEntry(e)
-		for _, a := range f.Agents {
-			f.reportAgent(a)
-		}
+	e.reports = f.newSchedule(e.IP)
+	f.runReports(reporting{
+		from: e.IP, schedule: e.reports, up: func() bool { return e.Up && e.Entry == started }, groups: []announce.Group{announce.Entries, announce.Agents},
+		message: func(s *announce.Schedule) ([]byte, error) {
+			return e.ReportMessage(s.Interval(announce.Entries), s.Interval(announce.Agents))
+		},
 	})
+	for _, a := range f.Agents {
+		a.reports.Announce(e.IP)
+	}
 }
 
 // AddAgent adds an agent with a ready host of 4 slots and starts both.
@@ -188,7 +196,6 @@
 	f.every(time.Second, func() {
 		if a.Up {
 			a.Sweep()
-			f.reportAgent(a)
 		}
 	})
 	return a
@@ -213,11 +220,15 @@
 		ToCaller:      f.callerSender(a.IP),
 		ToMember:      func(ip uint32, d []byte) { f.toMember(a.IP, ip, d) },
 		ConfigVersion: func() uint64 { return 1 }, IdleTimeout: func() time.Duration { return routing.MinIdleTimeout }, NewerConfig: func(uint32) {},
-		ReportChanged: func() { f.After(0, func() { f.reportAgent(a) }) },
+		ReportChanged: func() { a.reports.AnnounceAll() },
 		ScheduleTick:  func(d time.Duration) { f.After(d, tick) },
 	})
 	a.Agent = started
-	f.After(0, func() { f.reportAgent(a) })
+	a.reports = f.newSchedule(a.IP)
+	f.runReports(reporting{
+		from: a.IP, schedule: a.reports, up: func() bool { return a.Up && a.Agent == started }, groups: []announce.Group{announce.Entries},
+		message: func(s *announce.Schedule) ([]byte, error) { return a.ReportMessage(s.Interval(announce.Entries)) },
+	})
 }
 
 func discardLog() *eventlog.Log { return eventlog.New(eventlog.Config{Out: io.Discard}) }
@@ -230,37 +241,78 @@
 	})
 }
 
-func (f *Fleet) reportEntry(e *Entry) {
-	for _, other := range f.Entries {
-		f.reportEntryTo(e, other.IP)
-	}
-	for _, a := range f.Agents {
-		f.reportEntryTo(e, a.IP)
+// newSchedule returns the schedule of the reports of a process that starts.
+func (f *Fleet) newSchedule(ip uint32) *announce.Schedule {
+	cfg := announce.Config{Shuffle: func(ips []uint32) { f.Random.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] }) }}
+	if l := f.Links[ip]; l != nil {
+		cfg.LinkBytesPerSecond = l.BytesPerSecond
 	}
+	return announce.New(cfg)
 }
 
-func (f *Fleet) reportEntryTo(e *Entry, ip uint32) {
-	if b, err := e.ReportMessage(time.Second); err == nil && e.Up {
-		f.toMember(e.IP, ip, b)
-	}
+// reporting is what a process needs to send its reports.
+type reporting struct {
+	from     uint32
+	schedule *announce.Schedule
+	// up reports whether the process still runs.
+	up func() bool
+	// groups are the groups that get reports.
+	groups  []announce.Group
+	message func(*announce.Schedule) ([]byte, error)
+	// refreshed is when the recipients were last updated.
+	refreshed time.Duration
 }
 
-// introduce sends an entry's report to a process that the entry discovered, once between two regular reports.
-func (f *Fleet) introduce(e *Entry, ip uint32) {
-	if e.introduced[ip] {
-		return
-	}
-	e.introduced[ip] = true
-	f.After(0, func() { f.reportEntryTo(e, ip) })
+// reportStep is the time after which a process checks whether reports are due, refreshInterval the time after which it
+// updates the recipients.
+const (
+	reportStep      = 10 * time.Millisecond
+	refreshInterval = time.Second
+)
+
+// runReports sends the reports of a process while it is up.
+func (f *Fleet) runReports(r reporting) {
+	f.After(0, func() {
+		f.refreshRecipients(&r)
+		f.sendReports(&r)
+	})
 }
 
-func (f *Fleet) reportAgent(a *Agent) {
-	b, err := a.ReportMessage(time.Second)
-	if err != nil || !a.Up {
+func (f *Fleet) sendReports(r *reporting) {
+	if !r.up() {
 		return
 	}
-	for _, e := range f.Entries {
-		f.toMember(a.IP, e.IP, b)
+	if f.now-r.refreshed >= refreshInterval {
+		f.refreshRecipients(r)
+	}
+	due, _ := r.schedule.Due(f.now)
+	if len(due) > 0 {
+		b, err := r.message(r.schedule)
+		if err != nil {
+			f.Violations = append(f.Violations, err.Error())
+		}
+		for _, ip := range due {
+			f.toMember(r.from, ip, b)
+		}
+	}
+	f.After(reportStep, func() { f.sendReports(r) })
+}
+
+func (f *Fleet) refreshRecipients(r *reporting) {
+	r.refreshed = f.now
+	for _, g := range r.groups {
+		var ips []uint32
+		switch g {
+		case announce.Entries:
+			for _, e := range f.Entries {
+				ips = append(ips, e.IP)
+			}
+		default:
+			for _, a := range f.Agents {
+				ips = append(ips, a.IP)
+			}
+		}
+		r.schedule.SetRecipients(g, slices.DeleteFunc(ips, func(ip uint32) bool { return ip == r.from }))
 	}
 }
 
@@ -273,7 +325,7 @@
 		return
 	}
 	if delay, sent := f.sendDelay(from, len(d)); sent && !f.Drop(from, to) {
-		f.After(delay+memberDelay, func() {
+		f.After(delay+memberDelay+f.Delay(from, to), func() {
 			f.arrive(to, len(d), func() { f.deliver(to, d) })
 		})
 	}
