packetentry, packetagent: a flow that two agents took is found

Cause: an agent answered its offer after the timeout, the flow was offered to a second one, and both took it. The caller opened it at the first host; the entry and the directory agents kept the second agent, whose notice came last.

Ruled out: believing the last notice or the first one only. Either order occurs; only the caller's number tells.

Change: the entry keeps the agents that may have the flow as well (offered without an answer, or taken later) and turns to the next one when an agent returns a packet. A directory agent records the first two that announce a flow; an agent that returns a search which a directory agent forwarded withdraws its announcement. An agent whose copy the caller didn't open gives it up without a reset, which frees its slot.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -34,7 +34,8 @@
 	// KindAgentReport carries an AgentReport, KindEntryReport an EntryReport.
 	KindAgentReport
 	KindEntryReport
-	// KindLocated notifies a directory agent of a flow that the sender has the flow.
+	// KindLocated notifies a directory agent of a flow whether the sender has the flow: its Step is LocatedHere or
+	// LocatedElsewhere.
 	KindLocated
 	// KindMarker is sent by an entry to itself. When it arrives, the entry has read all messages that arrived
 	// before.
@@ -70,6 +71,12 @@
 // recently.
 const EchoedHearsAgents = 1
 
+// Values of Step in messages of kind KindLocated.
+const (
+	LocatedHere uint8 = iota
+	LocatedElsewhere
+)
+
 // Millis is a duration in milliseconds, as encoded in a message.
 type Millis uint16
 
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -124,7 +124,7 @@
 		return
 	}
 	if m.Kind == mesh.KindLocated {
-		a.recordLocation(m.Flow, m.Origin)
+		a.recordLocation(m.Flow, m.Origin, m.Step)
 		return
 	}
 	s, err := platform.DecodePacket(m.Body, platform.FromCaller)
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/flowtable"
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/platform"
 )
@@ -22,6 +23,7 @@
 			return
 		}
 	case flowElsewhere:
+		a.admitHeld()
 	}
 	a.returnMissing(m, s.Key, m.Body)
 }
@@ -49,6 +51,7 @@
 	case r == nil:
 		return flowUnknown
 	case !r.matches(s):
+		a.giveUpCopy(shard, s.Key, r)
 		return flowElsewhere
 	case r.phase == held:
 		r.lastPacket = a.cfg.Now()
@@ -58,6 +61,18 @@
 	return flowAtHost
 }
 
+// giveUpCopy ends the record of a flow that its caller opened at another host, so that it occupies no slot. The caller
+// gets no reset, as its flow is open. The shard must be locked.
+func (a *Agent) giveUpCopy(shard *flowtable.Shard[record], key flow.Key, r *record) {
+	switch {
+	case r.confirmed || r.phase == ended:
+	case r.phase == held:
+		shard.Delete(key)
+	default:
+		r.setPhase(ended, a.cfg.Now(), a.load)
+	}
+}
+
 // returnMissing returns a packet to the entry that sent request, as its flow isn't at this host.
 func (a *Agent) returnMissing(request *mesh.Message, key flow.Key, packet []byte) {
 	m := a.newMessage(mesh.KindMissing, key)
@@ -81,6 +96,9 @@
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
 		return
 	}
+	if location == flowElsewhere {
+		a.admitHeld()
+	}
 	if agent := a.lookUpLocation(s.Key); agent != 0 && m.Step < mesh.StepAll && !m.Terms.Resent {
 		// The search is marked so that it isn't forwarded twice.
 		m.Terms.Resent = true
@@ -96,6 +114,10 @@
 		a.sendToHost(m.Body, context)
 		return
 	}
+	if m.Terms.Resent {
+		// A directory agent forwarded the search, because this agent had announced that it has the flow.
+		a.withdrawLocation(s.Key, m.Directories)
+	}
 	if m.Step < mesh.StepAll {
 		a.returnMissing(m, s.Key, m.Body)
 	}
--- a/packetagent/directory.go
+++ b/packetagent/directory.go
@@ -14,44 +14,88 @@
 	locationRefreshInterval = 8 * time.Second
 )
 
-// location is the location of a flow, as announced to its directory agents by the agent that has it.
+// location is the location of a flow, as announced to its directory agents by the agents that took it.
 type location struct {
-	agent uint32
-	at    time.Duration
+	// agent announced the flow first, other after it; 0 for none. Two agents may have taken a flow that was offered
+	// twice.
+	agent, other uint32
+	at           time.Duration
+}
+
+// announced returns the location after an agent's announcement that it has the flow.
+func (l location) announced(agent uint32, now time.Duration) location {
+	l.at = now
+	switch {
+	case l.agent == 0 || l.agent == agent:
+		l.agent = agent
+	default:
+		l.other = agent
+	}
+	return l
+}
+
+// withdrawn returns the location after an agent's notice that it doesn't have the flow.
+func (l location) withdrawn(agent uint32) location {
+	if l.agent == agent {
+		l.agent, l.other = l.other, 0
+	}
+	if l.other == agent {
+		l.other = 0
+	}
+	return l
 }
 
 // announceLocation notifies the directory agents of a flow that this agent has the flow.
 func (a *Agent) announceLocation(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+	a.notifyDirectories(key, directories, mesh.LocatedHere)
+}
+
+// withdrawLocation notifies the directory agents of a flow that this agent doesn't have the flow.
+func (a *Agent) withdrawLocation(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+	a.notifyDirectories(key, directories, mesh.LocatedElsewhere)
+}
+
+func (a *Agent) notifyDirectories(key flow.Key, directories [mesh.DirectoryCount]uint32, step uint8) {
 	for _, ip := range directories {
 		switch ip {
 		case 0:
 		case a.cfg.IP:
-			a.recordLocation(key, a.cfg.IP)
+			a.recordLocation(key, a.cfg.IP, step)
 		default:
-			a.notify(mesh.KindLocated, ip, key)
+			m := a.newMessage(mesh.KindLocated, key)
+			m.Step = step
+			a.send(ip, &m)
 		}
 	}
 }
 
-// recordLocation records which agent has a flow.
-func (a *Agent) recordLocation(key flow.Key, agent uint32) {
+// recordLocation records an agent's notice of whether it has a flow.
+func (a *Agent) recordLocation(key flow.Key, agent uint32, step uint8) {
 	shard := a.locations.Lock(key)
 	defer shard.Unlock()
 	l := shard.Get(key)
-	if l == nil {
-		l = new(location)
-		shard.Put(key, l)
+	switch {
+	case step == mesh.LocatedElsewhere && l != nil:
+		*l = l.withdrawn(agent)
+	case step == mesh.LocatedHere:
+		if l == nil {
+			l = new(location)
+			shard.Put(key, l)
+		}
+		*l = l.announced(agent, a.cfg.Now())
 	}
-	l.agent, l.at = agent, a.cfg.Now()
 }
 
-// lookUpLocation returns the other agent that has a flow, 0 if none is known.
+// lookUpLocation returns the other agent that most likely has a flow, 0 if none is known.
 func (a *Agent) lookUpLocation(key flow.Key) uint32 {
 	shard := a.locations.Lock(key)
 	defer shard.Unlock()
 	l := shard.Get(key)
-	if l == nil || l.agent == a.cfg.IP {
+	switch {
+	case l == nil:
 		return 0
+	case l.agent == a.cfg.IP:
+		return l.other
 	}
 	return l.agent
 }
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -51,8 +51,11 @@
 type record struct {
 	// agent is the address of the agent that has the flow or was last offered it.
 	agent uint32
-	// taken reports whether the agent has the flow.
-	taken bool
+	// taken reports whether the agent took the flow, passedOn whether it has passed the flow on since to an agent that
+	// isn't known yet.
+	taken, passedOn bool
+	// others are other agents that may have the flow.
+	others holders
 	// lastPacket is when the last packet arrived, offerUpdated when the flow was last offered or passed on.
 	lastPacket, offerUpdated time.Duration
 	// openingPacket is the flow's opening packet until the flow is taken.
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -95,12 +95,14 @@
 			r = &record{lastPacket: now}
 			shard.Put(m.Flow, r)
 		}
-		r.agent, r.taken, r.openingPacket = m.Origin, true, nil
+		r.handleTaken(m.Origin)
 	case m.Kind == mesh.KindMissing:
-		if r != nil && r.taken && r.agent == m.Origin {
-			// The agent no longer has the flow.
+		if r != nil && r.taken && !r.handleMissing(m.Origin) {
+			// No agent is known that may have the flow.
 			shard.Delete(m.Flow)
 		}
+	case m.Kind == mesh.KindPassed && r != nil && r.taken:
+		r.handlePassedOn(m.Origin)
 	case !r.awaitsAnswer():
 	case m.Kind == mesh.KindRefused:
 		e.handleRefusal(shard, m.Flow, r)
