watchduty, packetnode: calls to the store don't grow with the fleet

Ruled out: a fixed set of watchers. When all of them are silent or cut off, nobody notices a new configuration.

Change: two entries of each zone watch, by an order of their addresses. Reports carry the age of the last answer of the store that any entry got. An entry that hears of none for 3 to 4.5 s watches for 5 s itself. Members are listed twice a second by all processes together instead of every 10 s by each. Other entries notice a restore of the store by the era in reports, which are announced to all after one.

--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -17,6 +17,7 @@
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
+	"endiveflow.example/endiveflow/watchduty"
 )
 
 const (
@@ -36,6 +37,8 @@
 	// leaves most of the two seconds within which a process has to recover after an outage.
 	storeRetryBase = 100 * time.Millisecond
 	storeRetryMax  = time.Second
+	// dutyPoll is the time between checks of whether it has become the process's duty to watch the store.
+	dutyPoll = 250 * time.Millisecond
 	// maxConfigBytes bounds a configuration fetched from another process.
 	maxConfigBytes = 4 << 20
 )
@@ -58,6 +61,8 @@
 	// newerAnnounced is signalled when a process has announced a newer configuration.
 	newerAnnounced chan struct{}
 	announcers     *announcers
+	// duty decides when this process watches the store; set by followStore.
+	duty *watchduty.Duty
 	// storeLost is set while calls to the store fail. Used only by the goroutine of followStore.
 	storeLost bool
 }
@@ -123,18 +128,27 @@
 	return nil
 }
 
-// followStore keeps the configuration up to date from the store until ctx ends.
-func (u *configUpdater) followStore(ctx context.Context) <-chan error {
+// followStore keeps the configuration up to date from the store, while it is this process's duty, until ctx ends.
+func (u *configUpdater) followStore(ctx context.Context, duty *watchduty.Duty) <-chan error {
 	done := make(chan error, 1)
+	u.duty = duty
 	go func() {
 		backoff := platform.Backoff{Base: storeRetryBase, Max: storeRetryMax}
 		failures := 0
 		for ctx.Err() == nil {
-			err := u.watch(ctx, func() { failures = 0 })
+			if !duty.Watches() {
+				failures = 0
+				sleep(ctx, dutyPoll)
+				continue
+			}
+			err := u.watch(ctx, func() {
+				failures = 0
+				duty.Answered(0)
+			})
 			if ctx.Err() != nil {
 				break
 			}
-			if errors.Is(err, platform.Compacted) || errors.Is(err, platform.Restored) {
+			if err == nil || errors.Is(err, platform.Compacted) || errors.Is(err, platform.Restored) {
 				continue
 			}
 			failures++
@@ -162,16 +176,20 @@
 	}
 }
 
-// watch reads the configuration and watches it for changes until a call fails.
+// watch reads the configuration and watches it for changes until a call fails or the duty ends, which is no error.
 func (u *configUpdater) watch(ctx context.Context, onSuccess func()) error {
 	o, err := u.store.Get(ctx, platform.RoutesKey)
+	if errors.Is(err, errors.NotFound) {
+		// There is no configuration yet. Only the entries on duty ask again.
+		u.duty.Answered(0)
+	}
 	if err != nil {
 		return fmt.Errorf("reading the configuration: %w", err)
 	}
 	onSuccess()
 	u.logStoreRegained()
 	u.applyObject(o)
-	for after := (platform.Listing{Revision: o.Version, Era: o.Era}); ; {
+	for after := (platform.Listing{Revision: o.Version, Era: o.Era}); u.duty.Watches(); {
 		l, err := u.store.Watch(ctx, platform.RoutesPrefix, after)
 		if err != nil {
 			return fmt.Errorf("watching the configuration: %w", err)
@@ -184,6 +202,7 @@
 		}
 		after = l
 	}
+	return nil
 }
 
 // applyObject applies an object of the store. If it can't be decoded, the last valid configuration stays in
--- a/packetnode/config_test.go
+++ b/packetnode/config_test.go
@@ -15,6 +15,7 @@
 	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
 	"endiveflow.example/endiveflow/standin"
+	"endiveflow.example/endiveflow/watchduty"
 )
 
 // Guards against a process that returns to the configuration of the copy that the store came back from, and one
@@ -40,7 +41,7 @@
 			routes: &routes, store: newClient(), log: eventlog.New(eventlog.Config{Out: io.Discard}), applied: func() {},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
-		done := updater.followStore(ctx)
+		done := updater.followStore(ctx, soleEntry())
 		first := write(10, 0)
 		second := write(20, first)
 		time.Sleep(time.Second)
@@ -62,3 +63,9 @@
 		require.NoError(t, <-done)
 	})
 }
+
+// soleEntry returns the duty of an entry that knows no other.
+func soleEntry() *watchduty.Duty {
+	start := time.Now()
+	return watchduty.New(watchduty.Config{IP: 1, Now: func() time.Duration { return time.Since(start) }, Peers: func() []uint32 { return nil }})
+}
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -10,6 +10,7 @@
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetentry"
 	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/watchduty"
 )
 
 const (
@@ -32,12 +33,18 @@
 		return role{}, err
 	}
 	discovered := make(chan uint32, 64)
-	entry := packetentry.New(packetentry.Config{
+	var entry *packetentry.Entry
+	duty := watchduty.New(watchduty.Config{IP: b.ip(), Now: b.now, Peers: func() []uint32 { return entry.ZonePeers() }})
+	entry = packetentry.New(packetentry.Config{
 		IP: b.ip(), Zone: s.Zone, Incarnation: time.Now().UnixMilli(), Now: b.now, Routes: &b.routes, Log: b.log,
 		ToCaller: callerSender(callerConn, s.PacketAddr.Port()), ToMember: b.toMember,
 		NewerConfig: b.config.noteNewer, ScheduleTick: b.alarm.schedule,
-		StoreStatus: func() mesh.StoreStatus {
-			return mesh.NewStoreStatus(b.store.Era(), func() (time.Duration, bool) { return 0, false })
+		StoreStatus: func() mesh.StoreStatus { return mesh.NewStoreStatus(b.store.Era(), duty.Age) },
+		StoreReported: func(s mesh.StoreStatus) {
+			b.noteStoreEra(s.Era)
+			if age, known := s.Age(); known {
+				duty.Answered(age)
+			}
 		},
 		PeerDiscovered: func(ip uint32) {
 			select {
@@ -53,7 +60,7 @@
 	}))
 	// Reports carry the configuration's version, which makes other processes fetch a newer one.
 	b.config.applied = func() { signal(b.configured) }
-	b.parts.add("configuration", b.config.followStore(ctx))
+	b.parts.add("configuration", b.config.followStore(ctx, duty))
 	return role{
 		record:  memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone},
 		receive: entry.Receive, tick: entry.Tick, sweep: entry.Sweep, discovered: discovered,
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -30,9 +30,11 @@
 
 const (
 	// listPauseAlone is the pause between lists while the process receives reports from no other
-	// process, listPause the pause otherwise.
+	// process, listPause the shortest pause otherwise.
 	listPauseAlone = time.Second
 	listPause      = 10 * time.Second
+	// listsPerSecond bounds the lists per second of all processes together.
+	listsPerSecond = 2
 	// restoreSpread is the time over which the processes of a fleet spread the reads and writes that follow a
 	// restore of the store. It leaves time to write the own record within two seconds.
 	restoreSpread = time.Second
@@ -61,8 +63,7 @@
 	own   memberRecord
 	store *platform.Client
 	log   *eventlog.Log
-	// known returns the processes that this process receives reports from. At an entry these are all live
-	// processes.
+	// known returns the processes that this process receives reports from.
 	known func() []uint32
 	// listed is called after each list of the records and after each change of the seeds.
 	listed func()
@@ -149,16 +150,20 @@
 				m.log.Info("member records synchronized again", "failures", failures)
 			}
 			failures = 0
-			pause := listPause
-			if len(m.known()) == 0 {
-				pause = listPauseAlone
-			}
-			restored = m.awaitRestore(ctx, pause)
+			restored = m.awaitRestore(ctx, listPauseFor(len(m.known())))
 		}
 	}()
 	return done
 }
 
+// listPauseFor returns the pause until the next list in a fleet of which the process knows a number of other processes.
+func listPauseFor(known int) time.Duration {
+	if known == 0 {
+		return listPauseAlone
+	}
+	return max(listPause, time.Duration(known)*time.Second/listsPerSecond)
+}
+
 // awaitRestore waits for a pause, or until the store was restored and a random part of restoreSpread has passed.
 // It reports whether the store was restored.
 func (m *memberRegistry) awaitRestore(ctx context.Context, pause time.Duration) bool {
--- /dev/null
+++ b/watchduty/duty.go
@@ -0,0 +1,97 @@
+package watchduty
+
+import (
+	"sync"
+	"time"
+
+	"endiveflow.example/endiveflow/flow"
+)
+
+const (
+	// WatchersPerZone is the number of entries of an availability zone that watch. The second one covers the
+	// restart of the first.
+	WatchersPerZone = 2
+	// maxAge is the time since the last known answer of the store after which an entry that relies on others begins
+	// to watch, plus a part of maxAgeSpread that differs between entries. A watch without changes answers within
+	// about 1.5 s, and word of it reaches most entries within a second.
+	maxAge       = 3 * time.Second
+	maxAgeSpread = 1500 * time.Millisecond
+	// minStint is the time for which an entry watches that wasn't elected.
+	minStint = 5 * time.Second
+)
+
+// Config configures a Duty.
+type Config struct {
+	// IP is the address of the entry.
+	IP uint32
+	// Peers returns the addresses of the other live entries of the zone.
+	Peers func() []uint32
+	// Now returns a monotonic time.
+	Now func() time.Duration
+}
+
+// Duty tells an entry whether it watches the store. It is safe for concurrent use.
+type Duty struct {
+	cfg Config
+
+	mu sync.Mutex
+	// lastAnswer is the time of the last answer of the store that the entry knows of; valid once answered is set.
+	// Guarded by mu.
+	lastAnswer time.Duration
+	answered   bool
+	// stintEnd is the end of the minimum time for which the entry watches. Guarded by mu.
+	stintEnd time.Duration
+}
+
+// New returns the duty of an entry that knows of no answer of the store.
+func New(cfg Config) *Duty { return &Duty{cfg: cfg} }
+
+// Answered records an answer of the store, received by any entry some time ago.
+func (d *Duty) Answered(ago time.Duration) {
+	at := d.cfg.Now() - ago
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.answered || at > d.lastAnswer {
+		d.lastAnswer, d.answered = at, true
+	}
+}
+
+// Age returns the time since the last known answer of the store, and false if none is known.
+func (d *Duty) Age() (time.Duration, bool) {
+	now := d.cfg.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now - d.lastAnswer, d.answered
+}
+
+// Watches reports whether the entry watches the store now: it is one of the elected ones, or the others don't get answers.
+func (d *Duty) Watches() bool {
+	if d.isElected() {
+		return true
+	}
+	now := d.cfg.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now >= d.stintEnd && (!d.answered || now-d.lastAnswer > maxAge+d.ageSpread()) {
+		d.stintEnd = now + minStint
+	}
+	return now < d.stintEnd
+}
+
+// isElected reports whether the entry is among the first of its zone, in an order that all entries agree on.
+func (d *Duty) isElected() bool {
+	before := 0
+	for _, ip := range d.cfg.Peers() {
+		if ip != d.cfg.IP && rank(ip) < rank(d.cfg.IP) {
+			before++
+		}
+	}
+	return before < WatchersPerZone
+}
+
+// rank orders entries. The order says nothing about their addresses, which follow the order in which VMs are set up.
+func rank(ip uint32) uint64 { return flow.Mix(uint64(ip)) }
+
+func (d *Duty) ageSpread() time.Duration {
+	return time.Duration(rank(d.cfg.IP) % uint64(maxAgeSpread))
+}
