upstream, platform: one request a connection, so that a late second answer reaches nobody

Cause: HTTP/1.1 has nothing that ties an answer to its request.

Ruled out: a check of idle connections before their reuse; the copy comes after it. An ID that upstreams echo: they don't know ours.

Change: the agent's client and the store's client open a connection for each request. Connections to upstreams are local; calls to the store are few since only some entries watch. The tests of reused connections keep testing them (Config.ReuseConnections).

--- a/packetnode/http.go
+++ b/packetnode/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
 )
 
@@ -68,12 +69,9 @@
 
 // newHTTPClient returns a client that detects connections whose other end no longer responds.
 func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
+	t := platform.NewTransport()
+	t.DialContext = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+	return &http.Client{Transport: t}
 }
 
 // dialTimeout bounds connection setup between VMs.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -56,6 +56,10 @@
 	SilenceAfter time.Duration
 	// ConnectTimeout bounds opening a connection; 0 means DefaultConnectTimeout.
 	ConnectTimeout time.Duration
+	// ReuseConnections lets a connection carry several requests, one after the other. HTTP/1.1 has nothing that ties an
+	// answer to its request: an upstream that sends an answer twice, the second time late, would answer the next
+	// request on the connection with it.
+	ReuseConnections bool
 	// IdleTimeout is the longest time that a connection may be idle and still be used again; 0 means
 	// DefaultIdleTimeout.
 	IdleTimeout time.Duration
@@ -105,6 +109,7 @@
 	c.transport = &http.Transport{
 		DialContext:         c.dial,
 		DisableCompression:  true,
+		DisableKeepAlives:   !cfg.ReuseConnections,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     cfg.IdleTimeout,
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -36,8 +36,10 @@
 	return u
 }
 
+// newClient returns a client that reuses connections, so that what can go wrong with them is tested as well.
 func newClient(t *testing.T, addr netip.AddrPort, cfg upstream.Config) *upstream.Client {
 	t.Helper()
+	cfg.ReuseConnections = true
 	cfg.Address = func() netip.AddrPort { return addr }
 	c, err := upstream.New(cfg)
 	require.NoError(t, err)
@@ -200,6 +202,26 @@
 	}
 }
 
+// An answer that the upstream sends again late, when the next request is on its way, must not answer that request.
+func TestLateSecondAnswer(t *testing.T) {
+	addr := rawServer(t, func(c net.Conn) {
+		buffer := make([]byte, 4096)
+		n, err := c.Read(buffer)
+		for first := string(buffer[:n]); err == nil; _, err = c.Read(buffer) {
+			id := strings.TrimSpace(strings.SplitN(strings.SplitN(first, standin.RequestIDHeader+": ", 2)[1], "\r\n", 2)[0])
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"+id)
+		}
+	})
+	c, err := upstream.New(upstream.Config{Address: func() netip.AddrPort { return addr }})
+	require.NoError(t, err)
+	for n := range 10 {
+		id := fmt.Sprintf("%02d", n)
+		body, err := do(c, request(t.Context(), http.MethodGet, "/", id))
+		require.NoError(t, err)
+		require.Equal(t, id, body)
+	}
+}
+
 // The next request must not fail because the upstream closed idle connections, as after a restart.
 func TestStaleIdleConnectionIsReplaced(t *testing.T) {
 	dropped := make(chan struct{})
