packetnode: the configuration is fetched compressed, by agents without haste

All processes fetched some 200 kB at once, from entries whose links of 20 Mbit/s take 80 ms for each.

Ruled out: process starts as the main part; the entries' own log of their start is before it.

Change: processes serve the configuration compressed, once for each version, and pass on what they fetched. Agents, which decide nothing by it, spread their fetches over 3 s. An entry that starts waits 150 ms for another process's configuration before it reads the store. The log tells when an entry's watch of the store begins and ends.

--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -1,6 +1,7 @@
 package packetnode
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -28,9 +29,15 @@
 	storeTimeout = 700 * time.Millisecond
 	// fetchTimeout bounds a fetch of the configuration from another process.
 	fetchTimeout = 500 * time.Millisecond
-	// fetchSpread is the time over which the processes of a fleet spread their fetches of a newer
-	// configuration. Meanwhile more processes have it and can serve it.
+	// fetchSpread is the time over which the entries of a fleet spread their fetches of a newer configuration.
+	// Meanwhile more processes have it and can serve it.
 	fetchSpread = 150 * time.Millisecond
+	// agentFetchSpread is the corresponding time for agents, which decide nothing by the configuration but how long they
+	// keep idle flows. They hold it for entries that restart.
+	agentFetchSpread = 3 * time.Second
+	// peerWait is the time for which an entry that has no configuration at its start waits for one of another process
+	// before it reads the store.
+	peerWait = 150 * time.Millisecond
 	// fetchPause coalesces a burst of changes into fewer fetches.
 	fetchPause = 50 * time.Millisecond
 	// storeRetryBase and storeRetryMax space the retries while the store is unavailable. The longest pause
@@ -58,17 +65,23 @@
 	log  *eventlog.Log
 	// applied is called after each newer configuration has been applied.
 	applied func()
+	// spread is the time over which fetches are spread, firstSpread that while the process has no configuration.
+	spread, firstSpread time.Duration
+	// compressed is the form in which other processes fetch the configuration.
+	compressed *compressedConfig
 	// newerAnnounced is signalled when a process has announced a newer configuration.
 	newerAnnounced chan struct{}
 	announcers     *announcers
 	// duty decides when this process watches the store; set by followStore.
 	duty *watchduty.Duty
+	// onDuty reports whether the process watches the store. Used only by the goroutine of followStore.
+	onDuty bool
 	// storeLost is set while calls to the store fail. Used only by the goroutine of followStore.
 	storeLost bool
 }
 
 func newConfigUpdater(u configUpdater) *configUpdater {
-	u.newerAnnounced, u.announcers = make(chan struct{}, 1), new(announcers)
+	u.newerAnnounced, u.announcers, u.compressed = make(chan struct{}, 1), new(announcers), new(compressedConfig)
 	return &u
 }
 
@@ -135,8 +148,9 @@
 	go func() {
 		backoff := platform.Backoff{Base: storeRetryBase, Max: storeRetryMax}
 		failures := 0
+		u.awaitPeers(ctx)
 		for ctx.Err() == nil {
-			if !duty.Watches() {
+			if u.logDuty(duty.Watches()); !u.onDuty {
 				failures = 0
 				sleep(ctx, dutyPoll)
 				continue
@@ -162,6 +176,27 @@
 	return done
 }
 
+// logDuty records whether the process watches the store, and logs each change.
+func (u *configUpdater) logDuty(onDuty bool) {
+	if u.onDuty != onDuty {
+		u.onDuty = onDuty
+		u.log.Info("watch", "name", "store", "onDuty", onDuty, "config", u.routes.Version())
+	}
+}
+
+// awaitPeers waits until another process has given this one a configuration, for at most peerWait.
+func (u *configUpdater) awaitPeers(ctx context.Context) {
+	for range peerWait / peerWaitPoll {
+		if ctx.Err() != nil || u.routes.Current() != nil {
+			return
+		}
+		sleep(ctx, peerWaitPoll)
+	}
+}
+
+// peerWaitPoll is the time between checks of awaitPeers.
+const peerWaitPoll = 10 * time.Millisecond
+
 func (u *configUpdater) logStoreLost(err error) {
 	if !u.storeLost {
 		u.storeLost = true
@@ -223,9 +258,11 @@
 			case <-ctx.Done():
 				return
 			case <-u.newerAnnounced:
-				if u.routes.Current() != nil {
-					sleep(ctx, time.Duration(rand.Int64N(int64(fetchSpread))))
+				spread := u.spread
+				if u.routes.Current() == nil {
+					spread = u.firstSpread
 				}
+				sleep(ctx, time.Duration(rand.Int64N(int64(spread)+1)))
 				ip, ok := u.announcers.pick()
 				if !ok {
 					continue
@@ -248,6 +285,7 @@
 	if err != nil {
 		return fmt.Errorf("building the request: %w", err)
 	}
+	req.Header.Set("Accept-Encoding", gzipEncoding)
 	res, err := u.http.Do(req)
 	if err != nil {
 		return fmt.Errorf("fetching the configuration: %w", err)
@@ -260,7 +298,20 @@
 	if res.StatusCode != http.StatusOK {
 		return errors.Errorf("fetching the configuration: status %d", res.StatusCode)
 	}
-	return u.apply(body, "peer")
+	if res.Header.Get("Content-Encoding") != gzipEncoding {
+		return u.apply(body, "peer")
+	}
+	plain, err := decompress(body)
+	if err != nil {
+		return err
+	}
+	if err := u.apply(plain, "peer"); err != nil {
+		return err
+	}
+	if t := u.routes.Current(); t != nil && bytes.Equal(t.Encoded, plain) {
+		u.compressed.keep(t.Version, body)
+	}
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -60,6 +60,7 @@
 	}))
 	// Reports carry the configuration's version, which makes other processes fetch a newer one.
 	b.config.applied = func() { signal(b.configured) }
+	b.config.spread, b.config.firstSpread = fetchSpread, 0
 	b.parts.add("configuration", b.config.followStore(ctx, duty))
 	return role{
 		record:  memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone},
--- a/packetnode/http.go
+++ b/packetnode/http.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
 )
@@ -51,15 +52,26 @@
 }
 
 // internalHandler serves the endpoints for other processes and for operators.
-func internalHandler(routes *routing.Holder) http.Handler {
+func internalHandler(routes *routing.Holder, compressed *compressedConfig, log *eventlog.Log) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+configPath, func(w http.ResponseWriter, r *http.Request) {
 		table := routes.Current()
 		if table == nil {
 			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 			return
 		}
-		_, _ = w.Write(table.Encoded)
+		if r.Header.Get("Accept-Encoding") != gzipEncoding {
+			_, _ = w.Write(table.Encoded)
+			return
+		}
+		encoded, err := compressed.of(table)
+		if err != nil {
+			log.Error("cannot serve the configuration", "config", table.Version, "error", err.Error())
+			http.Error(w, "cannot compress the configuration", http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Encoding", gzipEncoding)
+		_, _ = w.Write(encoded)
 	})
 	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
--- a/packetnode/process.go
+++ b/packetnode/process.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	b.start(ctx, r, p.reloads)
-	if err := b.parts.serve(ctx, netip.AddrPortFrom(b.settings.IP, b.settings.FirstPort), internalHandler(&b.routes)); err != nil {
+	if err := b.parts.serve(ctx, netip.AddrPortFrom(b.settings.IP, b.settings.FirstPort), internalHandler(&b.routes, b.config.compressed, b.log)); err != nil {
 		return err
 	}
 	if err := r.serve(ctx, func() bool { return stop.Err() == nil }); err != nil {
@@ -158,6 +158,7 @@
 	b.toMember = memberSender(b.peerConn, s.FirstPort)
 	b.config = newConfigUpdater(configUpdater{
 		routes: &b.routes, store: b.store, http: newHTTPClient(), port: s.FirstPort, log: log, applied: func() {},
+		spread: agentFetchSpread, firstSpread: agentFetchSpread,
 	})
 	return b, nil
 }
