watchduty: an entry that starts relies on those that it hears of

Change: no entry is elected in its first 1.5 s. One that has heard of an answer of the store doesn't call it.

--- a/watchduty/duty.go
+++ b/watchduty/duty.go
@@ -16,6 +16,9 @@
 	// about 1.5 s, and word of it reaches most entries within a second.
 	maxAge       = 3 * time.Second
 	maxAgeSpread = 1500 * time.Millisecond
+	// settleTime is the time after its start in which an entry isn't elected: it has not heard of all entries of its zone
+	// yet.
+	settleTime = 1500 * time.Millisecond
 	// minStint is the time for which an entry watches that wasn't elected.
 	minStint = 5 * time.Second
 )
@@ -33,6 +36,8 @@
 // Duty tells an entry whether it watches the store. It is safe for concurrent use.
 type Duty struct {
 	cfg Config
+	// started is when the entry started.
+	started time.Duration
 
 	mu sync.Mutex
 	// lastAnswer is the time of the last answer of the store that the entry knows of; valid once answered is set.
@@ -44,7 +49,7 @@
 }
 
 // New returns the duty of an entry that knows of no answer of the store.
-func New(cfg Config) *Duty { return &Duty{cfg: cfg} }
+func New(cfg Config) *Duty { return &Duty{cfg: cfg, started: cfg.Now()} }
 
 // Answered records an answer of the store, received by any entry some time ago.
 func (d *Duty) Answered(ago time.Duration) {
@@ -64,18 +69,19 @@
 	return now - d.lastAnswer, d.answered
 }
 
-// Watches reports whether the entry watches the store now: it is one of the elected ones, or the others don't get answers.
+// Watches reports whether the entry watches the store now: it is one of the elected ones, it knows of no answer of the
+// store, or the others get none.
 func (d *Duty) Watches() bool {
-	if d.isElected() {
+	now := d.cfg.Now()
+	if now-d.started >= settleTime && d.isElected() {
 		return true
 	}
-	now := d.cfg.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if now >= d.stintEnd && (!d.answered || now-d.lastAnswer > maxAge+d.ageSpread()) {
+	if now >= d.stintEnd && now-d.lastAnswer > maxAge+d.ageSpread() {
 		d.stintEnd = now + minStint
 	}
-	return now < d.stintEnd
+	return !d.answered || now < d.stintEnd
 }
 
 // isElected reports whether the entry is among the first of its zone, in an order that all entries agree on.
--- a/watchduty/duty_test.go
+++ b/watchduty/duty_test.go
@@ -138,3 +138,16 @@
 	d := watchduty.New(watchduty.Config{IP: 1, Now: func() time.Duration { return 0 }, Peers: func() []uint32 { return []uint32{2, 3, 4, 5} }})
 	require.True(t, d.Watches())
 }
+
+// Guards against calls of each entry that starts, as after a rolling replacement: it doesn't know the others of its zone
+// yet and holds itself for elected, although it has heard that the store answers.
+func TestStartingEntryRelies(t *testing.T) {
+	now := time.Duration(0)
+	var peers []uint32
+	d := watchduty.New(watchduty.Config{IP: 1, Now: func() time.Duration { return now }, Peers: func() []uint32 { return peers }})
+	require.True(t, d.Watches())
+	d.Answered(time.Second)
+	require.False(t, d.Watches())
+	now = 2 * time.Second
+	require.True(t, d.Watches(), "it is the only entry")
+}
