packetentry: a new agent costs what its service's list costs, and benchmarks of reports and searches

After a mass start each new agent rebuilt the lists of all services. It is inserted into its service's list now.

--- a/announce/schedule_test.go
+++ b/announce/schedule_test.go
@@ -1,6 +1,7 @@
 package announce_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -100,3 +101,29 @@
 		require.Len(t, sentWithin(3*time.Second, time.Second), 91)
 	})
 }
+
+// BenchmarkSecond measures the schedule of a process for one second; its sends are counted in reports.
+func BenchmarkSecond(b *testing.B) {
+	for _, processes := range []int{30, 100, 300, 1000} {
+		b.Run(strconv.Itoa(processes), func(b *testing.B) {
+			entries, agents := addresses(1, processes*3/10), addresses(10_000, processes*7/10)
+			s := announce.New(announce.Config{LinkBytesPerSecond: narrowLink})
+			now, reports := time.Duration(0), 0
+			second := func() {
+				s.SetRecipients(announce.Entries, entries)
+				s.SetRecipients(announce.Agents, agents)
+				play(s, now, time.Second, func(_ time.Duration, due []uint32) { reports += len(due) })
+				now += time.Second
+			}
+			for range 10 {
+				second()
+			}
+			reports = 0
+			b.ResetTimer()
+			for range b.N {
+				second()
+			}
+			b.ReportMetric(float64(reports)/float64(b.N), "reports/s")
+		})
+	}
+}
--- a/packetentry/bench_test.go
+++ b/packetentry/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"testing"
 	"time"
 
@@ -79,3 +80,38 @@
 		e.Receive(refused.Append(nil))
 	}
 }
+
+// BenchmarkAgentReport measures the report of a restarted agent at an entry that knows others.
+func BenchmarkAgentReport(b *testing.B) {
+	for _, agents := range []int{21, 70, 210, 700} {
+		b.Run(strconv.Itoa(agents), func(b *testing.B) {
+			e := newEntryWithAgents(b, agents)
+			b.ResetTimer()
+			for n := range b.N {
+				body, err := mesh.EncodeReport(mesh.AgentReport{
+					IP: packettest.Address(100 + n%agents), Incarnation: int64(n + 2), Version: 1, Service: packettest.FirstService, HostState: host.Ready,
+				})
+				require.NoError(b, err)
+				m := mesh.Message{Kind: mesh.KindAgentReport, Origin: packettest.Address(100 + n%agents), ConfigVersion: 1, Body: body}
+				e.Receive(m.Append(nil))
+			}
+		})
+	}
+}
+
+// BenchmarkSearch measures the first step of a search for a flow that the entry has no record of.
+func BenchmarkSearch(b *testing.B) {
+	for _, agents := range []int{21, 70, 210, 700} {
+		b.Run(strconv.Itoa(agents), func(b *testing.B) {
+			e := newEntryWithAgents(b, agents)
+			packets := make([][]byte, 10_000)
+			for n := range packets {
+				packets[n] = packettest.Request(packettest.Key(n+10), 7, 100)
+			}
+			b.ResetTimer()
+			for n := range b.N {
+				e.FromCaller(packets[n%len(packets)])
+			}
+		})
+	}
+}
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -150,7 +150,7 @@
 		a.report.Store(&report)
 		a.recordMessage(load, now)
 		r.agents[report.IP] = a
-		r.rebuildServices()
+		r.addToService(a)
 		return true, true
 	}
 	previous := *a.report.Load()
@@ -171,6 +171,16 @@
 			previous.Leaving != report.Leaving || previous.HostID != report.HostID
 }
 
+// addToService adds a new agent to the agents of its service; r.mu must be held. After a mass start, agents become known
+// one after the other, so that the cost of one must not be that of all.
+func (r *roster) addToService(a *agent) {
+	report := a.report.Load()
+	tag := mesh.ServiceTag(report.Service)
+	agents := r.services[tag]
+	at, _ := slices.BinarySearchFunc(agents, report.IP, func(a *agent, ip uint32) int { return cmp.Compare(a.report.Load().IP, ip) })
+	r.services[tag] = slices.Insert(slices.Clone(agents), at, a)
+}
+
 // rebuildServices rebuilds services; r.mu must be held.
 func (r *roster) rebuildServices() {
 	services := make(map[uint32][]*agent)
