--- a/packetagent/fuzz_test.go
+++ b/packetagent/fuzz_test.go
@@ -16,7 +16,7 @@
 	f.Add([]byte{0, byte(mesh.KindDeliver)}, offer.Append(nil))
 	f.Add([]byte{byte(mesh.KindSearch), byte(mesh.KindLocated)}, offer.Append(nil))
 	f.Add([]byte{0}, packettest.Accept(packettest.Key(1), 7))
-	f.Fuzz(func(t *testing.T, kinds, datagram []byte) {
+	f.Fuzz(func(_ *testing.T, kinds, datagram []byte) {
 		fleet := packettest.NewFleet(1)
 		fleet.AddEntry(packettest.Address(1))
 		a := fleet.AddAgent(packettest.Address(100), packettest.FirstService)
