packetagent: a paused agent gives its host no flows whose callers' attempts have ended

Cause: flows are held until their callers' attempts end, and a timer refuses them then.

Ruled out: skipping them in the queue only; they would stay until the timer.

Change: expired flows are refused before held ones are given to the host. Before, TestPausedAgentGivesTheHostNoExpiredFlows saw four opening packets at the host; none now.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -621,3 +621,29 @@
 	}
 	require.Len(t, a.takeSentToHost(), 1)
 }
+
+// Guards against an agent that was paused and then gives its host flows whose callers' attempts have ended meanwhile: each
+// occupies a slot until its answer timer ends, while callers that are still there wait.
+func TestPausedAgentGivesTheHostNoExpiredFlows(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", hostStartedAt, 1, host.Ready)
+	for i := range 4 {
+		a.openFlow(packettest.Key(i))
+	}
+	for i := 4; i < 8; i++ {
+		m := mesh.Message{
+			Kind: mesh.KindOffer, Service: mesh.ServiceTag(service), Origin: entryIP, Body: packettest.Open(packettest.Key(i), 0), Count: 1,
+			Candidates: [mesh.MaxCandidates]uint32{ownIP},
+			Terms:      mesh.Terms{Best: mesh.NoCandidate, TargetLatency: mesh.MillisOf(150 * time.Millisecond)},
+		}
+		a.Receive(m.Append(nil))
+	}
+	a.takeSentToHost()
+	a.takeSentToCaller()
+	// The process was paused; the host's answers are the first that it handles.
+	a.now += 3 * time.Second
+	for i := range 4 {
+		a.FromHost(packettest.Answer(packettest.Key(i), hostSeq+1, 500))
+	}
+	require.Empty(t, a.takeSentToHost())
+}
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -73,8 +73,10 @@
 }
 
 // admitHeld sends the opening packets of held flows to the host while it has room. It is called when room may
-// have become free, with no lock held.
+// have become free, with no lock held. Flows that exceeded the hold limit are refused first: after a pause of the
+// process, the callers of all held flows may be gone.
 func (a *Agent) admitHeld() {
+	a.refuseExpired()
 	for {
 		now := a.cfg.Now()
 		key, ok := a.load.Dequeue(now)
