packetentry: a parked flow that was taken after all waits no longer

Cause: an agent took a flow late, after another one had refused it within a second of the entry's start. The flow went on waiting, was offered again without its opening packet, and the entry sent its packets to the agent of that offer.

Change: taking a flow ends its wait. Before, TestParkedFlowThatIsTakenWaitsNoLonger saw a third offer. announce, packetnode: one list of the groups of recipients.

--- a/announce/schedule.go
+++ b/announce/schedule.go
@@ -13,7 +13,8 @@
 const (
 	Entries Group = iota
 	Agents
-	groupCount
+	// GroupCount is the number of groups.
+	GroupCount
 )
 
 const (
@@ -48,7 +49,7 @@
 	cfg Config
 	// perSecond is the number of announcements per second.
 	perSecond float64
-	groups    [groupCount]round
+	groups    [GroupCount]round
 	// announcements holds the processes that get a report next, each once; waiting holds the same addresses.
 	announcements []uint32
 	waiting       map[uint32]bool
@@ -123,8 +124,8 @@
 
 // AnnounceAll schedules a report to all recipients.
 func (s *Schedule) AnnounceAll() {
-	for g := range s.groups {
-		s.AnnounceSome(Group(g), len(s.groups[g].recipients))
+	for g := range GroupCount {
+		s.AnnounceSome(g, len(s.groups[g].recipients))
 	}
 }
 
--- a/packetentry/holders.go
+++ b/packetentry/holders.go
@@ -60,7 +60,7 @@
 		}
 	}
 	r.others.remove(agent)
-	r.agent, r.taken, r.passedOn, r.openingPacket = agent, true, false, nil
+	r.agent, r.taken, r.passedOn, r.parked, r.openingPacket = agent, true, false, false, nil
 }
 
 // handlePassedOn records that an agent that took the flow has passed it on to another one.
--- a/packetentry/parked_test.go
+++ b/packetentry/parked_test.go
@@ -22,6 +22,8 @@
 	*packetentry.Entry
 	now    time.Duration
 	offers []mesh.Message
+	// delivered holds the agents that packets of open flows were sent to.
+	delivered []uint32
 	// toSelf holds the datagrams that the entry sent to itself.
 	toSelf [][]byte
 }
@@ -40,8 +42,11 @@
 		ToMember: func(ip uint32, d []byte) {
 			var m mesh.Message
 			require.NoError(t, m.Decode(append([]byte(nil), d...)))
-			if m.Kind == mesh.KindOffer {
+			switch m.Kind {
+			case mesh.KindOffer:
 				c.offers = append(c.offers, m)
+			case mesh.KindDeliver:
+				c.delivered = append(c.delivered, ip)
 			}
 			if ip == packettest.Address(1) {
 				c.toSelf = append(c.toSelf, append([]byte(nil), d...))
@@ -103,3 +108,19 @@
 	c.run(packetentry.DefaultSearchTimeout + 5*time.Millisecond)
 	require.Len(t, c.offers, 1)
 }
+
+// Guards against a flow that waits after a refusal although an earlier offer of it was taken late: it was offered again
+// without its opening packet, and its packets went to an agent that had never heard of it.
+func TestParkedFlowThatIsTakenWaitsNoLonger(t *testing.T) {
+	c := newClockedEntry(t, 6)
+	c.FromCaller(packettest.Open(packettest.Key(1), 0))
+	first := c.offers[0].Candidates[0]
+	c.run(packetentry.DefaultOfferTimeout + 5*time.Millisecond)
+	require.Len(t, c.offers, 2)
+	c.notice(mesh.KindRefused, c.offers[1].Candidates[0])
+	c.notice(mesh.KindTaken, first)
+	c.run(300 * time.Millisecond)
+	require.Len(t, c.offers, 2)
+	c.FromCaller(packettest.Request(packettest.Key(1), 7, 10))
+	require.Equal(t, []uint32{first}, c.delivered)
+}
--- a/packetnode/report.go
+++ b/packetnode/report.go
@@ -34,7 +34,7 @@
 }
 
 // reportIntervals are the times between regular reports to the processes of each group, in nanoseconds.
-type reportIntervals [2]atomic.Int64
+type reportIntervals [announce.GroupCount]atomic.Int64
 
 func (i *reportIntervals) of(g announce.Group) time.Duration { return time.Duration(i[g].Load()) }
 
@@ -42,9 +42,6 @@
 // them that fetches it tells others, so that it spreads without a message from every process to every other.
 const configAnnouncements = 8
 
-// groups are the groups of recipients.
-var groups = []announce.Group{announce.Entries, announce.Agents}
-
 func (r *reporter) run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
@@ -71,7 +68,7 @@
 			case <-r.changed:
 				r.schedule.AnnounceAll()
 			case <-r.configured:
-				for _, g := range groups {
+				for g := range announce.GroupCount {
 					r.schedule.AnnounceSome(g, configAnnouncements)
 				}
 			case ip := <-r.discovered:
@@ -89,7 +86,7 @@
 // refresh updates the recipients and the intervals that result. Entries judge by the announced interval whether the
 // process is silent, so that they are told at once if it has become much longer.
 func (r *reporter) refresh() {
-	for _, g := range groups {
+	for g := range announce.GroupCount {
 		r.schedule.SetRate(g, r.ratePerSecond(g))
 		r.schedule.SetRecipients(g, r.recipients(g))
 		r.intervals[g].Store(int64(r.schedule.Interval(g)))
