packetagent: an acknowledged FIN is no sign of an open flow

A host acknowledges the FIN of a flow that has ended at it; its agent, having probed it, took that for an open flow and delivered all further packets.

Ruled out: numbers that match by chance.

Change: a bare acknowledgement for an unknown flow is passed on and shows nothing; a given-up copy stays on record while packets of its flow arrive. Before, TestAcknowledgedFINIsNoOpenFlow and TestGivenUpCopyIsRemembered failed: a notice that the flow is here, and a packet at the host.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -647,3 +647,44 @@
 	}
 	require.Empty(t, a.takeSentToHost())
 }
+
+// Guards against an agent that takes the host's acknowledgement of a FIN for a sign that the flow is open there: a host
+// acknowledges the FIN of a flow that has ended at it, such as a copy that its caller opened elsewhere. All further packets of
+// the flow went to that host.
+func TestAcknowledgedFINIsNoOpenFlow(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", agentStartedAt-60_000, 40, host.Ready)
+	k := packettest.Key(1)
+	fin := packettest.Packet{Flow: k, Flags: packettest.ACK | packettest.FIN, Seq: 1200, Ack: hostSeq + 501}.Bytes()
+	a.receive(mesh.KindSearch, fin)
+	require.Len(t, a.takeSentToHost(), 1)
+	a.FromHost(packettest.Packet{Flow: k, FromHost: true, Flags: packettest.ACK, Seq: hostSeq + 501, Ack: 1201}.Bytes())
+	require.Empty(t, a.takeSentKinds(), "no entry is told that the flow is here")
+	for range 3 {
+		a.now += time.Second
+		a.receive(mesh.KindDeliver, fin)
+	}
+	require.Empty(t, a.takeSentToHost())
+	require.Equal(t, []mesh.Kind{mesh.KindMissing, mesh.KindMissing, mesh.KindMissing}, a.takeSentKinds())
+}
+
+// Guards against a copy of a flow that its caller opened at another host and that the agent forgets within seconds: the
+// host is then probed with packets of the flow.
+func TestGivenUpCopyIsRemembered(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", agentStartedAt-60_000, 40, host.Ready)
+	k := packettest.Key(1)
+	a.receive(mesh.KindOffer, packettest.Open(k, 0))
+	a.FromHost(packettest.Accept(k, hostSeq))
+	a.takeSentToHost()
+	for range 10 {
+		a.receive(mesh.KindDeliver, packettest.Request(k, hostSeq+5_000_000, 100))
+		a.now += 4 * time.Second / 3
+		a.Sweep()
+	}
+	a.now += 5 * time.Second
+	a.Sweep()
+	a.receive(mesh.KindDeliver, packettest.Request(k, hostSeq+5_000_000, 100))
+	require.Empty(t, a.takeSentToHost())
+	require.EqualValues(t, 0, a.Load().Busy, "the copy occupies no slot")
+}
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -51,6 +51,7 @@
 	case r == nil:
 		return flowUnknown
 	case !r.matches(s):
+		r.lastPacket = a.cfg.Now()
 		a.giveUpCopy(shard, s.Key, r)
 		return flowElsewhere
 	case r.phase == held:
@@ -61,7 +62,7 @@
 	return flowAtHost
 }
 
-// giveUpCopy ends the record of a flow that its caller opened at another host, so that it occupies no slot. The caller
+// giveUpCopy idles the record of a flow that its caller opened at another host, so that it occupies no slot. The caller
 // gets no reset, as its flow is open. The shard must be locked.
 func (a *Agent) giveUpCopy(shard *flowtable.Shard[record], key flow.Key, r *record) {
 	switch {
@@ -69,7 +70,8 @@
 	case r.phase == held:
 		shard.Delete(key)
 	default:
-		r.setPhase(ended, a.cfg.Now(), a.load)
+		// The record stays for as long as packets of the flow arrive, so that the host isn't probed with them.
+		r.setPhase(idle, a.cfg.Now(), a.load)
 	}
 }
 
@@ -168,6 +170,14 @@
 		a.recordAbsence(s.Key)
 		return
 	}
+	if learned && !s.IsSYN && !s.IsFIN && s.DataBytes == 0 {
+		// A bare acknowledgement doesn't show that the flow is open here: the host also acknowledges the FIN of a flow
+		// that has ended at it, such as a copy that the caller opened at another host.
+		shard.Unlock()
+		a.recordAbsence(s.Key)
+		a.cfg.ToCaller(s.Key.Caller, packet)
+		return
+	}
 	if s.IsRST && !r.confirmed {
 		// The host gives up a flow that the caller hasn't opened here and may have opened at another host.
 		r.updateFromHost(s, now, a.load)
