packettest: a fleet checks that packets of open flows reach their own hosts

The fleets of packettest now check the platform's rule for each packet at a host, and callers can close flows and repeat the packet that closes until it is acknowledged, as the platform's callers do. No test looked at this before: fake hosts returned such packets, and callers in tests sent nothing after their answers.

--- a/packettest/caller.go
+++ b/packettest/caller.go
@@ -1,6 +1,7 @@
 package packettest
 
 import (
+	"slices"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
@@ -16,14 +17,23 @@
 	// Answers counts the answers; Reset is set once the flow has been reset.
 	Answers int
 	Reset   bool
+	// Closed is set once the host has acknowledged that the caller closed the flow.
+	Closed bool
 	// NextEntry returns the entry that the fabric sends the next packet to.
 	NextEntry func() *Entry
 
 	fleet *Fleet
 }
 
-// retransmitDelays are the delays before each retransmission of a packet.
-var retransmitDelays = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
+// retransmitDelays are the delays before each retransmission of a packet, closeDelays those of the packet that closes a
+// flow.
+var (
+	retransmitDelays = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
+	closeDelays      = append(slices.Clone(retransmitDelays), slices.Repeat([]time.Duration{1600 * time.Millisecond}, 5)...)
+)
+
+// finSeq is the sequence number of the packet that closes a flow.
+const finSeq = 5001
 
 // resetWindow is the largest difference between the number of a valid reset and the number that the caller last
 // acknowledged.
@@ -52,7 +62,7 @@
 func (callers Callers) Start(f *Fleet, key flow.Key, nextEntry func() *Entry) *Caller {
 	c := &Caller{Key: key, NextEntry: nextEntry, fleet: f}
 	callers[key] = c
-	c.send(0, func(n uint32) []byte {
+	c.send(retransmitDelays, 0, func(n uint32) []byte {
 		if c.Open {
 			return nil
 		}
@@ -64,7 +74,7 @@
 // Request sends a request on an open flow.
 func (c *Caller) Request() {
 	want := c.Answers + 1
-	c.send(0, func(uint32) []byte {
+	c.send(retransmitDelays, 0, func(uint32) []byte {
 		if c.Answers >= want {
 			return nil
 		}
@@ -72,16 +82,26 @@
 	})
 }
 
-// send sends the packet that nextPacket returns for the nth attempt, and retransmits until nextPacket returns
-// nil.
-func (c *Caller) send(n int, nextPacket func(uint32) []byte) {
+// Close closes an open flow.
+func (c *Caller) Close() {
+	c.send(closeDelays, 0, func(uint32) []byte {
+		if c.Closed {
+			return nil
+		}
+		return Packet{Flow: c.Key, Flags: FIN | ACK, Seq: finSeq, Ack: c.InitialSeq + 1 + answerBytes}.Bytes()
+	})
+}
+
+// send sends the packet that nextPacket returns for the nth attempt, and retransmits after each of the delays until
+// nextPacket returns nil.
+func (c *Caller) send(delays []time.Duration, n int, nextPacket func(uint32) []byte) {
 	packet := nextPacket(uint32(n))
 	if packet == nil || c.Reset {
 		return
 	}
 	c.fleet.FromCaller(c.NextEntry(), packet)
-	if n < len(retransmitDelays) {
-		c.fleet.After(retransmitDelays[n], func() { c.send(n+1, nextPacket) })
+	if n < len(delays) {
+		c.fleet.After(delays[n], func() { c.send(delays, n+1, nextPacket) })
 	}
 }
 
@@ -94,5 +114,7 @@
 		c.Request()
 	case s.DataBytes > 0 && c.Open && s.Seq == c.InitialSeq+1:
 		c.Answers++
+	case s.Ack == finSeq+1:
+		c.Closed = true
 	}
 }
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -52,7 +52,10 @@
 	ToCaller func(s flow.Segment, from uint32)
 	// Violations collects violations of guarantees, such as a flow opened at a draining host.
 	Violations []string
+	// Misdelivered counts the packets of open flows that reached other hosts than the flow's.
+	Misdelivered int
 
+	openFlows   map[flow.Key]*openFlow
 	now         time.Duration
 	eventSerial int
 	events      events
@@ -99,6 +102,7 @@
 	f := &Fleet{
 		Random: rand.New(rand.NewPCG(seed, 1)), Drop: func(uint32, uint32) bool { return false }, Delay: func(uint32, uint32) time.Duration { return 0 },
 		ToCaller: func(flow.Segment, uint32) {}, Links: make(map[uint32]*Link), Traffic: make(map[uint32]*Traffic),
+		openFlows: make(map[flow.Key]*openFlow),
 	}
 	endpoint := Key(0).Service
 	f.Routes = []routing.Route{{Name: "r", Endpoint: endpoint, Shares: []routing.Share{{Service: FirstService, Weight: 1}}, TargetLatency: 150 * time.Millisecond}}
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -88,6 +88,9 @@
 		return
 	}
 	h := a.Host
+	if !s.Opens() {
+		f.checkReached(a, s)
+	}
 	initialSeq, exists := h.Flows[s.Key]
 	switch {
 	case s.Opens():
@@ -102,6 +105,8 @@
 		f.fromHost(a, Bounce(packet))
 	case !flow.WithinWindow(initialSeq, s.Ack):
 		f.fromHost(a, Packet{Flow: s.Key, FromHost: true, Flags: RST, Seq: s.Ack}.Bytes())
+	case s.IsFIN:
+		f.fromHost(a, Packet{Flow: s.Key, FromHost: true, Flags: ACK, Seq: s.Ack, Ack: s.Seq + 1}.Bytes())
 	case s.DataBytes > 0:
 		f.hostRequest(a, requestID{s.Key, s.Seq})
 	}
