packetagent, packetentry: log and count probes, copies given up and turns

An incident in which packets of an open flow reached other hosts had five hypotheses, and neither logs nor metrics could tell them apart: no line said that an agent gave its host a packet of a flow that it has no record of, for which reason, and what the host answered, nor that two agents had taken a flow, nor whether a directory agent had a location of it.

Agents now log and count each such packet (a probe) with its reason and step, the host's first answer to it, and once per flow a copy that is given up because the caller opened the flow at another host. Directory agents count lookups by their result and log the agent that a search is forwarded to. Entries count the searches that begin for lack of a record, and log a second agent that took a flow and the turn from one agent to another. Lookups are counted for searches that would be forwarded only, so the step is checked before the lookup; recordAbsence returns the search as it was before, to count one outcome per probe. No decision changes. The lines are rare ones, and none is on the path of packets of known flows: TestPacketsDoNotAllocate and TestForwardingDoesNotAllocate pass unchanged.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -1,7 +1,7 @@
 package packetagent_test
 
 import (
-	"io"
+	"bytes"
 	"testing"
 	"time"
 
@@ -39,6 +39,8 @@
 	toCaller    [][]byte
 	toMember    []sent
 	idleTimeout time.Duration
+	log         *eventlog.Log
+	logged      bytes.Buffer
 }
 
 type sent struct {
@@ -48,6 +50,7 @@
 
 func newTestAgent(t *testing.T) *testAgent {
 	a := &testAgent{t: t, idleTimeout: routing.MinIdleTimeout}
+	a.log = eventlog.New(eventlog.Config{Out: &a.logged, Node: "agent"})
 	a.Agent = packetagent.New(packetagent.Config{
 		IP: ownIP, Service: service, Host: hostAddress, Zone: "a", CallerPort: 9000, Incarnation: agentStartedAt,
 		Now:       func() time.Duration { return a.now },
@@ -63,7 +66,7 @@
 		},
 		ConfigVersion: func() uint64 { return 1 }, IdleTimeout: func() time.Duration { return a.idleTimeout },
 		NewerConfig: func(uint32) {}, ReportChanged: func() {}, ScheduleTick: func(time.Duration) {},
-		Log: eventlog.New(eventlog.Config{Out: io.Discard}),
+		Log: a.log,
 	})
 	return a
 }
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -19,7 +19,7 @@
 		return
 	case flowUnknown:
 		if a.shouldProbe(m, s) {
-			a.sendToHost(m.Body, contextProbe)
+			a.probe(m, s, contextProbe)
 			return
 		}
 	case flowElsewhere:
@@ -68,13 +68,28 @@
 	switch {
 	case r.confirmed || r.phase == ended:
 	case r.phase == held:
+		a.recordGivenUp(key, r)
 		shard.Delete(key)
 	default:
 		// The record stays for as long as packets of the flow arrive, so that the host isn't probed with them.
+		a.recordGivenUp(key, r)
 		r.setPhase(idle, a.cfg.Now(), a.load)
 	}
 }
 
+// recordGivenUp counts and logs a copy that is given up, once per flow.
+func (a *Agent) recordGivenUp(key flow.Key, r *record) {
+	if r.copyGivenUp {
+		return
+	}
+	r.copyGivenUp = true
+	copiesGivenUp.Inc()
+	if a.cfg.Log.AllowRare() {
+		a.cfg.Log.Info("copy given up: the caller opened the flow at another host", "flow", key.String(),
+			"held", r.phase == held, "hostAnswered", r.hostSeqKnown)
+	}
+}
+
 // returnMissing returns a packet to the entry that sent request, as its flow isn't at this host.
 func (a *Agent) returnMissing(request *mesh.Message, key flow.Key, packet []byte) {
 	m := a.newMessage(mesh.KindMissing, key)
@@ -101,10 +116,7 @@
 	if location == flowElsewhere {
 		a.admitHeld()
 	}
-	if agent := a.lookUpLocation(s.Key); agent != 0 && m.Step < mesh.StepAll && !m.Terms.Resent {
-		// The search is marked so that it isn't forwarded twice.
-		m.Terms.Resent = true
-		a.send(agent, m)
+	if m.Step < mesh.StepAll && !m.Terms.Resent && a.forwardSearch(m, s.Key) {
 		return
 	}
 	// An opening packet would open the flow at the host.
@@ -113,7 +125,7 @@
 		if m.Step < mesh.StepAll {
 			context = contextProbe
 		}
-		a.sendToHost(m.Body, context)
+		a.probe(m, s, context)
 		return
 	}
 	if m.Terms.Resent {
@@ -125,6 +137,24 @@
 	}
 }
 
+// forwardSearch forwards a search to the other agent that most likely has the flow, and reports whether one is known.
+func (a *Agent) forwardSearch(m *mesh.Message, key flow.Key) bool {
+	agent := a.lookUpLocation(key)
+	if agent == 0 {
+		lookupsNotFound.Inc()
+		return false
+	}
+	lookupsFound.Inc()
+	if a.cfg.Log.AllowRare() {
+		a.cfg.Log.Info("search forwarded by a directory agent", "flow", key.String(), "agent", flow.IPText(agent),
+			"entry", flow.IPText(m.Origin), "step", m.Step)
+	}
+	// The search is marked so that it isn't forwarded twice.
+	m.Terms.Resent = true
+	a.send(agent, m)
+	return true
+}
+
 // shouldProbe reports whether to probe the host for a flow that the agent has no record of, and records the
 // search. A host is probed once per flow: if it has the flow it answers data, and if it doesn't it may still
 // not bounce the packet, because it opened the flow from another copy of the opening packet.
@@ -167,14 +197,14 @@
 	if learned && s.IsRST {
 		// The host answers a probe: the host doesn't have the flow, which may be open at another host.
 		shard.Unlock()
-		a.recordAbsence(s.Key)
+		a.recordProbeAbsence(s.Key, probeReset)
 		return
 	}
 	if learned && !s.IsSYN && !s.IsFIN && s.DataBytes == 0 {
 		// A bare acknowledgement doesn't show that the flow is open here: the host also acknowledges the FIN of a flow
 		// that has ended at it, such as a copy that the caller opened at another host.
 		shard.Unlock()
-		a.recordAbsence(s.Key)
+		a.recordProbeAbsence(s.Key, probeAcknowledged)
 		a.cfg.ToCaller(s.Key.Caller, packet)
 		return
 	}
@@ -208,10 +238,13 @@
 	shard.Unlock()
 	learnedFlows.Inc()
 	if found != nil {
+		if found.awaitsOutcome() {
+			probeOutcomes[probeLearned].Inc()
+		}
 		a.notify(mesh.KindTaken, found.entry, key)
 	}
 	if a.cfg.Log.AllowRare() {
-		a.cfg.Log.Info("flow learned from its host", "flow", key.String(), "searched", found != nil)
+		a.cfg.Log.Info("flow learned from its host", "flow", key.String(), "searched", found != nil, "probed", found != nil && found.probed)
 	}
 }
 
@@ -220,7 +253,7 @@
 	bounces.Inc()
 	switch s.Context {
 	case contextSearch, contextProbe:
-		if search := a.recordAbsence(s.Key); search.entry != 0 && s.Context == contextProbe {
+		if search := a.recordProbeAbsence(s.Key, probeBounced); search.entry != 0 && s.Context == contextProbe {
 			a.returnMissing(&mesh.Message{Origin: search.entry, Step: search.step}, s.Key, packet)
 		}
 		return
@@ -266,7 +299,7 @@
 }
 
 // recordAbsence records that the host doesn't have a flow, so that it isn't probed again. It returns the
-// search for the flow, whose entry is 0 if there was none.
+// search for the flow as it was before, whose entry is 0 if there was none.
 func (a *Agent) recordAbsence(key flow.Key) search {
 	shard := a.searches.Lock(key)
 	defer shard.Unlock()
@@ -275,6 +308,7 @@
 		found = new(search)
 		shard.Put(key, found)
 	}
+	previous := *found
 	found.bounced, found.at = true, a.cfg.Now()
-	return *found
+	return previous
 }
--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -20,6 +20,24 @@
 	learnedFlows   = metrics.NewCounter(`endiveflow_packetagent_learned_total`)
 	resets         = metrics.NewCounter(`endiveflow_packetagent_resets_total`)
 
+	// probes counts packets of unknown flows given to the host, by the reason.
+	probes = map[probeReason]*metrics.Counter{
+		probeExpected:  metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="expected"}`),
+		probeDirectory: metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="directory"}`),
+		probeForwarded: metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="forwarded"}`),
+		probeAll:       metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="all"}`),
+	}
+	// probeOutcomes counts the host's first answers to probes.
+	probeOutcomes = map[probeOutcome]*metrics.Counter{
+		probeBounced:      metrics.NewCounter(`endiveflow_packetagent_probe_outcomes_total{outcome="bounced"}`),
+		probeReset:        metrics.NewCounter(`endiveflow_packetagent_probe_outcomes_total{outcome="reset"}`),
+		probeAcknowledged: metrics.NewCounter(`endiveflow_packetagent_probe_outcomes_total{outcome="acknowledged"}`),
+		probeLearned:      metrics.NewCounter(`endiveflow_packetagent_probe_outcomes_total{outcome="learned"}`),
+	}
+	copiesGivenUp   = metrics.NewCounter(`endiveflow_packetagent_copies_given_up_total`)
+	lookupsFound    = metrics.NewCounter(`endiveflow_packetagent_lookups_total{result="found"}`)
+	lookupsNotFound = metrics.NewCounter(`endiveflow_packetagent_lookups_total{result="notFound"}`)
+
 	// holdTimes are the times in seconds for which flows were held before they were sent to the host.
 	holdTimes = metrics.NewHistogram(`endiveflow_packetagent_hold_seconds`)
 
--- /dev/null
+++ b/packetagent/probe_test.go
@@ -0,0 +1,129 @@
+package packetagent_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/flowtrace"
+	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/packettest"
+)
+
+// history returns the lines about a flow that were logged since the last call, as the trace command reads them.
+func (a *testAgent) history(key flow.Key) []flowtrace.Line {
+	a.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.NoError(a.t, <-a.log.Run(ctx))
+	lines, err := flowtrace.Read(&a.logged, key.String())
+	require.NoError(a.t, err)
+	return lines
+}
+
+// counted returns the increase of a counter since the call of counted.
+func counted(name string) func() int {
+	c := metrics.GetOrCreateCounter(name)
+	before := c.Get()
+	return func() int { return int(c.Get() - before) }
+}
+
+// Guards against packets that reach a host that isn't the flow's without a line that says why they were given to it and
+// what the host answered, and against outcomes that are counted twice.
+func TestProbesAreLogged(t *testing.T) {
+	k := packettest.Key(1)
+	packet := packettest.Request(k, hostSeq+1, 100)
+	message := mesh.Message{Kind: mesh.KindSearch, Service: mesh.ServiceTag(service), Origin: entryIP, ConfigVersion: 1, Body: packet}
+	reset := packettest.Packet{Flow: k, FromHost: true, Flags: packettest.RST, Seq: hostSeq + 1}.Bytes()
+	acknowledgement := packettest.Packet{Flow: k, FromHost: true, Flags: packettest.ACK, Seq: hostSeq + 1, Ack: 1200}.Bytes()
+	for _, test := range []struct {
+		reason, outcome string
+		change          func(*mesh.Message)
+		answer          func(probe []byte) []byte
+		logged          bool
+	}{
+		{"expected", "bounced", func(m *mesh.Message) { m.Kind = mesh.KindDeliver }, packettest.Bounce, true},
+		{"directory", "reset", func(m *mesh.Message) { m.Step = 1 }, func([]byte) []byte { return reset }, true},
+		{"forwarded", "acknowledged", func(m *mesh.Message) { m.Terms.Resent = true }, func([]byte) []byte { return acknowledgement }, true},
+		// A learned flow has a line of its own.
+		{"all", "learned", func(m *mesh.Message) { m.Step = mesh.StepAll }, func([]byte) []byte { return packettest.Answer(k, hostSeq+1, 500) }, false},
+	} {
+		t.Run(test.reason, func(t *testing.T) {
+			given := counted(`endiveflow_packetagent_probes_total{reason="` + test.reason + `"}`)
+			answered := counted(`endiveflow_packetagent_probe_outcomes_total{outcome="` + test.outcome + `"}`)
+			a := newTestAgent(t)
+			m := message
+			test.change(&m)
+			a.Receive(m.Append(nil))
+			probes := a.takeSentToHost()
+			require.Len(t, probes, 1)
+			lines := a.history(k)
+			require.Len(t, lines, 1)
+			require.Equal(t, "probe", lines[0].Message)
+			require.Equal(t, "given to the host", lines[0].Outcome)
+			require.Equal(t, test.reason, lines[0].Fields["reason"])
+			require.EqualValues(t, m.Step, lines[0].Fields["step"])
+			for range 2 {
+				a.FromHost(append([]byte(nil), test.answer(probes[0])...))
+			}
+			lines = a.history(k)
+			if test.logged {
+				require.Equal(t, "probe", lines[0].Message)
+				require.Equal(t, test.outcome, lines[0].Outcome)
+			} else {
+				require.Equal(t, "flow learned from its host", lines[0].Message)
+				require.Equal(t, true, lines[0].Fields["probed"])
+			}
+			for _, l := range lines[1:] {
+				require.NotEqual(t, "probe", l.Message, "a second outcome")
+			}
+			require.Equal(t, 1, given())
+			require.Equal(t, 1, answered())
+		})
+	}
+}
+
+// Guards against a copy that is given up without a line, and against a line for each packet of the flow.
+func TestGivenUpCopyIsLoggedOnce(t *testing.T) {
+	givenUp := counted(`endiveflow_packetagent_copies_given_up_total`)
+	a := newTestAgent(t)
+	a.heartbeat("h", hostStartedAt, 1, host.Ready)
+	k := packettest.Key(1)
+	a.receive(mesh.KindOffer, packettest.Open(k, 0))
+	a.FromHost(packettest.Accept(k, hostSeq))
+	a.history(k)
+	for range 3 {
+		a.receive(mesh.KindDeliver, packettest.Request(k, hostSeq+5_000_000, 100))
+	}
+	n := 0
+	for _, l := range a.history(k) {
+		if l.Message == "copy given up: the caller opened the flow at another host" {
+			n++
+			require.Equal(t, true, l.Fields["hostAnswered"])
+		}
+	}
+	require.Equal(t, 1, n)
+	require.Equal(t, 1, givenUp())
+}
+
+// Guards against directory agents that had no location of a flow and can't be told from those that had a wrong one.
+func TestLookupsAreCounted(t *testing.T) {
+	found, notFound := counted(`endiveflow_packetagent_lookups_total{result="found"}`), counted(`endiveflow_packetagent_lookups_total{result="notFound"}`)
+	a := newTestAgent(t)
+	known, unknown := packettest.Key(1), packettest.Key(2)
+	located := mesh.Message{Kind: mesh.KindLocated, Service: mesh.ServiceTag(service), Origin: peerIP, Flow: known}
+	a.Receive(located.Append(nil))
+	for _, k := range []flow.Key{known, unknown} {
+		for _, step := range []uint8{0, mesh.StepAll} {
+			m := mesh.Message{Kind: mesh.KindSearch, Service: mesh.ServiceTag(service), Origin: entryIP, Step: step, Body: packettest.Request(k, 5, 10)}
+			a.Receive(m.Append(nil))
+		}
+	}
+	require.Equal(t, 1, found())
+	require.Equal(t, 1, notFound())
+	require.Equal(t, "search forwarded by a directory agent", a.history(known)[0].Message)
+}
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -56,6 +56,8 @@
 	callerNextKnown       bool
 	// callerClosed and hostClosed report which ends have closed the flow.
 	callerClosed, hostClosed bool
+	// copyGivenUp reports whether the agent gave the flow up, because the caller opened it at another host.
+	copyGivenUp bool
 	// offer is the offer to pass on if the host doesn't accept the flow; nil unless the phase is held or
 	// opening.
 	offer *pendingOffer
--- a/packetentry/bench_test.go
+++ b/packetentry/bench_test.go
@@ -41,6 +41,11 @@
 
 // newEntry returns an entry without agents.
 func newEntry(tb testing.TB, toMember func(uint32, []byte)) *packetentry.Entry {
+	tb.Helper()
+	return newLoggingEntry(tb, toMember, eventlog.New(eventlog.Config{Out: io.Discard}))
+}
+
+func newLoggingEntry(tb testing.TB, toMember func(uint32, []byte), log *eventlog.Log) *packetentry.Entry {
 	tb.Helper()
 	var routes routing.Holder
 	at := packettest.Key(0).Service
@@ -49,7 +54,7 @@
 	e := packetentry.New(packetentry.Config{
 		IP: packettest.Address(1), Zone: "a", Now: func() time.Duration { now += time.Microsecond; return now }, Routes: &routes,
 		ToCaller: func(flow.Endpoint, []byte) {}, ToMember: toMember, NewerConfig: func(uint32) {},
-		PeerDiscovered: func(uint32) {}, ScheduleTick: func(time.Duration) {}, Log: eventlog.New(eventlog.Config{Out: io.Discard}),
+		PeerDiscovered: func(uint32) {}, ScheduleTick: func(time.Duration) {}, Log: log,
 	})
 	return e
 }
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -120,6 +120,7 @@
 		step, ok := e.nextSearchStep(shard, s.Key, r)
 		shard.Unlock()
 		if ok {
+			countSearchBegun(step)
 			e.search(s, packet, step)
 		}
 	}
--- a/packetentry/holders.go
+++ b/packetentry/holders.go
@@ -1,5 +1,10 @@
 package packetentry
 
+import (
+	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/mesh"
+)
+
 // Two agents may have taken a flow: the first one answered its offer late, and the flow was offered to another one.
 // Which of them has it is decided by the caller, which opens the flow at the host whose answer comes first. Packets go to
 // one of the two, and if it returns them, to the other one.
@@ -87,3 +92,26 @@
 	r.agent = next
 	return true
 }
+
+// holder returns the agent that has taken the flow, 0 if none has. r may be nil.
+func (r *record) holder() uint32 {
+	if r == nil || !r.taken {
+		return 0
+	}
+	return r.agent
+}
+
+// logHolders logs if an agent's message shows that two agents have taken a flow, or turns the entry from one agent to
+// another. before and after are the agents that had the flow before and after the message.
+func (e *Entry) logHolders(m *mesh.Message, before, after uint32) {
+	second := m.Kind == mesh.KindTaken && m.Origin != after
+	if before == 0 || before == after && !second || !e.cfg.Log.AllowRare() {
+		return
+	}
+	if second {
+		e.cfg.Log.Info("flow taken by a second agent", "flow", m.Flow.String(), "agent", flow.IPText(m.Origin), "kept", flow.IPText(after))
+		return
+	}
+	e.cfg.Log.Info("packets of the flow go to another agent", "flow", m.Flow.String(), "why", m.Kind.String(),
+		"before", flow.IPText(before), "agent", flow.IPText(after))
+}
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -85,7 +85,7 @@
 func (e *Entry) handleNotice(m *mesh.Message) {
 	shard := e.flows.Lock(m.Flow)
 	r := shard.Get(m.Flow)
-	now := e.cfg.Now()
+	now, before := e.cfg.Now(), r.holder()
 	if r.awaitsAnswer() {
 		e.recordAnswerDelay(now - r.offerUpdated)
 	}
@@ -110,7 +110,9 @@
 	case m.Terms.Current < m.Count:
 		r.agent, r.offerUpdated = m.Candidates[m.Terms.Current], now
 	}
+	after := r.holder()
 	shard.Unlock()
+	e.logHolders(m, before, after)
 	if m.Kind == mesh.KindMissing {
 		e.continueSearch(m)
 	}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -38,6 +38,14 @@
 	return uint8(r.searchCount % (mesh.StepAll + 1)), r.searchedPackets <= searchBurst
 }
 
+func countSearchBegun(step uint8) {
+	if step == mesh.StepAll {
+		allSearchesBegun.Inc()
+		return
+	}
+	directorySearchesBegun.Inc()
+}
+
 // search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one
 // of the flow's directory agents, in the last to all agents of the service.
 func (e *Entry) search(s flow.Segment, packet []byte, step uint8) {
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -48,6 +48,8 @@
 	Links map[uint32]*Link
 	// Traffic counts the datagrams of each process by address.
 	Traffic map[uint32]*Traffic
+	// Log returns the log of a process that starts at an address; nil means that lines are discarded.
+	Log func(ip uint32) *eventlog.Log
 	// ToCaller receives each packet for a caller.
 	ToCaller func(s flow.Segment, from uint32)
 	// Violations collects violations of guarantees, such as a flow opened at a draining host.
@@ -166,7 +168,7 @@
 		})
 	})
 	started = packetentry.New(packetentry.Config{
-		IP: e.IP, Zone: "a", Incarnation: int64(f.now / time.Millisecond), Now: f.Now, Routes: &routes, Log: discardLog(),
+		IP: e.IP, Zone: "a", Incarnation: int64(f.now / time.Millisecond), Now: f.Now, Routes: &routes, Log: f.newLog(e.IP),
 		ToCaller:       f.callerSender(e.IP),
 		ToMember:       func(ip uint32, d []byte) { f.toMember(e.IP, ip, d) },
 		NewerConfig:    func(uint32) {},
@@ -214,7 +216,7 @@
 	})
 	started = packetagent.New(packetagent.Config{
 		IP: a.IP, Service: a.Host.Service, Host: flow.Endpoint{IP: a.IP, Port: 8165}, Zone: "a", CallerPort: 9000,
-		Incarnation: int64(f.now/time.Millisecond) + 1, Now: f.Now, Log: discardLog(),
+		Incarnation: int64(f.now/time.Millisecond) + 1, Now: f.Now, Log: f.newLog(a.IP),
 		UnixMilli:     func() int64 { return int64(f.now / time.Millisecond) },
 		ToHost:        func(p []byte) { f.toHost(a, p) },
 		ToCaller:      f.callerSender(a.IP),
@@ -231,7 +233,12 @@
 	})
 }
 
-func discardLog() *eventlog.Log { return eventlog.New(eventlog.Config{Out: io.Discard}) }
+func (f *Fleet) newLog(ip uint32) *eventlog.Log {
+	if f.Log == nil {
+		return eventlog.New(eventlog.Config{Out: io.Discard})
+	}
+	return f.Log(ip)
+}
 
 // every calls fn at an interval for as long as the fleet runs.
 func (f *Fleet) every(d time.Duration, fn func()) {
