packetentry: a search asks more agents than a flow has directory agents

What callers saw: after hosts were added, packets of open flows reached no host or other hosts for seconds, until the search at all agents came to the right one.

Cause: a flow's directory agents are the first two by rendezvous hashing. The agent that takes a flow tells those of that moment; a search asks those of its own moment. Agents that join in between may come first, and know nothing of the flow. With half as many agents joining, a third of the flows have another first directory agent. The step after the first also needed the budget of repeats, which is used up when many flows move to other entries at once.

Change: a search asks the first five agents one after the other before all. The earlier directory agents are among them unless three or more of the agents that joined come before both. These steps draw on no budget: each follows an answer to the one before, and there are at most five. The search at all agents keeps its budget, and is no longer replaced by a new first step when the budget is used up, but for a new packet of the caller. An opening packet is searched for at two agents as before. Processes of the version before take the new steps for a search at all agents, so that during an upgrade such packets may stay unanswered until the caller repeats them.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -63,9 +63,13 @@
 // DirectoryCount is the number of directory agents of a flow: the agents that record which agent has the flow.
 const DirectoryCount = 2
 
-// StepAll is the step of a search that is sent to all agents. The lower steps are sent to one directory agent
-// of the flow each, which returns the packet if it has no record of the flow.
-const StepAll = DirectoryCount
+// DirectorySteps is the number of agents that a search asks as directory agents. It exceeds DirectoryCount, as agents that
+// join after the flow opened may come before those that have recorded its location.
+const DirectorySteps = 5
+
+// StepAll is the step of a search that is sent to all agents. The lower steps are sent to one agent each, which returns the
+// packet if it has no record of the flow.
+const StepAll = DirectorySteps
 
 // EchoedHearsAgents is the Step of a message of kind KindEchoed whose sender received a message of an agent
 // recently.
@@ -103,8 +107,8 @@
 	// Flow is the flow that a message of kind KindTaken, KindPassed, KindRefused, KindMissing or KindLocated is
 	// about. KindOffer, KindDeliver and KindSearch leave it empty: their packet identifies the flow.
 	Flow flow.Key
-	// Step is the search step, in messages of kind KindSearch and in the answers of kind KindMissing: an index in
-	// Directories, or StepAll.
+	// Step is the search step, in messages of kind KindSearch and in the answers of kind KindMissing: the position of the
+	// agent among those that may be the flow's directory agents, or StepAll.
 	Step uint8
 	// Terms are the terms of an offer.
 	Terms Terms
@@ -113,8 +117,8 @@
 	// Candidates are the addresses of the agents that an offer visits, in order; Count of them are set.
 	Candidates [MaxCandidates]uint32
 	Count      uint8
-	// Directories are the addresses of the flow's directory agents, which record the agent that has the flow, in
-	// the order of search steps; 0 for none.
+	// Directories are the addresses of the flow's current directory agents, which record the agent that has the flow; 0 for
+	// none.
 	Directories [DirectoryCount]uint32
 	// Body is the packet or the report. After Decode it aliases the datagram.
 	Body []byte
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -120,8 +120,7 @@
 		step, ok := e.nextSearchStep(shard, s.Key, r)
 		shard.Unlock()
 		if ok {
-			countSearchBegun(step)
-			e.search(s, packet, step)
+			e.beginSearch(s, packet, step)
 		}
 	}
 }
@@ -193,7 +192,7 @@
 	candidates := e.roster.candidates(m.Service, (*scratch)[:0], r.wasUnresponsive)
 	*scratch = candidates
 	m.Terms.TypicalServiceTime = typicalServiceTime(candidates)
-	m.Directories = e.roster.directories(m.Service, key)
+	m.Directories = e.roster.directories(m.Service, key).current()
 	m.Count = placement.Order(key, candidates, &m.Candidates)
 	if m.Count == 0 {
 		e.park(shard, key, r, 0)
@@ -264,7 +263,7 @@
 func (e *Entry) forward(k mesh.Kind, agent uint32, s flow.Segment, packet []byte) {
 	a := e.roster.agent(agent)
 	if a == nil {
-		e.search(s, packet, mesh.StepAll)
+		e.search(s, packet, 0)
 		return
 	}
 	m := mesh.Message{
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -315,11 +315,19 @@
 	return false
 }
 
-// directories returns the directory agents of a flow of a service, which record its location: the agents with
-// the highest rendezvous hashes. Entries with records of the same agents return the same directory agents.
-func (r *roster) directories(tag uint32, key flow.Key) [mesh.DirectoryCount]uint32 {
-	var directories [mesh.DirectoryCount]uint32
-	var weights [mesh.DirectoryCount]uint64
+// directoryOrder are agents of a service in the order in which they are the directory agents of a flow; 0 for none.
+type directoryOrder [mesh.DirectorySteps]uint32
+
+// current returns the directory agents that record the flow's location.
+func (o directoryOrder) current() [mesh.DirectoryCount]uint32 {
+	return [mesh.DirectoryCount]uint32(o[:mesh.DirectoryCount])
+}
+
+// directories returns the agents of a service with the highest rendezvous hashes for a flow, in this order. Entries with
+// records of the same agents return the same ones.
+func (r *roster) directories(tag uint32, key flow.Key) directoryOrder {
+	var order directoryOrder
+	var weights [mesh.DirectorySteps]uint64
 	seed := key.Hash()
 	now := r.cfg.Now()
 	for _, a := range r.serviceAgents(tag) {
@@ -328,15 +336,15 @@
 		}
 		ip := a.report.Load().IP
 		w := flow.Mix(seed ^ flow.Mix(uint64(ip)))
-		switch {
-		case w > weights[0]:
-			directories[1], weights[1] = directories[0], weights[0]
-			directories[0], weights[0] = ip, w
-		case w > weights[1]:
-			directories[1], weights[1] = ip, w
+		for i := range order {
+			if w > weights[i] {
+				// The agents from here on move back by one place.
+				order[i], ip = ip, order[i]
+				weights[i], w = w, weights[i]
+			}
 		}
 	}
-	return directories
+	return order
 }
 
 // typicalServiceTime returns the lower median of the service times that agents reported.
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -38,39 +38,46 @@
 	return uint8(r.searchCount % (mesh.StepAll + 1)), r.searchedPackets <= searchBurst
 }
 
-func countSearchBegun(step uint8) {
+// beginSearch searches for the flow of a packet of a caller. If the step is the last one and there is no budget for it, the
+// search begins with the first one.
+func (e *Entry) beginSearch(s flow.Segment, packet []byte, step uint8) {
 	if step == mesh.StepAll {
 		allSearchesBegun.Inc()
-		return
+		if e.search(s, packet, step) {
+			return
+		}
+		step = 0
+	} else {
+		directorySearchesBegun.Inc()
 	}
-	directorySearchesBegun.Inc()
+	e.search(s, packet, step)
 }
 
-// search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one
-// of the flow's directory agents, in the last to all agents of the service.
-func (e *Entry) search(s flow.Segment, packet []byte, step uint8) {
+// search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one agent that
+// may be a directory agent of the flow, in the last to all agents of the service. The directory agents may be others now than
+// when the flow opened, so that more agents are asked than there are directory agents. It reports whether there was an agent
+// to ask.
+func (e *Entry) search(s flow.Segment, packet []byte, step uint8) bool {
 	table := e.cfg.Routes.Current()
 	route, known := table.Find(s.Key.Service)
 	m := mesh.Message{Kind: mesh.KindSearch, ConfigVersion: routing.VersionOf(table), Origin: e.cfg.IP, Body: packet}
+	var order directoryOrder
 	if known {
 		m.Service = mesh.ServiceTag(route.Service(s.Key))
-		m.Directories = e.roster.directories(m.Service, s.Key)
-		for step < mesh.StepAll && m.Directories[step] == 0 {
-			step++
-		}
-	} else {
+		order = e.roster.directories(m.Service, s.Key)
+		m.Directories = order.current()
+	}
+	if step < mesh.StepAll && order[step] == 0 {
 		step = mesh.StepAll
 	}
 	if step == mesh.StepAll {
-		if e.searchAll(s, m, e.searchedAgents(route, known)) || m.Directories[0] == 0 {
-			return
-		}
-		step = 0
+		return e.searchAll(s, m, e.searchedAgents(route, known))
 	}
 	m.Step = step
 	e.logSearch(s, step, 1, m.ConfigVersion)
-	e.send(m.Directories[step], &m)
+	e.send(order[step], &m)
 	e.repeats.packetForwarded()
+	return true
 }
 
 // searchedAgents returns the agents that may have the flows of a route, or all agents if the route isn't known.
@@ -130,10 +137,11 @@
 	switch {
 	case otherAgent != 0:
 		e.forward(mesh.KindDeliver, otherAgent, s, m.Body)
-	case s.IsSYN && unplaced && m.Step+1 >= mesh.StepAll:
+	case s.IsSYN && unplaced && m.Step+1 >= mesh.DirectoryCount:
 		// No directory agent has a record of the flow, so no other entry has placed it.
 		e.retryOffer(s.Key, e.cfg.Now(), true)
-	case m.Step < mesh.StepAll && e.repeats.take(1) == 1:
+	case m.Step < mesh.StepAll:
+		// The steps to single agents draw on no budget: each follows the answer to the one before, up to the last step.
 		e.search(s, m.Body, m.Step+1)
 	}
 }
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -54,8 +54,6 @@
 	ToCaller func(s flow.Segment, from uint32)
 	// Violations collects violations of guarantees, such as a flow opened at a draining host.
 	Violations []string
-	// Misdelivered counts the packets of open flows that reached other hosts than the flow's.
-	Misdelivered int
 
 	openFlows   map[flow.Key]*openFlow
 	now         time.Duration
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -30,9 +30,11 @@
 	ColdFactor float64
 	// Flows maps the host's open flows to the initial sequence numbers that it chose.
 	Flows map[flow.Key]uint32
-	// Opened counts the flows opened at the host.
-	Opened   int
-	sequence uint64
+	// Opened counts the flows opened at the host, Misdelivered the packets that reached it of flows that are open at others.
+	Opened, Misdelivered int
+	// WithoutHeartbeats is set while the host sends no heartbeats.
+	WithoutHeartbeats bool
+	sequence          uint64
 	// coldUntil is when the host ceases to be slow.
 	coldUntil time.Duration
 	// requests holds the requests of this incarnation that have arrived; true once answered.
@@ -58,7 +60,7 @@
 
 // SendHeartbeat sends a heartbeat to the agent if both the host and the agent are up.
 func (f *Fleet) SendHeartbeat(a *Agent) {
-	if !a.Host.Up || !a.Up {
+	if !a.Host.Up || !a.Up || a.Host.WithoutHeartbeats {
 		return
 	}
 	a.Host.sequence++
--- a/packettest/reach.go
+++ b/packettest/reach.go
@@ -46,7 +46,7 @@
 			o.misdeliveredSince = f.now
 		}
 		o.misdelivered++
-		f.Misdelivered++
+		a.Host.Misdelivered++
 		if elapsed := f.now - o.misdeliveredSince; o.misdelivered >= maxMisdelivered && elapsed >= reorderTime {
 			f.Violations = append(f.Violations, fmt.Sprintf(
 				"%d packets of the open flow %s reached other hosts in %s and none its own", o.misdelivered, s.Key, elapsed))
