--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -23,7 +23,6 @@
 	// probes counts packets of unknown flows given to the host, by the reason.
 	probes = map[probeReason]*metrics.Counter{
 		probeExpected:  metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="expected"}`),
-		probeDirectory: metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="directory"}`),
 		probeForwarded: metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="forwarded"}`),
 		probeAll:       metrics.NewCounter(`endiveflow_packetagent_probes_total{reason="all"}`),
 	}
--- a/packetagent/probe.go
+++ b/packetagent/probe.go
@@ -11,8 +11,6 @@
 const (
 	// probeExpected: an entry that expects the flow at this agent delivered the packet.
 	probeExpected probeReason = "expected"
-	// probeDirectory: an entry asked this agent as a directory agent, which has no location of the flow.
-	probeDirectory probeReason = "directory"
 	// probeForwarded: a directory agent forwarded the search to this agent.
 	probeForwarded probeReason = "forwarded"
 	// probeAll: an entry searched at all agents.
@@ -24,12 +22,10 @@
 	switch {
 	case m.Kind == mesh.KindDeliver:
 		return probeExpected
-	case m.Step >= mesh.StepAll:
-		return probeAll
 	case m.Terms.Resent:
 		return probeForwarded
 	}
-	return probeDirectory
+	return probeAll
 }
 
 // probeOutcome is the host's first answer to a probe.
--- a/packettest/reach_test.go
+++ b/packettest/reach_test.go
@@ -67,6 +67,15 @@
 	require.Empty(t, f.Violations)
 }
 
+func requireNoneMisdelivered(t *testing.T, agents []*packettest.Agent) {
+	t.Helper()
+	misdelivered := 0
+	for _, a := range agents {
+		misdelivered += a.Host.Misdelivered
+	}
+	require.Zero(t, misdelivered)
+}
+
 // Guards against packets of open flows that reach other hosts, and not their own, after agents join.
 func TestOpenFlowsAreFoundAfterAgentsJoin(t *testing.T) {
 	f, all := newFleetWithFlows(newVMHostLead, 0)
@@ -77,6 +86,7 @@
 	closeThroughOthers(f, all)
 	f.Run(searchTime)
 	requireClosed(t, f, all)
+	requireNoneMisdelivered(t, f.Agents)
 }
 
 // Guards against packets of open flows that reach other hosts, and not their own, after offers were answered late, so that
