packetagent: a host that started together with its agent has no unknown flows

Cause: an agent takes its host for one that may have flows of an earlier agent process if the host started first. When a VM gets power, host and agent start within 0.3 s of each other in any order, so that about half of the hosts of new VMs counted as such for a minute.

Change: a host that started at most 0.5 s before its agent has no flows that the agent doesn't know. If an earlier agent process ran within that time, its flows are learned from the host's own packets, as before.

--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -36,7 +36,8 @@
 	warmUntil atomic.Int64
 	// lastHeartbeat is when the host's last heartbeat arrived, in the time of Config.Now.
 	lastHeartbeat atomic.Int64
-	// allFlowsKnown reports whether flows holds every flow of the host, because the agent started before it.
+	// allFlowsKnown reports whether flows holds every flow of the host, because the agent started before it or together with
+	// it.
 	allFlowsKnown atomic.Bool
 	// loggedFaulty reports whether the host was last logged as faulty.
 	loggedFaulty atomic.Bool
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -610,6 +610,15 @@
 	require.Empty(t, a.takeSentToCaller())
 }
 
+// Guards against an agent that probes a host that started right before it with the VM, and so has no flows of an earlier
+// agent.
+func TestAgentStartedWithItsHostDoesNotProbeIt(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", agentStartedAt-300, 1, host.Ready)
+	a.receive(mesh.KindSearch, packettest.Request(packettest.Key(1), hostSeq+1, 100))
+	require.Empty(t, a.takeSentToHost())
+}
+
 // Guards against packets of an open flow that are repeatedly sent to a wrong host: that host also opened the
 // flow from a copy of the opening packet, so it doesn't bounce them.
 func TestHostIsProbedOnce(t *testing.T) {
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -24,6 +24,9 @@
 	endedRetention = 3 * time.Second
 	// searchTTL is how long an agent records that its host bounced a flow.
 	searchTTL = 5 * time.Second
+	// startSkew is the maximum time between the starts of a VM's host and agent when the VM starts. A host that has run for
+	// longer than that before its agent may have flows of an earlier agent process.
+	startSkew = 500 * time.Millisecond
 	// maxUnansweredOpenings is the number of consecutive unanswered opening packets from which a host counts as
 	// unresponsive. It then gets no new flows until its next heartbeat.
 	maxUnansweredOpenings = 2
--- a/packettest/reach_test.go
+++ b/packettest/reach_test.go
@@ -96,4 +96,5 @@
 	closeThroughOthers(f, all)
 	f.Run(searchTime)
 	requireClosed(t, f, all)
+	requireNoneMisdelivered(t, f.Agents)
 }
