packetentry: a search omits agents whose hosts have not reported

Cause: the search at all agents includes those that have just joined. Until the first heartbeat of its host, which takes up to the heartbeat interval, such an agent doesn't know how old the host is, and gives it the packet. In a release with a pause between hosts there is always one such agent, each time another one, so that the repeated packets of a flow reach one other host after the other.

TestSearchOmitsHostsThatHaveNotReported failed: 20 packets at hosts of new VMs.

Change: agents whose hosts have not reported are not asked, unless no host of the service has, as after a restart of all processes. An agent that restarted and that the entry knew before keeps its host's state in the entry's records, and is asked. After: 0 packets.

--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -1,10 +1,12 @@
 package packetentry
 
 import (
+	"slices"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/flowtable"
+	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
@@ -80,16 +82,22 @@
 	return true
 }
 
-// searchedAgents returns the agents that may have the flows of a route, or all agents if the route isn't known.
+// searchedAgents returns the agents that may have the flows of a route, or all agents if the route isn't known. Agents whose
+// hosts have not reported are omitted unless there are no others: they may have joined with hosts that have no flows.
 func (e *Entry) searchedAgents(route routing.Route, known bool) []*agent {
-	if !known {
-		return e.roster.allAgents()
-	}
 	var agents []*agent
-	for _, share := range route.Shares {
-		agents = append(agents, e.roster.serviceAgents(mesh.ServiceTag(share.Service))...)
+	if known {
+		for _, share := range route.Shares {
+			agents = append(agents, e.roster.serviceAgents(mesh.ServiceTag(share.Service))...)
+		}
+	} else {
+		agents = e.roster.allAgents()
+	}
+	withHosts := slices.DeleteFunc(slices.Clone(agents), func(a *agent) bool { return a.report.Load().HostState == host.Unknown })
+	if len(withHosts) == 0 {
+		return agents
 	}
-	return agents
+	return withHosts
 }
 
 // searchAll sends a search to as many agents as the entry may send datagrams on its own account, and reports
--- a/packettest/reach_test.go
+++ b/packettest/reach_test.go
@@ -98,3 +98,22 @@
 	requireClosed(t, f, all)
 	requireNoneMisdelivered(t, f.Agents)
 }
+
+// Guards against packets of open flows that reach hosts of new VMs, while no process has a record of the flows.
+func TestSearchOmitsHostsThatHaveNotReported(t *testing.T) {
+	f, all := newFleetWithFlows(time.Hour, 0)
+	for _, a := range f.Agents {
+		f.StartAgent(a)
+	}
+	joined := len(f.Agents)
+	for n := range joined / 2 {
+		f.AddAgent(packettest.Address(200+n), packettest.FirstService).Host.WithoutHeartbeats = true
+	}
+	f.Run(500 * time.Millisecond)
+	for _, c := range all[:5] {
+		c.NextEntry = func() *packettest.Entry { return f.Entries[2] }
+		c.Request()
+	}
+	f.Run(2 * time.Second)
+	requireNoneMisdelivered(t, f.Agents[joined:])
+}
