packetagent: a search at all agents does not try FINs at hosts

Cause: a restarted agent gives its host packets of unknown flows that a search at all agents brings, FINs as well. A caller repeats its FIN for 9.4 s until it is acknowledged, and each entry that gets a copy searches at another part of the agents, so that it reaches one wrong host after the other. The caller has its answer or has given up by then.

TestSearchAtAllAgentsDoesNotProbeWithFIN failed.

Change: such a search tries requests only. A FIN goes to an agent that has a record of the flow or is expected to have it; a host that gets none gives up the flow after its own repetitions.

--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -119,9 +119,10 @@
 	if m.Step < mesh.StepAll && !m.Terms.Resent && a.forwardSearch(m, s.Key) {
 		return
 	}
-	// That this agent is asked as a directory agent doesn't mean that the flow is at its host. An opening packet would open
-	// the flow there.
-	mayBeHere := m.Terms.Resent || m.Step == mesh.StepAll
+	// That this agent is asked as a directory agent doesn't mean that the flow is at its host, and that all are asked only
+	// that it may be. A caller that closes a flow has its answer, so that its packets are not worth a try at wrong hosts. An
+	// opening packet would open the flow there.
+	mayBeHere := m.Terms.Resent || m.Step == mesh.StepAll && !s.IsFIN
 	if location == flowUnknown && mayBeHere && !s.IsSYN && a.shouldProbe(m, s) {
 		context := contextSearch
 		if m.Step < mesh.StepAll {
