packetagent: a search that finds a flow updates its directory agents

What callers saw: flows of several requests needed a search at more agents, or at all, with each packet through another entry.

Cause: an agent announces a flow to the directory agents of the time when it took it, and refreshes these only. After agents joined they are others; a flow that a restarted agent learned from its host had none.

Evidence: TestSearchUpdatesDirectoryAgents failed for both.

Change: a search carries the flow's current directory agents already. The agent that has the flow announces itself to them if they are not those that it told last.

--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -62,6 +62,8 @@
 	entry uint32
 	step  uint8
 	at    time.Duration
+	// directories are the flow's directory agents at the time of that search.
+	directories [mesh.DirectoryCount]uint32
 	// probed reports whether a packet of the flow was sent to the host to find out whether the host has the
 	// flow, bounced whether the host rejected a packet of the flow.
 	probed, bounced bool
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -527,6 +527,44 @@
 	require.Empty(t, a.takeSentToHost()[1:])
 }
 
+// Guards against a flow that is searched for at each step again, because its current directory agents are not told of it:
+// agents joined after it opened, or its agent learned it from the host.
+func TestSearchUpdatesDirectoryAgents(t *testing.T) {
+	directories := [mesh.DirectoryCount]uint32{peerIP, peerIP + 1}
+	search := func(a *testAgent, key flow.Key) {
+		m := mesh.Message{
+			Kind: mesh.KindSearch, Service: mesh.ServiceTag(service), Origin: entryIP, Step: mesh.StepAll, Directories: directories,
+			Body: packettest.Request(key, hostSeq+1, 100),
+		}
+		a.Receive(m.Append(nil))
+	}
+	requireTold := func(t *testing.T, a *testAgent) {
+		t.Helper()
+		var told []uint32
+		for _, m := range a.takeSentToMembers() {
+			if m.Kind == mesh.KindLocated && m.Step == mesh.LocatedHere {
+				told = append(told, m.to)
+			}
+		}
+		require.Equal(t, directories[:], told)
+	}
+	t.Run("agents joined", func(t *testing.T) {
+		a := newTestAgent(t)
+		a.openFlow(packettest.Key(1))
+		search(a, packettest.Key(1))
+		requireTold(t, a)
+		search(a, packettest.Key(1))
+		require.Equal(t, []mesh.Kind{mesh.KindTaken}, a.takeSentKinds(), "the directory agents have not changed")
+	})
+	t.Run("flow learned from the host", func(t *testing.T) {
+		a := newTestAgent(t)
+		a.heartbeat("h", agentStartedAt-60_000, 40, host.Ready)
+		search(a, packettest.Key(1))
+		a.FromHost(packettest.Answer(packettest.Key(1), hostSeq+1, 500))
+		requireTold(t, a)
+	})
+}
+
 // Guards against a reset of flows at a new host. It accepts flows before its first heartbeat, and that
 // heartbeat ended all flows as those of the previous host. Found by the soak test with seed 1.
 func TestNewHostKeepsFlowsFromBeforeItsFirstHeartbeat(t *testing.T) {
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -111,6 +111,7 @@
 	}
 	if location == flowAtHost || location == flowHeld {
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
+		a.updateDirectories(s.Key, m.Directories)
 		return
 	}
 	if location == flowElsewhere {
@@ -172,7 +173,7 @@
 		found = &search{at: a.cfg.Now()}
 		shard.Put(s.Key, found)
 	}
-	found.entry, found.step = m.Origin, m.Step
+	found.entry, found.step, found.directories = m.Origin, m.Step, m.Directories
 	if found.bounced || found.probed {
 		return false
 	}
@@ -245,6 +246,7 @@
 			probeOutcomes[probeLearned].Inc()
 		}
 		a.notify(mesh.KindTaken, found.entry, key)
+		a.updateDirectories(key, found.directories)
 	}
 	if a.cfg.Log.AllowRare() {
 		a.cfg.Log.Info("flow learned from its host", "flow", key.String(), "searched", found != nil, "probed", found != nil && found.probed)
--- a/packetagent/directory.go
+++ b/packetagent/directory.go
@@ -54,6 +54,24 @@
 	a.notifyDirectories(key, directories, mesh.LocatedElsewhere)
 }
 
+// updateDirectories announces the location of a flow of this agent to its current directory agents, unless these are the ones
+// that were notified last. Agents that join change them, and a flow that was learned from the host had none.
+func (a *Agent) updateDirectories(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+	if directories == ([mesh.DirectoryCount]uint32{}) {
+		return
+	}
+	shard := a.flows.Lock(key)
+	r := shard.Get(key)
+	changed := r != nil && r.phase != ended && r.directories != directories
+	if changed {
+		r.directories, r.directoriesNotified = directories, a.cfg.Now()
+	}
+	shard.Unlock()
+	if changed {
+		a.announceLocation(key, directories)
+	}
+}
+
 func (a *Agent) notifyDirectories(key flow.Key, directories [mesh.DirectoryCount]uint32, step uint8) {
 	for _, ip := range directories {
 		switch ip {
