--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -120,11 +120,7 @@
 	if m.Step < mesh.StepAll && !m.Terms.Resent && a.forwardSearch(m, s.Key) {
 		return
 	}
-	// That this agent is asked as a directory agent doesn't mean that the flow is at its host, and that all are asked only
-	// that it may be. A caller that closes a flow has its answer, so that its packets are not worth a try at wrong hosts. An
-	// opening packet would open the flow there.
-	mayBeHere := m.Terms.Resent || m.Step == mesh.StepAll && !s.IsFIN
-	if location == flowUnknown && mayBeHere && !s.IsSYN && a.shouldProbe(m, s) {
+	if location == flowUnknown && justifiesProbe(m, s) && a.shouldProbe(m, s) {
 		context := contextSearch
 		if m.Step < mesh.StepAll {
 			context = contextProbe
@@ -141,6 +137,13 @@
 	}
 }
 
+// justifiesProbe reports whether a search for a flow without a record is reason enough to give its packet to the host. That the
+// agent is asked as a directory agent is none. In a search at all agents, most hosts that get the packet are wrong ones, and
+// a caller that closes a flow has its answer. An opening packet would open the flow at the host.
+func justifiesProbe(m *mesh.Message, s flow.Segment) bool {
+	return !s.IsSYN && (m.Terms.Resent || m.Step == mesh.StepAll && !s.IsFIN)
+}
+
 // forwardSearch forwards a search to the other agent that most likely has the flow, and reports whether one is known.
 func (a *Agent) forwardSearch(m *mesh.Message, key flow.Key) bool {
 	agent := a.lookUpLocation(key)
