packetentry: a joining entry is ready when it knows most agents

What callers saw: after an entry joined, packets of open flows that reached it got no answer until they were repeated, and flows that opened through it were searched for at all agents afterwards.

An entry was ready as soon as it knew one agent.

TestJoiningEntryIsReadyWhenItKnowsMostAgents failed.

Change: an entry isn't ready before it knows nine of ten of the agents that each other entry reports, for at most a second after its start, as others may know agents that are gone. It forwards packets all the same, and if no entry of a zone is ready the fabric uses all. An entry that restarts within the fabric's two checks stays in rotation, so that this doesn't help there.

--- a/packetentry/entry_test.go
+++ b/packetentry/entry_test.go
@@ -213,6 +213,42 @@
 	require.False(t, ready)
 }
 
+// Guards against an entry that joins and is ready when it knows a few of the agents: it offers all flows to these, and they
+// are not found later, as it takes wrong agents for their directory agents. The time for it is bounded, as other entries may
+// know agents that are gone.
+func TestJoiningEntryIsReadyWhenItKnowsMostAgents(t *testing.T) {
+	const agents = 40
+	f, _ := newFleet(2, agents)
+	f.Run(2 * time.Second)
+	joining := packettest.Address(3)
+	f.Delay = func(from, to uint32) time.Duration {
+		if to == joining && from >= packettest.Address(100) {
+			return time.Duration(from-packettest.Address(100)) * 10 * time.Millisecond
+		}
+		return 0
+	}
+	e := f.AddEntry(joining)
+	for range 10 {
+		f.Run(10 * time.Millisecond)
+		ready, why := e.Ready()
+		require.False(t, ready)
+		require.NotEmpty(t, why)
+	}
+	f.Run(agents * 10 * time.Millisecond)
+	ready, _ := e.Ready()
+	require.True(t, ready)
+
+	f.Drop = func(from, _ uint32) bool { return from >= packettest.Address(100+agents/2) }
+	f.StartEntry(e)
+	f.Run(500 * time.Millisecond)
+	ready, why := e.Ready()
+	require.False(t, ready)
+	require.Equal(t, "agents missing", why)
+	f.Run(500 * time.Millisecond)
+	ready, _ = e.Ready()
+	require.True(t, ready)
+}
+
 // Guards against flows that break, open at the wrong host or are reset while their hosts are running, under
 // any combination of restarts, drains and pauses.
 func TestRandomFaults(t *testing.T) {
--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// settleTime is the time after its start in which an entry rejects no flow: it may not have heard of all agents
-	// yet, and their hosts may not have reported.
+	// settleTime is the time after its start in which an entry rejects no flow, and is not ready before its roster is
+	// filled: it may not have heard of all agents yet, and their hosts may not have reported.
 	settleTime = time.Second
 	// parkInterval is the time between attempts to place parked flows, refusedPause the minimum time until a flow
 	// that was refused is offered again.
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -274,6 +274,8 @@
 		return false, "no configuration"
 	case len(e.roster.allAgents()) == 0:
 		return false, "no agents"
+	case e.cfg.Now()-e.started < settleTime && !e.roster.isFilled():
+		return false, "agents missing"
 	case e.isolation.isCutOff(e.cfg.Now()):
 		return false, "cut off"
 	}
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -226,6 +226,24 @@
 	return entries, agents
 }
 
+// filledShare is the share of the agents that other entries know from which a roster counts as filled. Others may know agents
+// that are gone and have not timed out.
+const filledShare = 0.9
+
+// isFilled reports whether the roster holds most of the agents that other entries report. An entry that knows few agents
+// offers all flows to these, and takes wrong agents for the directory agents of flows.
+func (r *roster) isFilled() bool {
+	_, agents := r.activePeers()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, e := range r.entries {
+		if float64(len(agents)) < filledShare*float64(e.report.AgentCount) {
+			return false
+		}
+	}
+	return true
+}
+
 // zonePeers returns the addresses of the other entries of the availability zone that sent a message recently.
 func (r *roster) zonePeers() []uint32 {
 	now := r.cfg.Now()
