packettest: random changes of a fleet while callers use and close flows

TestOpenFlowsAreFoundDuringChanges draws agents that join, leave and restart one after the other, entries that restart, losses and late messages.

--- a/packettest/caller.go
+++ b/packettest/caller.go
@@ -17,8 +17,8 @@
 	// Answers counts the answers; Reset is set once the flow has been reset.
 	Answers int
 	Reset   bool
-	// Closed is set once the host has acknowledged that the caller closed the flow.
-	Closed bool
+	// Closing is set once the caller has closed the flow, Closed once the host has acknowledged that.
+	Closing, Closed bool
 	// NextEntry returns the entry that the fabric sends the next packet to.
 	NextEntry func() *Entry
 
@@ -71,8 +71,11 @@
 	return c
 }
 
-// Request sends a request on an open flow.
+// Request sends a request on an open flow. It does nothing for other flows.
 func (c *Caller) Request() {
+	if !c.Open || c.Closing {
+		return
+	}
 	want := c.Answers + 1
 	c.send(retransmitDelays, 0, func(uint32) []byte {
 		if c.Answers >= want {
@@ -82,8 +85,12 @@
 	})
 }
 
-// Close closes an open flow.
+// Close closes an open flow. It does nothing for other flows.
 func (c *Caller) Close() {
+	if !c.Open || c.Closing {
+		return
+	}
+	c.Closing = true
 	c.send(closeDelays, 0, func(uint32) []byte {
 		if c.Closed {
 			return nil
--- a/packettest/reach_test.go
+++ b/packettest/reach_test.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
+	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/packettest"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 // newVMHostLead is how long before its agent a host of a new VM starts.
@@ -117,3 +120,69 @@
 	f.Run(2 * time.Second)
 	requireNoneMisdelivered(t, f.Agents[joined:])
 }
+
+// Guards against packets of open flows that reach other hosts, and not their own, while agents join, leave and restart one
+// after the other, entries restart, and messages are lost or late.
+func TestOpenFlowsAreFoundDuringChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := packettest.NewFleet(rapid.Uint64().Draw(t, "seed"))
+		for n := range 3 {
+			f.AddEntry(packettest.Address(1 + n))
+		}
+		for n := range rapid.IntRange(4, 24).Draw(t, "agents") {
+			f.AddAgent(packettest.Address(100+n), packettest.FirstService).Host.StartedAt -= rapid.SampledFrom([]int64{0, 200, 60_000}).Draw(t, "hostLeadMs")
+		}
+		f.Run(1500 * time.Millisecond)
+		loss := rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "loss")
+		late := rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "late")
+		f.Drop = func(uint32, uint32) bool { return f.Random.Float64() < loss }
+		f.Delay = func(uint32, uint32) time.Duration {
+			if f.Random.Float64() < late {
+				return time.Duration(f.Random.IntN(60)) * time.Millisecond
+			}
+			return 0
+		}
+		callers := packettest.NewCallers(f)
+		// The fabric moves all flows to other entries with each change of the rotation.
+		rotation := 0
+		next := func(n int) func() *packettest.Entry {
+			return func() *packettest.Entry { return f.Entries[(n+rotation)%len(f.Entries)] }
+		}
+		var all []*packettest.Caller
+		for step := range rapid.IntRange(10, 40).Draw(t, "steps") {
+			for i := range 4 {
+				n := step*4 + i
+				all = append(all, callers.Start(f, packettest.Key(n), next(n)))
+			}
+			switch rapid.SampledFrom([]string{"none", "join", "leave", "restart", "entry", "rotate"}).Draw(t, "change") {
+			case "join":
+				f.AddAgent(packettest.Address(200+step), packettest.FirstService)
+			case "leave":
+				a := f.Agents[rapid.IntRange(0, len(f.Agents)-1).Draw(t, "agent")]
+				a.Host.State = host.Draining
+				f.SendHeartbeat(a)
+			case "restart":
+				f.StartAgent(f.Agents[rapid.IntRange(0, len(f.Agents)-1).Draw(t, "agent")])
+			case "entry":
+				f.StartEntry(f.Entries[rapid.IntRange(0, len(f.Entries)-1).Draw(t, "entry")])
+				rotation++
+			case "rotate":
+				rotation++
+			}
+			f.Run(time.Duration(rapid.IntRange(20, 400).Draw(t, "pauseMs")) * time.Millisecond)
+			for _, c := range all[:max(0, len(all)-8)] {
+				switch f.Random.IntN(10) {
+				case 0:
+					c.Close()
+				case 1, 2:
+					c.Request()
+				}
+			}
+		}
+		for _, c := range all {
+			c.Close()
+		}
+		f.Run(10 * time.Second)
+		require.Empty(t, f.Violations)
+	})
+}
