--- a/packettest/host.go
+++ b/packettest/host.go
@@ -30,9 +30,11 @@
 	ColdFactor float64
 	// Flows maps the host's open flows to the initial sequence numbers that it chose.
 	Flows map[flow.Key]uint32
-	// Opened counts the flows opened at the host.
-	Opened   int
-	sequence uint64
+	// Opened counts the flows opened at the host, Misdelivered the packets of flows that aren't open at it.
+	Opened, Misdelivered int
+	// AnswerDelay is the time after which the host answers an opening packet.
+	AnswerDelay time.Duration
+	sequence    uint64
 	// coldUntil is when the host ceases to be slow.
 	coldUntil time.Duration
 	// requests holds the requests of this incarnation that have arrived; true once answered.
@@ -97,10 +99,12 @@
 			h.Opened++
 			f.checkOpening(a)
 		}
-		f.fromHost(a, Accept(s.Key, initialSeq))
+		f.After(h.AnswerDelay, func() { f.fromHost(a, Accept(s.Key, initialSeq)) })
 	case !exists:
+		h.Misdelivered++
 		f.fromHost(a, Bounce(packet))
 	case !flow.WithinWindow(initialSeq, s.Ack):
+		h.Misdelivered++
 		f.fromHost(a, Packet{Flow: s.Key, FromHost: true, Flags: RST, Seq: s.Ack}.Bytes())
 	case s.DataBytes > 0:
 		f.hostRequest(a, requestID{s.Key, s.Seq})
