packetagent: a flow that its host took late stays in its directory

Callers: the flow opened at a host that answered the opening packet after its agent had passed the offer on. About 20 s later, packets that came through an entry without a record of the flow got no answer.

Cause: the agent deletes the record of a flow that it passes on. If the host answers after all, the agent forwards the answer and records the flow anew, without its directory agents. These still knew the flow from the first announcement, but nobody repeated it, so that it expired after 20 s.

Change: the agent remembers the directory agents of a flow that it passes on for as long as of a search, and announces the flow to them when it learns it from the host. This holds whatever the order of the answers, as a directory agent keeps two agents. An agent that learns a flow which no entry has searched for no longer sends a notice to the address 0.

--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -61,6 +61,9 @@
 	entry uint32
 	step  uint8
 	at    time.Duration
+	// directories are the flow's directory agents if this agent took the flow and passed it on, as its host didn't
+	// answer in time. The host may answer later, and the caller may open the flow there.
+	directories [mesh.DirectoryCount]uint32
 	// probed reports whether a packet of the flow was sent to the host to find out whether the host has the
 	// flow, bounced whether the host rejected a packet of the flow.
 	probed, bounced bool
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -200,16 +200,20 @@
 	}
 }
 
-// notifyLearned notifies the entry that searched for a flow that the host has it.
+// notifyLearned notifies the entry that searched for a flow that the host has it, and the directory agents if they are
+// known.
 func (a *Agent) notifyLearned(key flow.Key) {
 	shard := a.searches.Lock(key)
 	found := shard.Get(key)
 	shard.Delete(key)
 	shard.Unlock()
 	learnedFlows.Inc()
-	if found != nil {
+	if found != nil && found.entry != 0 {
 		a.notify(mesh.KindTaken, found.entry, key)
 	}
+	if found != nil && found.directories[0] != 0 {
+		a.setDirectories(key, found.directories)
+	}
 	if a.cfg.Log.AllowRare() {
 		a.cfg.Log.Info("flow learned from its host", "flow", key.String(), "searched", found != nil)
 	}
@@ -265,6 +269,18 @@
 	}
 }
 
+// recordUnanswered records the directory agents of a flow whose opening packet the host left unanswered for too long.
+func (a *Agent) recordUnanswered(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+	shard := a.searches.Lock(key)
+	defer shard.Unlock()
+	found := shard.Get(key)
+	if found == nil {
+		found = new(search)
+		shard.Put(key, found)
+	}
+	found.directories, found.at = directories, a.cfg.Now()
+}
+
 // recordAbsence records that the host doesn't have a flow, so that it isn't probed again. It returns the
 // search for the flow, whose entry is 0 if there was none.
 func (a *Agent) recordAbsence(key flow.Key) search {
--- a/packetagent/directory.go
+++ b/packetagent/directory.go
@@ -44,6 +44,16 @@
 	return l
 }
 
+// setDirectories sets the directory agents of a flow that was learned from its host, and notifies them.
+func (a *Agent) setDirectories(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+	shard := a.flows.Lock(key)
+	if r := shard.Get(key); r != nil {
+		r.directories, r.directoriesNotified = directories, a.cfg.Now()
+	}
+	shard.Unlock()
+	a.announceLocation(key, directories)
+}
+
 // announceLocation notifies the directory agents of a flow that this agent has the flow.
 func (a *Agent) announceLocation(key flow.Key, directories [mesh.DirectoryCount]uint32) {
 	a.notifyDirectories(key, directories, mesh.LocatedHere)
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -221,6 +221,7 @@
 	r.setPhase(ended, now, a.load)
 	shard.Delete(key)
 	shard.Unlock()
+	a.recordUnanswered(key, offer.message.Directories)
 	a.unansweredOpenings.Add(1)
 	a.decline(key, offer, "no answer")
 	a.admitHeld()
