packetentry: a failing test of flows long after a release of the agents

Callers: 30 s after all agents were started anew beside running hosts, open flows that come through an entry without a record of them get no answer, and the young agents give their packets to other hosts.

Cause: an agent that started beside its host learns the host's flows from packets, without their directory agents. Nobody announces these flows, in particular not if the entry that placed them delivered the packet. The announcements of the former process expire after 20 s. Searching further agents in the order of hashes finds no record either, as there is none.

--- a/packetentry/membership_test.go
+++ b/packetentry/membership_test.go
@@ -67,3 +67,59 @@
 		})
 	}
 }
+
+// Guards against open flows that are lost some time after a release of the agents: an agent that starts beside a running host
+// learns the host's flows from its packets, and entries that join later have to find them at that agent.
+func TestFlowIsFoundLongAfterRestartOfAgents(t *testing.T) {
+	const (
+		flows  = 20
+		agents = 60
+		// between is the time between the requests of a flow, below the idle timeout.
+		between = 5 * time.Second
+	)
+	for name, restart := range map[string]bool{"without a restart": false, "with a restart": true} {
+		t.Run(name, func(t *testing.T) {
+			f, callers := newFleet(2, agents)
+			f.Run(time.Second)
+			var all []*packettest.Caller
+			for i := range flows {
+				all = append(all, callers.Start(f, packettest.Key(i), through(f.Entries[0])))
+				f.Run(100 * time.Millisecond)
+			}
+			if restart {
+				for _, a := range f.Agents {
+					f.StartAgent(a)
+					f.Run(20 * time.Millisecond)
+				}
+			}
+			want := 1
+			for range 6 {
+				f.Run(between)
+				want++
+				for _, c := range all {
+					c.Request()
+				}
+			}
+			f.Run(time.Second)
+			for i, c := range all {
+				require.Equal(t, want, c.Answers, "flow %d through the entry that placed it", i)
+			}
+			require.Zero(t, misdelivered(f))
+			for _, c := range all {
+				c.NextEntry = through(f.Entries[1])
+				c.Request()
+				f.Run(200 * time.Millisecond)
+			}
+			f.Run(2 * time.Second)
+			lost := 0
+			for _, c := range all {
+				require.False(t, c.Reset)
+				if c.Answers <= want {
+					lost++
+				}
+			}
+			assert.Zero(t, lost, "flows of %d without an answer", flows)
+			assert.Zero(t, misdelivered(f), "packets of open flows reached other hosts")
+		})
+	}
+}
