packetentry: packets go to the agent that took the flow, and to no other service

Callers: right after the start of an entry, packets of an open flow were searched for at all agents known so far, though the flow's own agent had just said that it has the flow. After an address was reused by an agent of another service, packets of flows of the former agent were delivered to it, marked for the other service.

Cause: the entry took the service for a packet from the agent's present report. Without a report it searched; with the report of a later agent at the address it named the wrong service, so that the agent's check of the service didn't hold.

Evidence, before: TestPacketsGoToAgentThatHasNotReportedYet: expected: []uint32{0xa010096} actual: []uint32(nil); searched at 6 agents TestPacketsDoNotFollowReusedAddress: "[ ]" should have 1 item(s), but has 2

Change: the record of a flow holds the service that the agent named when it took the flow. It is used until the agent's report arrives; if the report names another service, the flow is searched for.

--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -51,6 +51,8 @@
 type record struct {
 	// agent is the address of the agent that has the flow or was last offered it.
 	agent uint32
+	// service is the tag of the service of the agent that took the flow, 0 if it isn't known.
+	service uint32
 	// taken reports whether the agent took the flow, passedOn whether it has passed the flow on since to an agent that
 	// isn't known yet.
 	taken, passedOn bool
@@ -113,9 +115,9 @@
 		// This is a retransmission; the flow is already being placed.
 		shard.Unlock()
 	case r != nil && r.taken:
-		agent := r.agent
+		agent, service := r.agent, r.service
 		shard.Unlock()
-		e.forward(mesh.KindDeliver, agent, s, packet)
+		e.forwardTo(mesh.KindDeliver, agent, service, s, packet)
 	default:
 		step, ok := e.nextSearchStep(shard, s.Key, r)
 		shard.Unlock()
@@ -261,14 +263,25 @@
 
 // forward sends a packet of a flow to an agent.
 func (e *Entry) forward(k mesh.Kind, agent uint32, s flow.Segment, packet []byte) {
-	a := e.roster.agent(agent)
-	if a == nil {
+	e.forwardTo(k, agent, 0, s, packet)
+}
+
+// forwardTo sends a packet of a flow to an agent. service is the tag of the service of the agent that took the flow, 0 if it
+// isn't known. An entry that has just started may hear of the flow before the agent's report arrives, and the address may
+// belong to an agent of another service since.
+func (e *Entry) forwardTo(k mesh.Kind, agent, service uint32, s flow.Segment, packet []byte) {
+	if a := e.roster.agent(agent); a != nil {
+		current := mesh.ServiceTag(a.report.Load().Service)
+		if service != 0 && service != current {
+			current = 0
+		}
+		service = current
+	}
+	if service == 0 {
 		e.search(s, packet, mesh.StepAll)
 		return
 	}
-	m := mesh.Message{
-		Kind: k, Service: mesh.ServiceTag(a.report.Load().Service), ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: packet,
-	}
+	m := mesh.Message{Kind: k, Service: service, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: packet}
 	forwarded.Inc()
 	e.send(agent, &m)
 	e.repeats.packetForwarded()
--- a/packetentry/holders.go
+++ b/packetentry/holders.go
@@ -41,9 +41,9 @@
 	return first
 }
 
-// handleTaken records that an agent has taken the flow. An agent that took it before is believed, unless it passed the
+// handleTaken records that an agent of a service has taken the flow. An agent that took it before is believed, unless it passed the
 // flow on since.
-func (r *record) handleTaken(agent uint32) {
+func (r *record) handleTaken(agent, service uint32) {
 	if r.taken && !r.passedOn {
 		if agent != r.agent {
 			r.others.add(agent)
@@ -60,7 +60,7 @@
 		}
 	}
 	r.others.remove(agent)
-	r.agent, r.taken, r.passedOn, r.parked, r.openingPacket = agent, true, false, false, nil
+	r.agent, r.service, r.taken, r.passedOn, r.parked, r.openingPacket = agent, service, true, false, false, nil
 }
 
 // handlePassedOn records that an agent that took the flow has passed it on to another one.
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -95,7 +95,7 @@
 			r = &record{lastPacket: now}
 			shard.Put(m.Flow, r)
 		}
-		r.handleTaken(m.Origin)
+		r.handleTaken(m.Origin, m.Service)
 	case m.Kind == mesh.KindMissing:
 		if r != nil && r.taken && !r.handleMissing(m.Origin) {
 			// No agent is known that may have the flow.
