host: a shutdown notice of a former incarnation with the same ID ends nothing

Callers: open flows of a host that had started again under its former ID were reset, if its agent was paused during the restart and handled the former incarnation's shutdown notice after the new one's first heartbeat. A paused process reads calls that have waited in its listener side by side, so that their order is not that of the calls.

Cause: the notice carries the ID only, and the agent compared it with the current incarnation's.

Evidence, before: TestDelayedLeaveOfFormerIncarnation: Should be empty, but was [[0 0 0 0 0 0 0 0 1 4 251 32 ...]], a reset.

Change: the notice counts only if the current incarnation is draining. Hosts announce their shutdown after the acknowledgement of their drain, so the notice of the current one is never ignored. If a host did without the drain, the agent's check of its port ends its flows.

--- a/host/tracker.go
+++ b/host/tracker.go
@@ -79,11 +79,12 @@
 }
 
 // MarkGone marks the incarnation with an ID as gone. It returns false if the ID is not that of the current
-// incarnation.
+// incarnation, or if that one isn't draining: hosts drain before they announce their shutdown, so the announcement is
+// that of a former incarnation with the same ID.
 func (t *Tracker) MarkGone(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.known || t.current.ID != id {
+	if !t.known || t.current.ID != id || t.current.State != Draining && t.current.State != Gone {
 		return false
 	}
 	t.current.State = Gone
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -688,3 +688,19 @@
 	require.Empty(t, a.takeSentToHost())
 	require.EqualValues(t, 0, a.Load().Busy, "the copy occupies no slot")
 }
+
+// Guards against resets of the flows of a host that started again under the ID that it had: the notice that its former
+// incarnation shuts down was handled after the first heartbeat of the new one, by an agent that was paused.
+func TestDelayedLeaveOfFormerIncarnation(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", hostStartedAt, 1, host.Ready)
+	a.heartbeat("h", hostStartedAt, 2, host.Draining)
+	a.now += 3 * time.Second
+	a.heartbeat("h", hostStartedAt+1000, 1, host.Ready)
+	a.openFlow(packettest.Key(1))
+	require.NoError(t, a.HostLeft("h"))
+	require.Empty(t, a.takeSentToCaller(), "an open flow of the new incarnation was reset")
+	a.heartbeat("h", hostStartedAt+1000, 2, host.Draining)
+	require.NoError(t, a.HostLeft("h"))
+	requireResets(t, a.takeSentToCaller(), packettest.Key(1))
+}
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -64,7 +64,7 @@
 // HostLeft handles the notification of a host that it is shutting down.
 func (a *Agent) HostLeft(id string) error {
 	if !a.host.MarkGone(id) {
-		a.cfg.Log.Warn("shutdown notification ignored: not the current host", "id", id)
+		a.cfg.Log.Warn("shutdown notification ignored: not the current host, or not draining", "id", id)
 		return nil
 	}
 	a.load.SetOpen(false)
