agent: a test that no request runs twice after agents joined or the successor stopped

A successor of a stopped agent's ledger is told to the peers of that moment, and a successor that stops hands over its own ledger only. Whoever is asked later must not take the missing record for a proof that the request didn't run.

--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -124,6 +124,50 @@
 	requireRuns(t, 1, a...)
 }
 
+// Guards against a second run, and against an answer that a request was not run, after agents joined or were replaced since
+// the hand-over: an agent that joined later has no record of the successor, and a successor that stops as well hands over its
+// own ledger only. The outcome may be unknown then.
+func TestNoSecondRunAfterMembershipChanges(t *testing.T) {
+	for name, change := range map[string]func(*testing.T, *fleet, []*testAgent) *testAgent{
+		"an agent joined after the hand-over": func(t *testing.T, f *fleet, a []*testAgent) *testAgent {
+			require.NoError(t, a[0].stop(t))
+			delete(f.agents, a[0].addr())
+			joined := f.newAgent(t, 9, testService)
+			f.agents[joined.addr()] = joined
+			for _, other := range a[1:] {
+				joined.Members.Merge([]member.Record{other.Self.Record()})
+			}
+			return joined
+		},
+		"the successor was replaced": func(t *testing.T, f *fleet, a []*testAgent) *testAgent {
+			require.NoError(t, a[0].stop(t))
+			delete(f.agents, a[0].addr())
+			home := dispatch.Key{Home: a[0].addr(), Incarnation: uint64(a[0].Self.Record().Incarnation)}
+			for i, other := range a[1:] {
+				if _, ok := other.handover.successors.get(home); !ok {
+					require.NoError(t, other.stop(t))
+					delete(f.agents, other.addr())
+					return a[2-i]
+				}
+			}
+			require.Fail(t, "no successor")
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, a := newFleet(t, testService, testService, testService)
+			key, unused := a[0].book(t), a[0].newKey(t)
+			f.fault = reachableOnly(f, nil)
+			asked := change(t, f, a)
+			for _, k := range []string{key, unused} {
+				outcome := asked.post(k).Header.Get(header.Outcome)
+				require.NotEqual(t, "not-run", outcome, "no agent can know that")
+			}
+			requireRuns(t, 1, append(a, asked)...)
+		})
+	}
+}
+
 // Guards against malformed or oversized transfers that change the stored successors or crash the process.
 func TestMalformedTransfers(t *testing.T) {
 	_, a := newFleet(t, testService, testService)
