packetentry: a failing test of long-lived flows after agents have joined

Callers: open flows that come through an entry without a record of them get no answer after agents have joined, however long ago these joined.

Cause: a flow's location is announced every 8 s to the directory agents of the moment when it opened.

--- a/packetentry/joining_test.go
+++ b/packetentry/joining_test.go
@@ -76,3 +76,46 @@
 		})
 	}
 }
+
+// Guards against long-lived flows that can't be found after agents have joined, because their locations are announced to the
+// directory agents of the moment when they opened.
+func TestFlowIsFoundAfterAgentsJoined(t *testing.T) {
+	const flows = 20
+	for name, wait := range map[string]time.Duration{"at once": 0, "after the next announcement": 12 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			f, callers := newFleet(2, 20)
+			f.Run(time.Second)
+			var all []*packettest.Caller
+			for i := range flows {
+				all = append(all, callers.Start(f, packettest.Key(i), through(f.Entries[0])))
+				f.Run(60 * time.Millisecond)
+			}
+			for i := range 60 {
+				f.AddAgent(packettest.Address(300+i), packettest.FirstService)
+			}
+			f.Run(time.Second)
+			want := 1
+			for waited := time.Duration(0); waited < wait; waited += 3 * time.Second {
+				want++
+				for _, c := range all {
+					c.Request()
+				}
+				f.Run(3 * time.Second)
+			}
+			for _, c := range all {
+				requireAnswered(t, f, c, want)
+				c.NextEntry = through(f.Entries[1])
+				c.Request()
+				f.Run(60 * time.Millisecond)
+			}
+			f.Run(2 * time.Second)
+			lost := 0
+			for _, c := range all {
+				if c.Answers <= want {
+					lost++
+				}
+			}
+			require.Zero(t, lost, "flows of %d without an answer", flows)
+		})
+	}
+}
