packetagent: an absence that the host showed is remembered for as long as the agent probes

Callers: packets of an open flow reached a host that isn't the flow's again and again, one every 6 s, as the agent beside it gave it another one each time.

Cause: an agent that started after its host asks the host once for each flow that it has no record of. It forgot the host's answer after 5 s (searchTTL), while it asks during its first minute.

Evidence: TestAbsenceIsRememberedWhileAgentIsYoung, a flow searched for every 1.6 s for 30 s. Before: expected: 1 actual: 5 packets at the host.

Change: the record of a flow that the host was asked for, or that it bounced, stays until the agent asks no longer.

--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -22,7 +22,7 @@
 	requestTimeout = 3 * time.Second
 	// endedRetention is how long an ended flow is kept for retransmitted packets.
 	endedRetention = 3 * time.Second
-	// searchTTL is how long an agent records that its host bounced a flow.
+	// searchTTL is how long an agent records that its host bounced a flow, once it doesn't ask its host for flows anymore.
 	searchTTL = 5 * time.Second
 	// maxUnansweredOpenings is the number of consecutive unanswered opening packets from which a host counts as
 	// unresponsive. It then gets no new flows until its next heartbeat.
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -248,7 +248,11 @@
 	a.refreshLocations(now)
 	a.reassess(now)
 	a.admitHeld()
-	a.searches.Sweep(func(_ flow.Key, s *search) bool { return now-s.at < searchTTL })
+	// As long as the agent may ask its host for flows, it remembers those that it has asked for.
+	mayProbe := now-a.started <= a.cfg.MaxFlowAge && !a.allFlowsKnown.Load()
+	a.searches.Sweep(func(_ flow.Key, s *search) bool {
+		return now-s.at < searchTTL || mayProbe && (s.probed || s.bounced)
+	})
 }
 
 // reassess logs when the host becomes or ceases to be faulty.
