--- a/mesh/message.go
+++ b/mesh/message.go
@@ -67,9 +67,29 @@
 // join after the flow opened may come before those that have recorded its location.
 const DirectorySteps = 5
 
-// StepAll is the step of a search that is sent to all agents. The lower steps are sent to one agent each, which returns the
+// StepAll is the step of a search that is sent to all agents. The other steps are sent to one agent each, which returns the
 // packet if it has no record of the flow.
-const StepAll = DirectorySteps
+const StepAll = 2
+
+// DirectoryStep returns the step of a search that asks the agent at a position in the order of the flow's directory agents.
+// Processes of earlier versions know the first two of these steps and take others for StepAll.
+func DirectoryStep(position int) uint8 {
+	if position >= StepAll {
+		position++
+	}
+	return uint8(position)
+}
+
+// DirectoryPosition is the inverse of DirectoryStep. It returns DirectorySteps for StepAll and for unknown steps.
+func DirectoryPosition(step uint8) int {
+	switch {
+	case step < StepAll:
+		return int(step)
+	case step == StepAll || step > DirectorySteps:
+		return DirectorySteps
+	}
+	return int(step) - 1
+}
 
 // EchoedHearsAgents is the Step of a message of kind KindEchoed whose sender received a message of an agent
 // recently.
@@ -107,8 +127,8 @@
 	// Flow is the flow that a message of kind KindTaken, KindPassed, KindRefused, KindMissing or KindLocated is
 	// about. KindOffer, KindDeliver and KindSearch leave it empty: their packet identifies the flow.
 	Flow flow.Key
-	// Step is the search step, in messages of kind KindSearch and in the answers of kind KindMissing: the position of the
-	// agent among those that may be the flow's directory agents, or StepAll.
+	// Step is the search step, in messages of kind KindSearch and in the answers of kind KindMissing, see DirectoryStep and
+	// StepAll.
 	Step uint8
 	// Terms are the terms of an offer.
 	Terms Terms
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -62,7 +62,9 @@
 	entry uint32
 	step  uint8
 	at    time.Duration
-	// directories are the flow's directory agents at the time of that search.
+	// directories are the flow's directory agents at the time of that search, or those that were told of the flow if this
+	// agent took it and passed it on, as its host didn't answer in time. The host may answer later, and the caller may open
+	// the flow there.
 	directories [mesh.DirectoryCount]uint32
 	// probed reports whether a packet of the flow was sent to the host to find out whether the host has the
 	// flow, bounced whether the host rejected a packet of the flow.
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -22,7 +22,7 @@
 	requestTimeout = 3 * time.Second
 	// endedRetention is how long an ended flow is kept for retransmitted packets.
 	endedRetention = 3 * time.Second
-	// searchTTL is how long an agent records that its host bounced a flow.
+	// searchTTL is how long an agent records that its host bounced a flow, once it doesn't ask its host for flows anymore.
 	searchTTL = 5 * time.Second
 	// startSkew is the maximum time between the starts of a VM's host and agent when the VM starts. A host that has run for
 	// longer than that before its agent may have flows of an earlier agent process.
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -98,7 +98,7 @@
 	missing.Inc()
 	if a.cfg.Log.AllowRare() {
 		a.cfg.Log.Info("packet returned: the flow is not at this host",
-			"flow", key.String(), "entry", flow.IPText(request.Origin), "step", request.Step)
+			"flow", key.String(), "entry", flow.IPText(request.Origin), "step", mesh.DirectoryPosition(request.Step))
 	}
 }
 
@@ -117,12 +117,12 @@
 	if location == flowElsewhere {
 		a.admitHeld()
 	}
-	if m.Step < mesh.StepAll && !m.Terms.Resent && a.forwardSearch(m, s.Key) {
+	if m.Step != mesh.StepAll && !m.Terms.Resent && a.forwardSearch(m, s.Key) {
 		return
 	}
 	if location == flowUnknown && justifiesProbe(m, s) && a.shouldProbe(m, s) {
 		context := contextSearch
-		if m.Step < mesh.StepAll {
+		if m.Step != mesh.StepAll {
 			context = contextProbe
 		}
 		a.probe(m, s, context)
@@ -132,7 +132,7 @@
 		// A directory agent forwarded the search, because this agent had announced that it has the flow.
 		a.withdrawLocation(s.Key, m.Directories)
 	}
-	if m.Step < mesh.StepAll {
+	if m.Step != mesh.StepAll {
 		a.returnMissing(m, s.Key, m.Body)
 	}
 }
@@ -154,7 +154,7 @@
 	lookupsFound.Inc()
 	if a.cfg.Log.AllowRare() {
 		a.cfg.Log.Info("search forwarded by a directory agent", "flow", key.String(), "agent", flow.IPText(agent),
-			"entry", flow.IPText(m.Origin), "step", m.Step)
+			"entry", flow.IPText(m.Origin), "step", mesh.DirectoryPosition(m.Step))
 	}
 	// The search is marked so that it isn't forwarded twice.
 	m.Terms.Resent = true
@@ -176,7 +176,10 @@
 		found = &search{at: a.cfg.Now()}
 		shard.Put(s.Key, found)
 	}
-	found.entry, found.step, found.directories = m.Origin, m.Step, m.Directories
+	found.entry, found.step = m.Origin, m.Step
+	if m.Kind == mesh.KindSearch {
+		found.directories = m.Directories
+	}
 	if found.bounced || found.probed {
 		return false
 	}
@@ -237,18 +240,21 @@
 	}
 }
 
-// notifyLearned notifies the entry that searched for a flow that the host has it.
+// notifyLearned notifies the entry that searched for a flow that the host has it, and the directory agents if they are
+// known.
 func (a *Agent) notifyLearned(key flow.Key) {
 	shard := a.searches.Lock(key)
 	found := shard.Get(key)
 	shard.Delete(key)
 	shard.Unlock()
 	learnedFlows.Inc()
-	if found != nil {
-		if found.awaitsOutcome() {
-			probeOutcomes[probeLearned].Inc()
-		}
+	if found != nil && found.awaitsOutcome() {
+		probeOutcomes[probeLearned].Inc()
+	}
+	if found != nil && found.entry != 0 {
 		a.notify(mesh.KindTaken, found.entry, key)
+	}
+	if found != nil {
 		a.updateDirectories(key, found.directories)
 	}
 	if a.cfg.Log.AllowRare() {
@@ -306,6 +312,18 @@
 	}
 }
 
+// recordUnanswered records the directory agents of a flow whose opening packet the host left unanswered for too long.
+func (a *Agent) recordUnanswered(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+	shard := a.searches.Lock(key)
+	defer shard.Unlock()
+	found := shard.Get(key)
+	if found == nil {
+		found = new(search)
+		shard.Put(key, found)
+	}
+	found.directories, found.at = directories, a.cfg.Now()
+}
+
 // recordAbsence records that the host doesn't have a flow, so that it isn't probed again. It returns the
 // search for the flow as it was before, whose entry is 0 if there was none.
 func (a *Agent) recordAbsence(key flow.Key) search {
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -64,7 +64,7 @@
 // HostLeft handles the notification of a host that it is shutting down.
 func (a *Agent) HostLeft(id string) error {
 	if !a.host.MarkGone(id) {
-		a.cfg.Log.Warn("shutdown notification ignored: not the current host", "id", id)
+		a.cfg.Log.Warn("shutdown notification ignored: not the current host, or not draining", "id", id)
 		return nil
 	}
 	a.load.SetOpen(false)
@@ -221,6 +221,7 @@
 	r.setPhase(ended, now, a.load)
 	shard.Delete(key)
 	shard.Unlock()
+	a.recordUnanswered(key, offer.message.Directories)
 	a.unansweredOpenings.Add(1)
 	a.decline(key, offer, "no answer")
 	a.admitHeld()
@@ -247,7 +248,11 @@
 	a.refreshLocations(now)
 	a.reassess(now)
 	a.admitHeld()
-	a.searches.Sweep(func(_ flow.Key, s *search) bool { return now-s.at < searchTTL })
+	// As long as the agent may ask its host for flows, it remembers those that it has asked for.
+	mayProbe := now-a.started <= a.cfg.MaxFlowAge && !a.allFlowsKnown.Load()
+	a.searches.Sweep(func(_ flow.Key, s *search) bool {
+		return now-s.at < searchTTL || mayProbe && (s.probed || s.bounced)
+	})
 }
 
 // reassess logs when the host becomes or ceases to be faulty.
--- a/packetagent/probe.go
+++ b/packetagent/probe.go
@@ -45,7 +45,7 @@
 	reason := probeReasonOf(m)
 	probes[reason].Inc()
 	if a.cfg.Log.AllowRare() {
-		a.cfg.Log.Info("probe", "flow", s.Key.String(), "outcome", "given to the host", "reason", reason, "step", m.Step,
+		a.cfg.Log.Info("probe", "flow", s.Key.String(), "outcome", "given to the host", "reason", reason, "step", mesh.DirectoryPosition(m.Step),
 			"entry", flow.IPText(m.Origin), "fin", s.IsFIN, "dataBytes", s.DataBytes)
 	}
 	a.sendToHost(m.Body, context)
--- a/packetagent/probe_test.go
+++ b/packetagent/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
@@ -38,14 +39,14 @@
 func TestDirectoryAgentDoesNotProbeItsHost(t *testing.T) {
 	a := newTestAgent(t)
 	a.heartbeat("h", agentStartedAt-60_000, 40, host.Ready)
-	for step := range uint8(mesh.StepAll) {
+	for position := range mesh.DirectorySteps {
 		m := mesh.Message{
-			Kind: mesh.KindSearch, Service: mesh.ServiceTag(service), Origin: entryIP, Step: step, Body: packettest.Request(packettest.Key(1), hostSeq+1, 100),
+			Kind: mesh.KindSearch, Service: mesh.ServiceTag(service), Origin: entryIP, Step: mesh.DirectoryStep(position), Body: packettest.Request(packettest.Key(1), hostSeq+1, 100),
 		}
 		a.Receive(m.Append(nil))
 	}
 	require.Empty(t, a.takeSentToHost())
-	require.Equal(t, slices.Repeat([]mesh.Kind{mesh.KindMissing}, mesh.StepAll), a.takeSentKinds())
+	require.Equal(t, slices.Repeat([]mesh.Kind{mesh.KindMissing}, mesh.DirectorySteps), a.takeSentKinds())
 }
 
 // Guards against packets that reach a host that isn't the flow's without a line that says why they were given to it and
@@ -82,7 +83,7 @@
 			require.Equal(t, "probe", lines[0].Message)
 			require.Equal(t, "given to the host", lines[0].Outcome)
 			require.Equal(t, test.reason, lines[0].Fields["reason"])
-			require.EqualValues(t, m.Step, lines[0].Fields["step"])
+			require.EqualValues(t, mesh.DirectoryPosition(m.Step), lines[0].Fields["step"])
 			for range 2 {
 				a.FromHost(append([]byte(nil), test.answer(probes[0])...))
 			}
@@ -143,3 +144,22 @@
 	require.Equal(t, 1, notFound())
 	require.Equal(t, "search forwarded by a directory agent", a.history(known)[0].Message)
 }
+
+// Guards against an agent that forgets after some seconds that its host doesn't have a flow, and gives the host another packet
+// of the flow.
+func TestAbsenceIsRememberedWhileAgentIsYoung(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", agentStartedAt-60_000, 40, host.Ready)
+	k := packettest.Key(1)
+	probes := 0
+	for a.now < 30*time.Second {
+		a.receive(mesh.KindSearch, packettest.Request(k, 90_001, 100))
+		for _, p := range a.takeSentToHost() {
+			probes++
+			a.FromHost(packettest.Bounce(p))
+		}
+		a.now += 1600 * time.Millisecond
+		a.Sweep()
+	}
+	require.Equal(t, 1, probes, "packets at a host that doesn't have the flow")
+}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -23,10 +23,10 @@
 	searchBurst = 4
 )
 
-// nextSearchStep returns the next search step for a packet's flow and records the search; the shard must be
+// nextSearchStep returns the next step of the search for a packet's flow and records it; the shard must be
 // locked. ok is false if enough packets were searched for in this step: a flow whose host is down must not
 // cause a search for each packet.
-func (e *Entry) nextSearchStep(shard *flowtable.Shard[record], key flow.Key, r *record) (step uint8, ok bool) {
+func (e *Entry) nextSearchStep(shard *flowtable.Shard[record], key flow.Key, r *record) (step int, ok bool) {
 	now := e.cfg.Now()
 	if r == nil {
 		r = &record{lastPacket: now, callerStarted: now, lastSearch: now}
@@ -37,13 +37,13 @@
 		r.lastSearch, r.searchedPackets = now, 0
 	}
 	r.searchedPackets++
-	return uint8(r.searchCount % (mesh.StepAll + 1)), r.searchedPackets <= searchBurst
+	return r.searchCount % (mesh.DirectorySteps + 1), r.searchedPackets <= searchBurst
 }
 
 // beginSearch searches for the flow of a packet of a caller. If the step is the last one and there is no budget for it, the
 // search begins with the first one.
-func (e *Entry) beginSearch(s flow.Segment, packet []byte, step uint8) {
-	if step == mesh.StepAll {
+func (e *Entry) beginSearch(s flow.Segment, packet []byte, step int) {
+	if step == mesh.DirectorySteps {
 		allSearchesBegun.Inc()
 		if e.search(s, packet, step) {
 			return
@@ -59,7 +59,7 @@
 // may be a directory agent of the flow, in the last to all agents of the service. The directory agents may be others now than
 // when the flow opened, so that more agents are asked than there are directory agents. It reports whether there was an agent
 // to ask.
-func (e *Entry) search(s flow.Segment, packet []byte, step uint8) bool {
+func (e *Entry) search(s flow.Segment, packet []byte, step int) bool {
 	table := e.cfg.Routes.Current()
 	route, known := table.Find(s.Key.Service)
 	m := mesh.Message{Kind: mesh.KindSearch, ConfigVersion: routing.VersionOf(table), Origin: e.cfg.IP, Body: packet}
@@ -69,13 +69,13 @@
 		order = e.roster.directories(m.Service, s.Key)
 		m.Directories = order.current()
 	}
-	if step < mesh.StepAll && order[step] == 0 {
-		step = mesh.StepAll
+	if step < mesh.DirectorySteps && order[step] == 0 {
+		step = mesh.DirectorySteps
 	}
-	if step == mesh.StepAll {
+	if step == mesh.DirectorySteps {
 		return e.searchAll(s, m, e.searchedAgents(route, known))
 	}
-	m.Step = step
+	m.Step = mesh.DirectoryStep(step)
 	e.logSearch(s, step, 1, m.ConfigVersion)
 	e.send(order[step], &m)
 	e.repeats.packetForwarded()
@@ -110,7 +110,7 @@
 	}
 	m.Step = mesh.StepAll
 	floods.Inc()
-	e.logSearch(s, mesh.StepAll, allowed, m.ConfigVersion)
+	e.logSearch(s, mesh.DirectorySteps, allowed, m.ConfigVersion)
 	first := int(e.searchTurn.Add(uint64(allowed)) % uint64(len(agents)))
 	for i := range allowed {
 		report := agents[(first+i)%len(agents)].report.Load()
@@ -120,7 +120,7 @@
 	return true
 }
 
-func (e *Entry) logSearch(s flow.Segment, step uint8, agents int, version uint64) {
+func (e *Entry) logSearch(s flow.Segment, step int, agents int, version uint64) {
 	searches.Inc()
 	if e.cfg.Log.AllowRare() {
 		e.cfg.Log.Info("search", "flow", s.Key.String(), "step", step, "agents", agents, "opening", s.IsSYN, "config", version)
@@ -140,16 +140,17 @@
 	if r != nil && r.taken && r.agent != m.Origin {
 		otherAgent = r.agent
 	}
+	step := mesh.DirectoryPosition(m.Step)
 	unplaced := r != nil && !r.taken && r.openingPacket != nil && r.offerCount == 0
 	shard.Unlock()
 	switch {
 	case otherAgent != 0:
 		e.forward(mesh.KindDeliver, otherAgent, s, m.Body)
-	case s.IsSYN && unplaced && m.Step+1 >= mesh.DirectoryCount:
+	case s.IsSYN && unplaced && step+1 >= mesh.DirectoryCount:
 		// No directory agent has a record of the flow, so no other entry has placed it.
 		e.retryOffer(s.Key, e.cfg.Now(), true)
-	case m.Step < mesh.StepAll:
+	case step < mesh.DirectorySteps:
 		// The steps to single agents draw on no budget: each follows the answer to the one before, up to the last step.
-		e.search(s, m.Body, m.Step+1)
+		e.search(s, m.Body, step+1)
 	}
 }
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -30,11 +30,13 @@
 	ColdFactor float64
 	// Flows maps the host's open flows to the initial sequence numbers that it chose.
 	Flows map[flow.Key]uint32
-	// Opened counts the flows opened at the host, Misdelivered the packets that reached it of flows that are open at others.
+	// Opened counts the flows opened at the host, Misdelivered the packets that reached it of flows that aren't open at it.
 	Opened, Misdelivered int
 	// WithoutHeartbeats is set while the host sends no heartbeats.
 	WithoutHeartbeats bool
-	sequence          uint64
+	// AnswerDelay is the time after which the host answers an opening packet.
+	AnswerDelay time.Duration
+	sequence    uint64
 	// coldUntil is when the host ceases to be slow.
 	coldUntil time.Duration
 	// requests holds the requests of this incarnation that have arrived; true once answered.
@@ -102,10 +104,12 @@
 			h.Opened++
 			f.checkOpening(a)
 		}
-		f.fromHost(a, Accept(s.Key, initialSeq))
+		f.After(h.AnswerDelay, func() { f.fromHost(a, Accept(s.Key, initialSeq)) })
 	case !exists:
+		h.Misdelivered++
 		f.fromHost(a, Bounce(packet))
 	case !flow.WithinWindow(initialSeq, s.Ack):
+		h.Misdelivered++
 		f.fromHost(a, Packet{Flow: s.Key, FromHost: true, Flags: RST, Seq: s.Ack}.Bytes())
 	case s.IsFIN:
 		f.fromHost(a, Packet{Flow: s.Key, FromHost: true, Flags: ACK, Seq: s.Ack, Ack: s.Seq + 1}.Bytes())
