packetentry: a repeated search begins with the flow's directory agents

What callers saw: an open flow whose search went unanswered once, as a datagram was lost, was searched for at agents further and further down the order, and at all, though its directory agents knew it.

Cause: each unanswered search made the next one begin one step later. With five steps to single agents it left out the flow's directory agents in four of six.

Change: searches begin with the first step, the second one, or at all agents, in turn.

--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -37,9 +37,13 @@
 		r.lastSearch, r.searchedPackets = now, 0
 	}
 	r.searchedPackets++
-	return r.searchCount % (mesh.DirectorySteps + 1), r.searchedPackets <= searchBurst
+	return searchStarts[r.searchCount%len(searchStarts)], r.searchedPackets <= searchBurst
 }
 
+// searchStarts are the steps with which a search begins, one after the other, while it has no answer. A search proceeds from
+// step to step by itself, but not past an agent that doesn't answer.
+var searchStarts = [...]int{0, 1, mesh.DirectorySteps}
+
 // beginSearch searches for the flow of a packet of a caller. If the step is the last one and there is no budget for it, the
 // search begins with the first one.
 func (e *Entry) beginSearch(s flow.Segment, packet []byte, step int) {
