packetentry: a search never begins anew by itself

What callers saw: nothing yet; an entry and an agent filled their links.

Change: if the agent that has the flow can't be used, the packet goes on to the next step, and a caller's packet begins a search within the limit of searches per flow. A delivered packet that is returned begins with the first directory agent instead of the second one: its step tells it from one that was searched for (TestSearchAfterReturnedPacketBeginsWithFirstDirectoryAgent).

--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -117,13 +117,12 @@
 	case r != nil && r.taken:
 		agent, service := r.agent, r.service
 		shard.Unlock()
-		e.forwardTo(mesh.KindDeliver, agent, service, s, packet)
+		if !e.deliver(agent, service, packet) {
+			e.beginSearch(s, packet)
+		}
 	default:
-		step, ok := e.nextSearchStep(shard, s.Key, r)
 		shard.Unlock()
-		if ok {
-			e.beginSearch(s, packet, step)
-		}
+		e.beginSearch(s, packet)
 	}
 }
 
@@ -261,15 +260,11 @@
 	e.send(agent, &m)
 }
 
-// forward sends a packet of a flow to an agent.
-func (e *Entry) forward(k mesh.Kind, agent uint32, s flow.Segment, packet []byte) {
-	e.forwardTo(k, agent, 0, s, packet)
-}
-
-// forwardTo sends a packet of a flow to an agent. service is the tag of the service of the agent that took the flow, 0 if it
+// deliver sends a packet of a flow to an agent. service is the tag of the service of the agent that took the flow, 0 if it
 // isn't known. An entry that has just started may hear of the flow before the agent's report arrives, and the address may
-// belong to an agent of another service since.
-func (e *Entry) forwardTo(k mesh.Kind, agent, service uint32, s flow.Segment, packet []byte) {
+// belong to an agent of another service since; then it returns false. An agent that doesn't have the flow returns the packet
+// with the step of the message, which is no step of a search that agents answer.
+func (e *Entry) deliver(agent, service uint32, packet []byte) bool {
 	if a := e.roster.agent(agent); a != nil {
 		current := mesh.ServiceTag(a.report.Load().Service)
 		if service != 0 && service != current {
@@ -278,13 +273,13 @@
 		service = current
 	}
 	if service == 0 {
-		e.search(s, packet, 0)
-		return
+		return false
 	}
-	m := mesh.Message{Kind: k, Service: service, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: packet}
+	m := mesh.Message{Kind: mesh.KindDeliver, Step: mesh.StepAll, Service: service, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: packet}
 	forwarded.Inc()
 	e.send(agent, &m)
 	e.repeats.packetForwarded()
+	return true
 }
 
 func (e *Entry) send(ip uint32, m *mesh.Message) { m.Send(ip, e.cfg.ToMember) }
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -46,7 +46,13 @@
 
 // beginSearch searches for the flow of a packet of a caller. If the step is the last one and there is no budget for it, the
 // search begins with the first one.
-func (e *Entry) beginSearch(s flow.Segment, packet []byte, step int) {
+func (e *Entry) beginSearch(s flow.Segment, packet []byte) {
+	shard := e.flows.Lock(s.Key)
+	step, ok := e.nextSearchStep(shard, s.Key, shard.Get(s.Key))
+	shard.Unlock()
+	if !ok {
+		return
+	}
 	if step == mesh.DirectorySteps {
 		allSearchesBegun.Inc()
 		if e.search(s, packet, step) {
@@ -140,21 +146,24 @@
 	}
 	shard := e.flows.Lock(s.Key)
 	r := shard.Get(s.Key)
-	otherAgent := uint32(0)
+	otherAgent, service := uint32(0), uint32(0)
 	if r != nil && r.taken && r.agent != m.Origin {
-		otherAgent = r.agent
+		otherAgent, service = r.agent, r.service
+	}
+	next := mesh.DirectoryPosition(m.Step) + 1
+	if m.Step == mesh.StepAll {
+		// The packet was delivered, not searched for.
+		next = 0
 	}
-	step := mesh.DirectoryPosition(m.Step)
 	unplaced := r != nil && !r.taken && r.openingPacket != nil && r.offerCount == 0
 	shard.Unlock()
 	switch {
-	case otherAgent != 0:
-		e.forward(mesh.KindDeliver, otherAgent, s, m.Body)
-	case s.IsSYN && unplaced && step+1 >= mesh.DirectoryCount:
+	case otherAgent != 0 && e.deliver(otherAgent, service, m.Body):
+	case s.IsSYN && unplaced && next >= mesh.DirectoryCount:
 		// No directory agent has a record of the flow, so no other entry has placed it.
 		e.retryOffer(s.Key, e.cfg.Now(), true)
-	case step < mesh.DirectorySteps:
+	default:
 		// The steps to single agents draw on no budget: each follows the answer to the one before, up to the last step.
-		e.search(s, m.Body, step+1)
+		e.search(s, m.Body, next)
 	}
 }
