packetentry: a flow that isn't found draws on the budget of repeats

While callers of lost flows repeat their packets, as after a loss of power, new flows that came through the same entries got no answer: five searches for each packet filled the entries' links.

The steps of a search no longer add to the budget that they draw on; packets of callers do.

--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -76,11 +76,10 @@
 	retryAt time.Duration
 	// offerLapsed reports whether the last offer was not answered and not repeated.
 	offerLapsed bool
-	// lastSearch is when the current search step began, searchCount the number of steps before it, and
-	// searchedPackets the number of packets searched for in this step.
-	lastSearch      time.Duration
-	searchCount     int
-	searchedPackets int
+	// lastSearch is when the current search began, searchCount the number of searches before it, and searchedPackets the
+	// number of packets searched for in this one. searchedSteps is the last step that any search proceeded to.
+	lastSearch                                  time.Duration
+	searchCount, searchedPackets, searchedSteps int
 }
 
 // New returns an entry that has no record of other processes.
@@ -148,6 +147,7 @@
 		// This is a retransmission: another entry may have placed the flow.
 		shard.Unlock()
 		e.search(s, packet, 0)
+		e.repeats.packetForwarded()
 		e.startTimer(&e.searchTimers, timer{s.Key, now + e.cfg.SearchTimeout})
 		return
 	}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -40,6 +40,17 @@
 	return searchStarts[r.searchCount%len(searchStarts)], r.searchedPackets <= searchBurst
 }
 
+// proceedTo records that a search for the flow proceeds to a step, and reports whether it is the first one to do so. Each step
+// to a single agent is taken once without drawing on the budget, so that flows are found when many of them move to another
+// entry at once. A flow that isn't found doesn't cause such steps for each copy of its packets.
+func (r *record) proceedTo(step int) bool {
+	if step <= r.searchedSteps || step >= mesh.DirectorySteps {
+		return false
+	}
+	r.searchedSteps = step
+	return true
+}
+
 // searchStarts are the steps with which a search begins, one after the other, while it has no answer. A search proceeds from
 // step to step by itself, but not past an agent that doesn't answer.
 var searchStarts = [...]int{0, 1, mesh.DirectorySteps}
@@ -53,6 +64,7 @@
 	if !ok {
 		return
 	}
+	e.repeats.packetForwarded()
 	if step == mesh.DirectorySteps {
 		allSearchesBegun.Inc()
 		if e.search(s, packet, step) {
@@ -88,7 +100,6 @@
 	m.Step = mesh.DirectoryStep(step)
 	e.logSearch(s, step, 1, m.ConfigVersion)
 	e.send(order[step], &m)
-	e.repeats.packetForwarded()
 	return true
 }
 
@@ -155,6 +166,7 @@
 		// The packet was delivered, not searched for.
 		next = 0
 	}
+	isFirst := r != nil && r.proceedTo(next)
 	unplaced := r != nil && !r.taken && r.openingPacket != nil && r.offerCount == 0
 	shard.Unlock()
 	switch {
@@ -162,8 +174,7 @@
 	case s.IsSYN && unplaced && next >= mesh.DirectoryCount:
 		// No directory agent has a record of the flow, so no other entry has placed it.
 		e.retryOffer(s.Key, e.cfg.Now(), true)
-	default:
-		// The steps to single agents draw on no budget: each follows the answer to the one before, up to the last step.
+	case isFirst || next == mesh.DirectorySteps || e.repeats.take(1) == 1:
 		e.search(s, m.Body, next)
 	}
 }
--- a/packettest/reach_test.go
+++ b/packettest/reach_test.go
@@ -186,3 +186,30 @@
 		require.Empty(t, f.Violations)
 	})
 }
+
+// Guards against searches for flows that are lost, as after a loss of power, that fill the links of entries: new flows are not
+// placed. Callers repeat requests of 1 kB for 400 lost flows five times a second.
+func TestNewFlowsBesideSearchesForLostFlows(t *testing.T) {
+	f, all := newFleetWithFlows(time.Hour, 0)
+	for _, e := range f.Entries {
+		f.Links[e.IP] = &packettest.Link{BytesPerSecond: entryLink, MaxDelay: 100 * time.Millisecond}
+	}
+	f.PowerOff(time.Second)
+	f.Run(2500 * time.Millisecond)
+	callers := packettest.NewCallers(f)
+	const rounds = 100
+	answered := 0
+	for round := range rounds {
+		for n, c := range all {
+			e := f.Entries[(n+round)%len(f.Entries)]
+			f.After(time.Duration(n)*searchTime/time.Duration(len(all)), func() {
+				f.FromCaller(e, packettest.Packet{Flow: c.Key, Flags: packettest.ACK, Seq: 1201, Ack: c.InitialSeq + 1, DataBytes: 1000}.Bytes())
+			})
+		}
+		e := f.Entries[round%len(f.Entries)]
+		c := callers.Start(f, packettest.Key(len(all)+round), func() *packettest.Entry { return e })
+		f.Run(searchTime)
+		answered += c.Answers
+	}
+	require.GreaterOrEqual(t, answered, rounds*95/100)
+}
