packetentry: a search at all agents asks all of them or none

What callers saw: packets of open flows reached other hosts for seconds, when agents had restarted one after the other as in a planned restart.

Cause: the search at all agents asked as many as the budget of repeats allowed. Restarted agents give the packet to their hosts. Each copy of a packet asked another part of them, so that wrong hosts got it one after the other before the flow's own one did.

The trace of a flow shows searches at 8, 5, 1 and 13 agents within 2.3 s.

Of more than 256 agents a part is asked, in turn.

--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -121,12 +121,12 @@
 	return withHosts
 }
 
-// searchAll sends a search to as many agents as the entry may send datagrams on its own account, and reports
-// whether there were any. Which ones these are changes with each search, so that copies of a packet reach all in
-// turn.
+// searchAll sends a search to all agents, or none if the budget doesn't allow it, and reports whether it did. A search at a
+// part of the agents would give the packet to the hosts of restarted agents, and the next copy to others, before it comes to
+// the flow's own one. Of more than maxSearched agents, which ones are asked changes with each search.
 func (e *Entry) searchAll(s flow.Segment, m mesh.Message, agents []*agent) bool {
-	allowed := e.repeats.take(len(agents))
-	if allowed == 0 {
+	allowed := min(len(agents), maxSearched)
+	if allowed == 0 || !e.repeats.takeSearch(allowed) {
 		return false
 	}
 	m.Step = mesh.StepAll
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -77,6 +77,19 @@
 	return n
 }
 
+// TakeAll takes n retries from the budget if there are as many, and reports whether there were.
+func (b *Budget) TakeAll(n int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(now)
+	b.refill(now)
+	if b.units < int64(n)*unitsPerToken {
+		return false
+	}
+	b.units -= int64(n) * unitsPerToken
+	return true
+}
+
 // expire empties the budget if there has been no request for idleExpiry.
 func (b *Budget) expire(now time.Time) {
 	if now.Sub(b.lastRequest) > idleExpiry {
