packetagent: directory agents that restarted are told of a flow again

What callers saw: nothing new; an open flow was found by a search at all agents, and the next packet through another entry needed one again.

Cause: an agent that a search finds announces its flow to the current directory agents if their addresses differ from those it told last. Restarted ones have the same addresses and have forgotten the flow.

Change: an agent that is found by a search at all agents announces itself again, once a second at most.

--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -556,6 +556,15 @@
 		search(a, packettest.Key(1))
 		require.Equal(t, []mesh.Kind{mesh.KindTaken}, a.takeSentKinds(), "the directory agents have not changed")
 	})
+	t.Run("directory agents restarted", func(t *testing.T) {
+		a := newTestAgent(t)
+		a.openFlow(packettest.Key(1))
+		search(a, packettest.Key(1))
+		requireTold(t, a)
+		a.now += time.Second
+		search(a, packettest.Key(1))
+		requireTold(t, a)
+	})
 	t.Run("flow learned from the host", func(t *testing.T) {
 		a := newTestAgent(t)
 		a.heartbeat("h", agentStartedAt-60_000, 40, host.Ready)
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -111,7 +111,7 @@
 	}
 	if location == flowAtHost || location == flowHeld {
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
-		a.updateDirectories(s.Key, m.Directories)
+		a.updateDirectories(s.Key, m.Directories, m.Step == mesh.StepAll)
 		return
 	}
 	if location == flowElsewhere {
@@ -255,7 +255,7 @@
 		a.notify(mesh.KindTaken, found.entry, key)
 	}
 	if found != nil {
-		a.updateDirectories(key, found.directories)
+		a.updateDirectories(key, found.directories, false)
 	}
 	if a.cfg.Log.AllowRare() {
 		a.cfg.Log.Info("flow learned from its host", "flow", key.String(), "searched", found != nil, "probed", found != nil && found.probed)
--- a/packetagent/directory.go
+++ b/packetagent/directory.go
@@ -12,6 +12,9 @@
 	locationTTL = 20 * time.Second
 	// locationRefreshInterval is the time between announcements of a flow's location to its directory agents.
 	locationRefreshInterval = 8 * time.Second
+	// locationRetryInterval is the minimum time between such announcements if a search shows that the directory agents don't
+	// know the location.
+	locationRetryInterval = time.Second
 )
 
 // location is the location of a flow, as announced to its directory agents by the agents that took it.
@@ -54,20 +57,22 @@
 	a.notifyDirectories(key, directories, mesh.LocatedElsewhere)
 }
 
-// updateDirectories announces the location of a flow of this agent to its current directory agents, unless these are the ones
-// that were notified last. Agents that join change them, and a flow that was learned from the host had none.
-func (a *Agent) updateDirectories(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+// updateDirectories announces the location of a flow of this agent to its current directory agents, if these are not the ones
+// that were notified last, or if they have forgotten it. Agents that join change them, restarted ones forget, and a flow that
+// was learned from the host had none.
+func (a *Agent) updateDirectories(key flow.Key, directories [mesh.DirectoryCount]uint32, forgotten bool) {
 	if directories == ([mesh.DirectoryCount]uint32{}) {
 		return
 	}
+	now := a.cfg.Now()
 	shard := a.flows.Lock(key)
 	r := shard.Get(key)
-	changed := r != nil && r.phase != ended && r.directories != directories
-	if changed {
-		r.directories, r.directoriesNotified = directories, a.cfg.Now()
+	due := r != nil && r.phase != ended && (r.directories != directories || forgotten && now-r.directoriesNotified >= locationRetryInterval)
+	if due {
+		r.directories, r.directoriesNotified = directories, now
 	}
 	shard.Unlock()
-	if changed {
+	if due {
 		a.announceLocation(key, directories)
 	}
 }
