packetagent: an acknowledgement without data does not make a flow missing

What callers saw: an open flow got no answer to its next request, if an acknowledgement without data was the first packet at its agent after the agent's start.

Cause: such an agent doesn't give its host a packet without data or FIN, as the host wouldn't answer it, and returned it as one of a flow that isn't there. The entry then forgot the flow's agent, and a search that a directory agent forwarded made the agent take back its former process's announcement.

Change: such a packet is dropped by an agent whose host may have flows that it doesn't know.

--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -18,6 +18,9 @@
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
 		return
 	case flowUnknown:
+		if a.isUndecided(s) {
+			return
+		}
 		if a.shouldProbe(m, s) {
 			a.probe(m, s, contextProbe)
 			return
@@ -128,8 +131,16 @@
 		a.probe(m, s, context)
 		return
 	}
+	a.answerAbsence(m, s, location)
+}
+
+// answerAbsence answers a search for a flow that isn't at this host.
+func (a *Agent) answerAbsence(m *mesh.Message, s flow.Segment, location flowLocation) {
 	if m.Terms.Resent {
 		// A directory agent forwarded the search, because this agent had announced that it has the flow.
+		if location == flowUnknown && a.isUndecided(s) {
+			return
+		}
 		a.withdrawLocation(s.Key, m.Directories)
 	}
 	if m.Step != mesh.StepAll {
@@ -162,11 +173,22 @@
 	return true
 }
 
+// mayHaveUnknownFlows reports whether the host may have flows that this process has no record of.
+func (a *Agent) mayHaveUnknownFlows() bool {
+	return !a.allFlowsKnown.Load() && a.cfg.Now()-a.started <= a.cfg.MaxFlowAge
+}
+
+// isUndecided reports whether the host may have the flow of a packet that it wouldn't answer, so that the packet can't show
+// whether it has. Such a packet is dropped; if it were returned, the flow would count as missing here.
+func (a *Agent) isUndecided(s flow.Segment) bool {
+	return s.DataBytes == 0 && !s.IsFIN && !s.IsSYN && a.mayHaveUnknownFlows()
+}
+
 // shouldProbe reports whether to probe the host for a flow that the agent has no record of, and records the
 // search. A host is probed once per flow: if it has the flow it answers data, and if it doesn't it may still
 // not bounce the packet, because it opened the flow from another copy of the opening packet.
 func (a *Agent) shouldProbe(m *mesh.Message, s flow.Segment) bool {
-	if s.DataBytes == 0 && !s.IsFIN || a.allFlowsKnown.Load() || a.cfg.Now()-a.started > a.cfg.MaxFlowAge {
+	if s.DataBytes == 0 && !s.IsFIN || !a.mayHaveUnknownFlows() {
 		return false
 	}
 	shard := a.searches.Lock(s.Key)
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -249,7 +249,7 @@
 	a.reassess(now)
 	a.admitHeld()
 	// As long as the agent may ask its host for flows, it remembers those that it has asked for.
-	mayProbe := now-a.started <= a.cfg.MaxFlowAge && !a.allFlowsKnown.Load()
+	mayProbe := a.mayHaveUnknownFlows()
 	a.searches.Sweep(func(_ flow.Key, s *search) bool {
 		return now-s.at < searchTTL || mayProbe && (s.probed || s.bounced)
 	})
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -157,20 +157,13 @@
 	}
 	shard := e.flows.Lock(s.Key)
 	r := shard.Get(s.Key)
-	otherAgent, service := uint32(0), uint32(0)
-	if r != nil && r.taken && r.agent != m.Origin {
-		otherAgent, service = r.agent, r.service
-	}
-	next := mesh.DirectoryPosition(m.Step) + 1
-	if m.Step == mesh.StepAll {
-		// The packet was delivered, not searched for.
-		next = 0
-	}
+	agent, service := r.agentBesides(m.Origin)
+	next := stepAfter(m.Step)
 	isFirst := r != nil && r.proceedTo(next)
 	unplaced := r != nil && !r.taken && r.openingPacket != nil && r.offerCount == 0
 	shard.Unlock()
 	switch {
-	case otherAgent != 0 && e.deliver(otherAgent, service, m.Body):
+	case agent != 0 && e.deliver(agent, service, m.Body):
 	case s.IsSYN && unplaced && next >= mesh.DirectoryCount:
 		// No directory agent has a record of the flow, so no other entry has placed it.
 		e.retryOffer(s.Key, e.cfg.Now(), true)
@@ -178,3 +171,21 @@
 		e.search(s, m.Body, next)
 	}
 }
+
+// stepAfter returns the step of a search after an agent returned the packet. A packet that was delivered to the agent is returned
+// with StepAll, and its search begins with the first step.
+func stepAfter(returned uint8) int {
+	if returned == mesh.StepAll {
+		return 0
+	}
+	return mesh.DirectoryPosition(returned) + 1
+}
+
+// agentBesides returns the agent that took the flow, unless it is the given one, with the tag of its service. It returns 0 if
+// there is none. r may be nil.
+func (r *record) agentBesides(other uint32) (agent, service uint32) {
+	if r == nil || !r.taken || r.agent == other {
+		return 0, 0
+	}
+	return r.agent, r.service
+}
