packetentry: a search omits only agents that joined, not those that restarted

What callers saw: nothing yet; found by the review. After a restart of the entries and of a flow's agent, the flow got no answer until the heartbeat of its host, and meanwhile its packets reached the hosts of other restarted agents.

Cause: the search at all agents omitted every agent whose host had not reported, and an entry that restarted too had no earlier record of it.

Evidence: TestSearchAsksRestartedAgentsBeforeTheirHostsReport failed: 1 answer of 2.

Change: only agents that the entry came to know a second or more after its own start are omitted until their hosts report.

--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -20,6 +20,9 @@
 	// lastHeard is when the last message arrived, in the time of Config.Now.
 	lastHeard atomic.Int64
 
+	// joined reports whether the agent became known when the entry had known the others for some time.
+	joined bool
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// load was reported at loadAt; offersSinceLoad counts the offers since then.
@@ -85,7 +88,8 @@
 
 // roster holds the agents and entries that the entry has reports of.
 type roster struct {
-	cfg Config
+	cfg     Config
+	started time.Duration
 
 	// mu guards the fields below.
 	mu sync.RWMutex
@@ -104,7 +108,7 @@
 }
 
 func newRoster(cfg Config) *roster {
-	return &roster{cfg: cfg, agents: make(map[uint32]*agent), services: make(map[uint32][]*agent), entries: make(map[uint32]entryPeer)}
+	return &roster{cfg: cfg, started: cfg.Now(), agents: make(map[uint32]*agent), services: make(map[uint32][]*agent), entries: make(map[uint32]entryPeer)}
 }
 
 func (r *roster) agent(ip uint32) *agent {
@@ -146,7 +150,7 @@
 	defer r.mu.Unlock()
 	a := r.agents[report.IP]
 	if a == nil {
-		a = new(agent)
+		a = &agent{joined: now-r.started >= settleTime}
 		a.report.Store(&report)
 		a.recordMessage(load, now)
 		r.agents[report.IP] = a
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -103,8 +103,8 @@
 	return true
 }
 
-// searchedAgents returns the agents that may have the flows of a route, or all agents if the route isn't known. Agents whose
-// hosts have not reported are omitted unless there are no others: they may have joined with hosts that have no flows.
+// searchedAgents returns the agents that may have the flows of a route, or all agents if the route isn't known. Agents that
+// joined and whose hosts have not reported yet are omitted: their hosts have no flows.
 func (e *Entry) searchedAgents(route routing.Route, known bool) []*agent {
 	var agents []*agent
 	if known {
@@ -114,11 +114,7 @@
 	} else {
 		agents = e.roster.allAgents()
 	}
-	withHosts := slices.DeleteFunc(slices.Clone(agents), func(a *agent) bool { return a.report.Load().HostState == host.Unknown })
-	if len(withHosts) == 0 {
-		return agents
-	}
-	return withHosts
+	return slices.DeleteFunc(agents, func(a *agent) bool { return a.joined && a.report.Load().HostState == host.Unknown })
 }
 
 // searchAll sends a search to all agents, or none if the budget doesn't allow it, and reports whether it did. A search at a
--- a/packettest/reach_test.go
+++ b/packettest/reach_test.go
@@ -187,6 +187,29 @@
 	})
 }
 
+// Guards against a search that asks all restarted agents but the flow's own one, whose host has not reported since the agent
+// and the entries restarted.
+func TestSearchAsksRestartedAgentsBeforeTheirHostsReport(t *testing.T) {
+	f, all := newFleetWithFlows(time.Hour, 0)
+	for _, a := range f.Agents {
+		f.StartAgent(a)
+	}
+	f.Run(1500 * time.Millisecond)
+	c := all[0]
+	owner := f.Owner(c.Key, c.InitialSeq)
+	owner.Host.WithoutHeartbeats = true
+	f.StartAgent(owner)
+	for _, e := range f.Entries {
+		f.StartEntry(e)
+	}
+	f.Run(300 * time.Millisecond)
+	c.NextEntry = func() *packettest.Entry { return f.Entries[2] }
+	c.Request()
+	f.Run(3 * time.Second)
+	require.Equal(t, 2, c.Answers)
+	require.Empty(t, f.Violations)
+}
+
 // Guards against searches for flows that are lost, as after a loss of power, that fill the links of entries: new flows are not
 // placed. Callers repeat requests of 1 kB for 400 lost flows five times a second.
 func TestNewFlowsBesideSearchesForLostFlows(t *testing.T) {
