packetagent, packetentry: a flow's directory agents follow the current agents

What callers saw: open flows that moved to an entry without a record of them got no answer, after a release of the agents or after agents joined, for as long as they were open.

Cause: an agent announces a flow to the directory agents that the offer named. An agent that learned the flow from its host knows none, and agents that joined since change them.

Change: an agent asks the entry that sent a packet of the flow for the current directory agents, every 8 s at most, with a step in the notice that it has the flow. The entry answers with a location notice in the agent's own name, unless it started less than a second before.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -95,6 +95,10 @@
 // recently.
 const EchoedHearsAgents = 1
 
+// TakenAsksDirectories is the Step of a message of kind KindTaken whose sender asks for the flow's current directory agents.
+// The entry answers with a message of kind KindLocated that names the sender as its origin.
+const TakenAsksDirectories = 1
+
 // Values of Step in messages of kind KindLocated.
 const (
 	LocatedHere uint8 = iota
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -129,6 +129,10 @@
 		return
 	}
 	if m.Kind == mesh.KindLocated {
+		if m.Origin == a.cfg.IP && m.Directories[0] != 0 {
+			a.updateDirectories(m.Flow, m.Directories, false)
+			return
+		}
 		a.recordLocation(m.Flow, m.Origin, m.Step)
 		return
 	}
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -10,9 +10,13 @@
 // handleDeliver sends a packet of a flow to the host, or returns it to the entry if the flow isn't at this
 // host.
 func (a *Agent) handleDeliver(m *mesh.Message, s flow.Segment) {
-	switch a.recordPacket(s) {
+	location, directoriesDue := a.recordPacket(s)
+	switch location {
 	case flowAtHost:
 		a.sendToHost(m.Body, contextDeliver)
+		if directoriesDue {
+			a.askDirectories(m.Origin, s.Key)
+		}
 		return
 	case flowHeld:
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
@@ -45,24 +49,30 @@
 	flowElsewhere
 )
 
-// recordPacket updates the record of a flow for a packet of the caller, and returns the flow's location.
-func (a *Agent) recordPacket(s flow.Segment) flowLocation {
+// recordPacket updates the record of a flow for a packet of the caller, and returns the flow's location. directoriesDue reports
+// whether an entry is to be asked for the flow's directory agents now.
+func (a *Agent) recordPacket(s flow.Segment) (location flowLocation, directoriesDue bool) {
 	shard := a.flows.Lock(s.Key)
 	defer shard.Unlock()
 	r := shard.Get(s.Key)
 	switch {
 	case r == nil:
-		return flowUnknown
+		return flowUnknown, false
 	case !r.matches(s):
 		r.lastPacket = a.cfg.Now()
 		a.giveUpCopy(shard, s.Key, r)
-		return flowElsewhere
+		return flowElsewhere, false
 	case r.phase == held:
 		r.lastPacket = a.cfg.Now()
-		return flowHeld
+		return flowHeld, false
+	}
+	now := a.cfg.Now()
+	r.updateFromCaller(s, now, a.load)
+	directoriesDue = now-r.directoriesAsked >= locationRefreshInterval
+	if directoriesDue {
+		r.directoriesAsked = now
 	}
-	r.updateFromCaller(s, a.cfg.Now(), a.load)
-	return flowAtHost
+	return flowAtHost, directoriesDue
 }
 
 // giveUpCopy idles the record of a flow that its caller opened at another host, so that it occupies no slot. The caller
@@ -108,7 +118,7 @@
 // handleSearch delivers a packet if its flow is or may be at this host, or forwards it to the agent that has
 // the flow if this agent is a directory agent of the flow.
 func (a *Agent) handleSearch(m *mesh.Message, s flow.Segment) {
-	location := a.recordPacket(s)
+	location, _ := a.recordPacket(s)
 	if location == flowAtHost {
 		a.sendToHost(m.Body, contextDeliver)
 	}
@@ -250,7 +260,10 @@
 	if learned {
 		// The host answered the opening packet before this process started, or later than it waited. Any
 		// other packet shows that the caller opened the flow here.
-		r = &record{phase: idle, phaseStarted: now, opened: now, openedUnixMilli: a.cfg.UnixMilli(), confirmed: !s.IsSYN}
+		r = &record{
+			phase: idle, phaseStarted: now, opened: now, openedUnixMilli: a.cfg.UnixMilli(), confirmed: !s.IsSYN,
+			directoriesAsked: now - locationRefreshInterval,
+		}
 		shard.Put(s.Key, r)
 	}
 	r.updateFromHost(s, now, a.load)
@@ -274,7 +287,12 @@
 		probeOutcomes[probeLearned].Inc()
 	}
 	if found != nil && found.entry != 0 {
-		a.notify(mesh.KindTaken, found.entry, key)
+		a.askDirectories(found.entry, key)
+		shard := a.flows.Lock(key)
+		if r := shard.Get(key); r != nil {
+			r.directoriesAsked = a.cfg.Now()
+		}
+		shard.Unlock()
 	}
 	if found != nil {
 		a.updateDirectories(key, found.directories, false)
--- a/packetagent/directory.go
+++ b/packetagent/directory.go
@@ -47,6 +47,14 @@
 	return l
 }
 
+// askDirectories notifies an entry that this agent has a flow, and asks it for the flow's current directory agents. Agents that
+// join change them, and an agent that learned a flow from its host has never been told.
+func (a *Agent) askDirectories(entry uint32, key flow.Key) {
+	m := a.newMessage(mesh.KindTaken, key)
+	m.Step = mesh.TakenAsksDirectories
+	a.send(entry, &m)
+}
+
 // announceLocation notifies the directory agents of a flow that this agent has the flow.
 func (a *Agent) announceLocation(key flow.Key, directories [mesh.DirectoryCount]uint32) {
 	a.notifyDirectories(key, directories, mesh.LocatedHere)
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -57,7 +57,7 @@
 	offer.message.Body = nil
 	shard.Put(s.Key, &record{
 		phase: p, phaseStarted: now, opened: now, openedUnixMilli: a.cfg.UnixMilli(), lastPacket: now,
-		offer: offer, directories: m.Directories, directoriesNotified: now,
+		offer: offer, directories: m.Directories, directoriesNotified: now, directoriesAsked: now,
 	})
 }
 
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -44,6 +44,8 @@
 	// when it was last announced.
 	directories         [mesh.DirectoryCount]uint32
 	directoriesNotified time.Duration
+	// directoriesAsked is when an entry was last asked for the current directory agents.
+	directoriesAsked time.Duration
 	// hostSeq is the newest sequence number sent by the host; it is valid if hostSeqKnown is set.
 	hostSeq      uint32
 	hostSeqKnown bool
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -38,6 +38,9 @@
 			a.recordMessage(m.Load, e.cfg.Now())
 		}
 		e.handleNotice(&m)
+		if m.Kind == mesh.KindTaken && m.Step == mesh.TakenAsksDirectories {
+			e.sendDirectories(&m)
+		}
 	default:
 		badDatagrams.Inc()
 	}
@@ -118,6 +121,19 @@
 	}
 }
 
+// sendDirectories answers an agent that asks for the current directory agents of its flow. An entry that has just started may
+// not know them.
+func (e *Entry) sendDirectories(request *mesh.Message) {
+	if e.cfg.Now()-e.started < settleTime {
+		return
+	}
+	m := mesh.Message{
+		Kind: mesh.KindLocated, Service: request.Service, ConfigVersion: e.cfg.Routes.Version(), Origin: request.Origin, Flow: request.Flow,
+		Step: mesh.LocatedHere, Directories: e.roster.directories(request.Service, request.Flow).current(),
+	}
+	e.send(request.Origin, &m)
+}
+
 // Tick starts to handle the timers that are due. An agent may only be considered unresponsive after all
 // datagrams that arrived before its timeout have been read: a slow entry must not mistake its own delay for the
 // agent's. So Tick sends the entry itself a marker, and the timers are handled when the marker arrives. It
