packetentry: a search asks for all services of a route

What callers saw: after a change of a route's weights, open flows that came through an entry without a record of them got no answer, and agents of the other service that had started after their hosts gave the packets to these.

Change: of the steps that ask single agents, the last two for each further service ask the flow's directory agents there; a route with one service is searched for as before. A flow of a service that left its route is not found still (KNOWN-RED.txt).

--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -358,6 +358,9 @@
 		}
 		ip := a.report.Load().IP
 		w := flow.Mix(seed ^ flow.Mix(uint64(ip)))
+		if w <= weights[len(weights)-1] {
+			continue
+		}
 		for i := range order {
 			if w > weights[i] {
 				// The agents from here on move back by one place.
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -85,24 +85,43 @@
 	table := e.cfg.Routes.Current()
 	route, known := table.Find(s.Key.Service)
 	m := mesh.Message{Kind: mesh.KindSearch, ConfigVersion: routing.VersionOf(table), Origin: e.cfg.IP, Body: packet}
-	var order directoryOrder
-	if known {
-		m.Service = mesh.ServiceTag(route.Service(s.Key))
-		order = e.roster.directories(m.Service, s.Key)
-		m.Directories = order.current()
-	}
-	if step < mesh.DirectorySteps && order[step] == 0 {
-		step = mesh.DirectorySteps
+	asked := uint32(0)
+	for ; known && asked == 0 && step < mesh.DirectorySteps; step++ {
+		service, position := searchedService(route, s.Key, step)
+		m.Service = mesh.ServiceTag(service)
+		order := e.roster.directories(m.Service, s.Key)
+		m.Directories, asked, m.Step = order.current(), order[position], mesh.DirectoryStep(step)
 	}
-	if step == mesh.DirectorySteps {
+	if asked == 0 {
 		return e.searchAll(s, m, e.searchedAgents(route, known))
 	}
-	m.Step = mesh.DirectoryStep(step)
-	e.logSearch(s, step, 1, m.ConfigVersion)
-	e.send(order[step], &m)
+	e.logSearch(s, mesh.DirectoryPosition(m.Step), 1, m.ConfigVersion)
+	e.send(asked, &m)
 	return true
 }
 
+// searchedService returns the service whose agents a step of a search asks, and the position among the flow's directory agents
+// there. The last steps ask for the route's other services: the flow may have opened before a change of the shares.
+func searchedService(route routing.Route, key flow.Key, step int) (service string, position int) {
+	service = route.Service(key)
+	others := len(route.Shares) - 1
+	first := max(mesh.DirectorySteps-mesh.DirectoryCount*others, mesh.DirectoryCount)
+	if step < first {
+		return service, step
+	}
+	other, position := (step-first)/mesh.DirectoryCount, (step-first)%mesh.DirectoryCount
+	for _, s := range route.Shares {
+		if s.Service == service {
+			continue
+		}
+		if other == 0 {
+			return s.Service, position
+		}
+		other--
+	}
+	return service, step
+}
+
 // searchedAgents returns the agents that may have the flows of a route, or all agents if the route isn't known. Agents that
 // joined and whose hosts have not reported yet are omitted: their hosts have no flows.
 func (e *Entry) searchedAgents(route routing.Route, known bool) []*agent {
