soak: check that packets of open flows reach their host, under planned work and joining hosts

The soak now fails when three or more packets of an open flow reach other hosts over 2 s and none its own. Packets within 4 s of a kill or pause of the flow's agent or of the caller's entry don't count; planned restarts do. Callers and hosts close flows with FINs and repeat what is not acknowledged, and a sixteenth of the flows lasts until the host closes it. Half of the flows reach their entries by a hash over the rotation, as with the platform's routers; the others still change the entry with each packet. Openings end after 1.4 s, as those of the platform's callers do.

With Series, rolling restarts, reloads and configuration changes follow each other beside the random faults, and hosts with their agents join and leave.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -17,17 +17,30 @@
 const (
 	answerBytes  = 600
 	requestBytes = 200
-	// requestTimeout is the time after which a caller abandons a request.
+	// closingRequestBytes is the size of a request after whose answer the host closes the flow.
+	closingRequestBytes = requestBytes + 1
+	// openTimeout and requestTimeout are the times after which a caller abandons an opening and a request;
+	// closeTimeout is how long it repeats an unacknowledged FIN.
+	openTimeout    = 1400 * time.Millisecond
 	requestTimeout = 3 * time.Second
-	// requestsPerFlow is the number of consecutive requests of a flow. Several of them make flows outlive
-	// faults.
+	closeTimeout   = 8 * time.Second
+	// requestsPerFlow is the number of consecutive requests of a flow with several requests. Lasting flows are used
+	// until their host closes or loses them; with lastingRequests they stay below the age of a minute at which
+	// processes may discard flows.
 	requestsPerFlow = 4
+	lastingRequests = 100
 	// thinkTime is the mean pause between requests.
 	thinkTime = 300 * time.Millisecond
+	// firstRetransmitDelay is the delay before the first retransmission of a packet. It doubles with each one up to
+	// maxRetransmitDelay.
+	firstRetransmitDelay = 200 * time.Millisecond
+	maxRetransmitDelay   = 1600 * time.Millisecond
 )
 
-// retransmitDelays are the delays before each retransmission of a packet.
-var retransmitDelays = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
+// retransmitDelay returns the delay after the nth transmission of a packet, counted from 0.
+func retransmitDelay(n int) time.Duration {
+	return min(firstRetransmitDelay<<min(n, 3), maxRetransmitDelay)
+}
 
 // callerVM simulates one caller VM with many flows.
 type callerVM struct {
@@ -70,9 +83,7 @@
 
 // readPackets passes each packet to handle, which must not retain it, until the socket is closed.
 func readPackets(conn *net.UDPConn, handle func(packet []byte)) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		defer func() { done <- nil }()
+	return background(func() {
 		buffer := make([]byte, platform.MaxPacketBytes+1)
 		for {
 			n, _, err := conn.ReadFromUDPAddrPort(buffer)
@@ -81,15 +92,26 @@
 			}
 			handle(buffer[:n])
 		}
-	}()
-	return done
+	})
+}
+
+// callerFlow is one flow of a caller: seq is its next sequence number, ack the next one that it expects, which is 0
+// until the flow is open.
+type callerFlow struct {
+	vm       *callerVM
+	key      flow.Key
+	inbox    chan flow.Segment
+	seq, ack uint32
+	// initialSeq is the initial sequence number of the host.
+	initialSeq uint32
 }
 
-// runFlow opens a flow and sends its requests.
-func (c *callerVM) runFlow(ctx context.Context, key flow.Key) {
-	inbox := make(chan flow.Segment, 32)
+// runFlow opens a flow, sends its requests until a time at most, and closes it. A quarter of the flows have several
+// requests and a sixteenth last; the host closes the others after their only answer.
+func (c *callerVM) runFlow(ctx context.Context, key flow.Key, until time.Time) {
+	f := &callerFlow{vm: c, key: key, inbox: make(chan flow.Segment, 32)}
 	c.mu.Lock()
-	c.flows[key] = inbox
+	c.flows[key] = f.inbox
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
@@ -97,48 +119,82 @@
 		c.mu.Unlock()
 	}()
 	start := time.Now()
-	synAck, opened := c.exchange(ctx, inbox, 0, func(n uint32) []byte { return packettest.Open(key, n) },
+	synAck, opened := f.exchange(ctx, openTimeout, func(n uint32) []byte { return packettest.Open(key, n) },
 		func(s flow.Segment) bool { return s.IsSYN && s.IsACK })
 	if !opened {
 		c.run.recordRequest(key, start, false)
 		return
 	}
-	for n := range uint32(requestsPerFlow) {
-		request := packettest.Packet{Flow: key, Flags: packettest.ACK, Seq: 1001 + n*requestBytes, Ack: synAck.Seq + 1, DataBytes: requestBytes}.Bytes()
-		c.run.recordSent(request)
-		sent := time.Now()
-		answer, ok := c.exchange(ctx, inbox, synAck.Seq+1, func(uint32) []byte { return request }, func(s flow.Segment) bool { return s.DataBytes > 0 })
-		if answer.IsRST {
-			c.run.checkReset(key, synAck.Seq)
+	f.initialSeq, f.seq, f.ack = synAck.Seq, 1001, synAck.Seq+1
+	requests := 1
+	switch key.Caller.Port % 16 {
+	case 1, 4, 9, 12:
+		requests = requestsPerFlow
+	case 3:
+		requests = lastingRequests
+	}
+	for n := 1; ; n++ {
+		last := n == requests || !time.Now().Before(until)
+		if !f.request(ctx, last) || last {
+			return
 		}
-		c.run.recordRequest(key, sent, ok)
-		if !ok || ctx.Err() != nil {
+		think := min(time.Duration(rand.ExpFloat64()*float64(thinkTime)), time.Until(until))
+		if reset, _ := f.exchange(ctx, think, nil, nil); reset.IsRST || ctx.Err() != nil {
 			return
 		}
-		time.Sleep(time.Duration(rand.ExpFloat64() * float64(thinkTime)))
 	}
 }
 
-// exchange sends and retransmits a packet until an answer that accept matches, a reset or the timeout. On an
-// open flow only a reset near the last acknowledgement number ack counts; ack is 0 if the flow isn't open.
-func (c *callerVM) exchange(ctx context.Context, inbox <-chan flow.Segment, ack uint32, packet func(uint32) []byte, accept func(flow.Segment) bool) (flow.Segment, bool) {
-	timeout := time.After(requestTimeout)
-	for n := uint32(0); ; n++ {
-		c.send(packet(n))
-		delay := time.Hour
-		if int(n) < len(retransmitDelays) {
-			delay = retransmitDelays[n]
+// request sends a request, and closes the flow if the host does or does not answer. It reports whether the flow is
+// still open.
+func (f *callerFlow) request(ctx context.Context, last bool) bool {
+	expected, size := f.ack, requestBytes
+	if last {
+		size = closingRequestBytes
+	}
+	packet := packettest.Packet{Flow: f.key, Flags: packettest.ACK, Seq: f.seq, Ack: f.ack, DataBytes: size}.Bytes()
+	f.seq += uint32(size)
+	sent := time.Now()
+	answer, ok := f.exchange(ctx, requestTimeout, func(uint32) []byte { return packet },
+		func(s flow.Segment) bool { return s.DataBytes > 0 && s.Seq == expected })
+	f.vm.run.recordRequest(f.key, sent, ok)
+	if ok && !answer.IsFIN {
+		return true
+	}
+	if !answer.IsRST {
+		f.close(ctx)
+	}
+	return false
+}
+
+// close sends a FIN until the host acknowledges it.
+func (f *callerFlow) close(ctx context.Context) {
+	f.exchange(ctx, closeTimeout, func(uint32) []byte { return f.packet(packettest.FIN | packettest.ACK) },
+		func(s flow.Segment) bool { return s.IsACK && s.Ack == f.seq+1 })
+}
+
+// packet returns a packet without data.
+func (f *callerFlow) packet(flags byte) []byte {
+	return packettest.Packet{Flow: f.key, Flags: flags, Seq: f.seq, Ack: f.ack}.Bytes()
+}
+
+// exchange sends and retransmits a packet until an answer that accept matches, a reset or the timeout, and
+// acknowledges data. If packet and accept are nil, it only receives. On an open flow only a reset near the last acknowledgement
+// number counts.
+func (f *callerFlow) exchange(ctx context.Context, limit time.Duration, packet func(uint32) []byte, accept func(flow.Segment) bool) (flow.Segment, bool) {
+	timeout := time.After(limit)
+	var retransmit <-chan time.Time
+	for n := 0; ; n++ {
+		if packet != nil {
+			f.send(packet(uint32(n)))
+			retransmit = time.After(retransmitDelay(n))
 		}
-		retransmit := time.After(delay)
 	wait:
 		for {
 			select {
-			case s := <-inbox:
-				if s.IsRST && (ack == 0 || flow.WithinWindow(ack, s.Seq)) {
-					return s, false
-				}
-				if !s.IsRST && accept(s) {
-					return s, true
+			case s := <-f.inbox:
+				if accepted, isReset := f.receive(s, accept); accepted || isReset {
+					return s, accepted
 				}
 			case <-retransmit:
 				break wait
@@ -151,8 +207,31 @@
 	}
 }
 
-// send sends a packet through a random entry in rotation, as the fabric does.
-func (c *callerVM) send(packet []byte) {
-	c.run.recordSent(packet)
-	_, _ = c.conn.WriteToUDPAddrPort(packet, netip.AddrPortFrom(c.run.nextEntry(), packetsPort))
+// receive handles a packet of the host.
+func (f *callerFlow) receive(s flow.Segment, accept func(flow.Segment) bool) (accepted, isReset bool) {
+	if s.IsRST {
+		isReset = f.ack == 0 || flow.WithinWindow(f.ack, s.Seq)
+		if isReset && f.ack != 0 {
+			f.vm.run.checkReset(f.key, f.initialSeq)
+		}
+		return false, isReset
+	}
+	accepted = accept != nil && accept(s)
+	if s.DataBytes > 0 && f.ack != 0 {
+		if s.Seq == f.ack {
+			f.ack += uint32(s.DataBytes)
+			if s.IsFIN {
+				f.ack++
+			}
+		}
+		f.send(f.packet(packettest.ACK))
+	}
+	return accepted, false
+}
+
+// send sends a packet through an entry.
+func (f *callerFlow) send(packet []byte) {
+	entry := f.vm.run.nextEntry(f.key)
+	f.vm.run.recordSent(f.key, packet, entry)
+	_, _ = f.vm.conn.WriteToUDPAddrPort(packet, netip.AddrPortFrom(entry.ip, packetsPort))
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,14 +1,71 @@
 package soak
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/packettest"
 )
 
-// minAnsweredShare is the minimum share of requests that must be answered after the faults.
-const minAnsweredShare = 0.95
+const (
+	// minAnsweredShare is the minimum share of requests that must be answered after the faults.
+	minAnsweredShare = 0.95
+	// maxElsewhereTime is how long packets of an open flow may reach other hosts only, from minElsewherePackets
+	// packets on.
+	maxElsewhereTime    = 2 * time.Second
+	minElsewherePackets = 3
+)
+
+// openFlow is a flow whose host has the end of its handshake.
+type openFlow struct {
+	host *host
+	// elsewhere holds the addresses of the other hosts that received packets since firstElsewhere, when the first one
+	// arrived after the last packet that the flow's host received.
+	elsewhere      []string
+	firstElsewhere time.Time
+}
+
+func (r *run) recordOpen(h *host, key flow.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[key] = &openFlow{host: h}
+}
+
+// recordEnd records that a host closed or lost a flow.
+func (r *run) recordEnd(h *host, key flow.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f := r.open[key]; f != nil && f.host == h {
+		delete(r.open, key)
+	}
+}
+
+// checkLocation checks that the packets of an open flow don't only reach other hosts. Packets that arrive within
+// undisturbedTime of a fault of the flow's agent or of the caller's last entry don't count, planned restarts are no
+// excuse. h is the host that received a packet, h.mu is held.
+func (r *run) checkLocation(h *host, key flow.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.open[key]
+	switch {
+	case f == nil:
+		return
+	case f.host == h, !f.host.agent.withoutFaultFor(undisturbedTime), !r.lastEntries[key].withoutFaultFor(undisturbedTime):
+		f.elsewhere = nil
+		return
+	case f.elsewhere == nil:
+		f.firstElsewhere = time.Now()
+	}
+	r.report.Elsewhere++
+	f.elsewhere = append(f.elsewhere, h.ip.String())
+	if d := time.Since(f.firstElsewhere); len(f.elsewhere) >= minElsewherePackets && d >= maxElsewhereTime {
+		r.failLocked("for %d ms the packets of open flow %s reached other hosts (%s) and none its own (%s)",
+			d.Milliseconds(), key, strings.Join(f.elsewhere, ", "), f.host.ip)
+		f.elsewhere = nil
+	}
+}
 
 // checkUnchanged checks that a packet at a host equals one that a caller sent.
 func (r *run) checkUnchanged(packet []byte, s flow.Segment) {
@@ -50,7 +107,10 @@
 
 // checkReset checks that a flow that was reset isn't open at a running host.
 func (r *run) checkReset(key flow.Key, initialSeq uint32) {
-	for _, h := range r.hosts {
+	r.mu.Lock()
+	hosts := slices.Concat(r.hosts, r.joined)
+	r.mu.Unlock()
+	for _, h := range hosts {
 		if h.owns(key, initialSeq) {
 			r.fail("flow %s was reset while host %s has it", key, h.ip)
 		}
--- a/soak/config.go
+++ b/soak/config.go
@@ -22,6 +22,9 @@
 	Entries, Hosts int
 	// Restores adds restores of the store from older copies to the faults.
 	Restores bool
+	// Series adds rolling restarts, series of reloads and configuration changes, and hosts that join and leave, to
+	// the faults.
+	Series bool
 	// FlowsPerSecond is the number of flows that callers open per second.
 	FlowsPerSecond int
 	// Out receives a line for each fault and failure; nil means none.
@@ -81,14 +84,16 @@
 
 // address returns the nth address of a kind in the run's network.
 func (r *run) address(kind, n int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, r.network[0], r.network[1], byte(kind*64 + n + 1)})
+	return netip.AddrFrom4([4]byte{127, r.network[0], r.network[1], byte(kind + n)})
 }
 
-// Kinds of addresses.
+// Kinds of addresses, each with the last byte of its first address.
 const (
-	entryKind = iota
-	hostKind
-	callerKind
+	entryKind  = 1
+	hostKind   = 40
+	callerKind = 250
+	// maxHosts is the number of hosts that a run may have, with those that left.
+	maxHosts = callerKind - hostKind
 )
 
 // settings returns a process's settings file in the platform's format.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -77,12 +77,11 @@
 
 // injectFaults injects faults for the configured time. They may overlap.
 func (r *run) injectFaults(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
 	kinds := faults
 	if r.cfg.Restores {
 		kinds = append(slices.Clone(faults), restore)
 	}
-	go func() {
+	return background(func() {
 		var ends []<-chan time.Time
 		for ctx.Err() == nil {
 			time.Sleep(time.Duration(r.random.ExpFloat64() * float64(meanFaultPause)))
@@ -103,9 +102,7 @@
 		for _, ended := range ends {
 			<-ended
 		}
-		done <- nil
-	}()
-	return done
+	})
 }
 
 func (r *run) recordFault(what string) {
--- a/soak/host.go
+++ b/soak/host.go
@@ -37,11 +37,27 @@
 	// startedAt identifies the incarnation: its start in milliseconds since the Unix epoch.
 	startedAt int64
 	sequence  uint64
-	flows     map[flow.Key]uint32
+	flows     map[flow.Key]*hostFlow
 }
 
-// workTime is the processing time of a request.
-const workTime = 20 * time.Millisecond
+// hostFlow is a flow at a host. It stays after its end, until the host restarts.
+type hostFlow struct {
+	initialSeq uint32
+	// confirmed is set when the caller has acknowledged initialSeq, which opens the flow at this host; closed when
+	// the host has sent its FIN; ended when both ends have, or when the host gave up.
+	confirmed, closed, ended bool
+	// expected is the caller's next sequence number, next that of the host.
+	expected, next uint32
+	// unacknowledged is set while the caller has not acknowledged the last answer.
+	unacknowledged bool
+}
+
+const (
+	// workTime is the processing time of a request.
+	workTime = 20 * time.Millisecond
+	// maxRetransmits is the number of retransmissions after which a host gives up a flow.
+	maxRetransmits = 8
+)
 
 func (r *run) newHost(ctx context.Context, agent *process, service string) (*host, error) {
 	pc, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", netip.AddrPortFrom(agent.ip, hostPort).String())
@@ -49,8 +65,10 @@
 		return nil, fmt.Errorf("listening as a host: %w", err)
 	}
 	h := &host{run: r, agent: agent, service: service, ip: agent.ip, conn: pc.(*net.UDPConn)}
-	h.restart()
-	context.AfterFunc(ctx, h.crash)
+	context.AfterFunc(ctx, func() {
+		h.crash()
+		_ = h.conn.Close()
+	})
 	return h, nil
 }
 
@@ -79,7 +97,7 @@
 	defer h.mu.Unlock()
 	h.running, h.draining, h.drainAckedAt, h.sequence = true, false, time.Time{}, 0
 	h.startedAt = time.Now().UnixMilli()
-	h.flows = make(map[flow.Key]uint32)
+	h.loseFlows()
 	if h.listener == nil {
 		h.listen()
 	}
@@ -89,25 +107,34 @@
 func (h *host) crash() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.running, h.flows = false, make(map[flow.Key]uint32)
+	h.running = false
+	h.loseFlows()
 	if h.listener != nil {
 		_ = h.listener.Close()
 		h.listener = nil
 	}
 }
 
+// loseFlows discards all flows. h.mu is held.
+func (h *host) loseFlows() {
+	for key := range h.flows {
+		h.run.recordEnd(h, key)
+	}
+	h.flows = make(map[flow.Key]*hostFlow)
+}
+
 func (h *host) drain() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.draining = true
 }
 
-// owns reports whether the host is running and has a flow with the given initial sequence number.
+// owns reports whether the host is running and has a flow with the given initial sequence number that has not ended.
 func (h *host) owns(key flow.Key, initialSeq uint32) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n, ok := h.flows[key]
-	return ok && n == initialSeq && h.running
+	f := h.flows[key]
+	return f != nil && f.initialSeq == initialSeq && !f.ended && h.running
 }
 
 // serve answers packets until the socket is closed.
@@ -127,21 +154,87 @@
 	if !h.running {
 		return
 	}
-	initialSeq, exists := h.flows[s.Key]
+	h.run.checkLocation(h, s.Key)
+	f := h.flows[s.Key]
 	switch {
 	case s.Opens():
-		if !exists {
-			initialSeq = rand.Uint32()
-			h.flows[s.Key] = initialSeq
+		if f == nil {
+			f = &hostFlow{initialSeq: rand.Uint32(), expected: s.Seq + 1}
+			f.next = f.initialSeq + 1
+			h.flows[s.Key] = f
 			h.run.checkOpened(h, s.Key)
 		}
-		h.send(packettest.Accept(s.Key, initialSeq))
-	case !exists || s.IsACK && !flow.WithinWindow(initialSeq, s.Ack):
+		if !f.ended {
+			h.send(packettest.Accept(s.Key, f.initialSeq))
+		}
+	case f == nil, !f.confirmed && s.Ack != f.next, !flow.WithinWindow(f.initialSeq, s.Ack):
 		h.send(packettest.Bounce(packet))
-	case s.DataBytes > 0:
-		answer := packettest.Answer(s.Key, initialSeq+1, answerBytes)
-		time.AfterFunc(workTime, func() { h.send(answer) })
+	default:
+		h.receiveOpen(f, s)
+	}
+}
+
+// receiveOpen handles a packet of a flow that the caller opened at this host. h.mu is held.
+func (h *host) receiveOpen(f *hostFlow, s flow.Segment) {
+	if !f.confirmed {
+		f.confirmed = true
+		h.run.recordOpen(h, s.Key)
+	}
+	f.unacknowledged = f.unacknowledged && s.Ack != f.next
+	switch {
+	case s.IsFIN:
+		p := packettest.Packet{Flow: s.Key, FromHost: true, Flags: packettest.ACK, Seq: f.next, Ack: s.Seq + 1}
+		if !f.closed {
+			p.Flags |= packettest.FIN
+		}
+		h.send(p.Bytes())
+		h.endFlow(f, s.Key)
+	case f.ended && s.DataBytes > 0:
+		h.send(packettest.Packet{Flow: s.Key, FromHost: true, Flags: packettest.RST, Seq: f.next}.Bytes())
+	case s.DataBytes > 0 && s.Seq == f.expected:
+		f.expected += uint32(s.DataBytes)
+		time.AfterFunc(workTime, func() { h.answer(f, s.Key, s.DataBytes == closingRequestBytes) })
+	}
+}
+
+// endFlow ends a flow. h.mu is held.
+func (h *host) endFlow(f *hostFlow, key flow.Key) {
+	f.closed, f.ended, f.unacknowledged = true, true, false
+	h.run.recordEnd(h, key)
+}
+
+// answer answers a request. A draining host closes the flow as well.
+func (h *host) answer(f *hostFlow, key flow.Key, closing bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.flows[key] != f || f.ended {
+		return
+	}
+	p := packettest.Packet{Flow: key, FromHost: true, Flags: packettest.ACK, Seq: f.next, Ack: f.expected, DataBytes: answerBytes}
+	f.next += answerBytes
+	if closing || h.draining {
+		p.Flags |= packettest.FIN
+		f.next++
+		f.closed = true
 	}
+	f.unacknowledged = true
+	h.transmit(f, p, f.next, 0)
+}
+
+// transmit sends an answer and retransmits it until the caller acknowledges the number next. h.mu is held.
+func (h *host) transmit(f *hostFlow, p packettest.Packet, next uint32, n int) {
+	h.send(p.Bytes())
+	time.AfterFunc(retransmitDelay(n), func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		switch {
+		case h.flows[p.Flow] != f || !f.unacknowledged || f.next != next:
+		case n == maxRetransmits:
+			h.endFlow(f, p.Flow)
+		default:
+			h.transmit(f, p, next, n+1)
+		}
+	})
 }
 
 func (h *host) send(packet []byte) {
@@ -151,10 +244,8 @@
 
 // sendHeartbeats sends heartbeats until ctx ends.
 func (h *host) sendHeartbeats(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
 	client := &http.Client{Timeout: time.Second}
-	go func() {
-		defer func() { done <- nil }()
+	return background(func() {
 		for ctx.Err() == nil {
 			h.sendHeartbeat(ctx, client)
 			select {
@@ -162,8 +253,7 @@
 			case <-time.After(heartbeatInterval):
 			}
 		}
-	}()
-	return done
+	})
 }
 
 func (h *host) sendHeartbeat(ctx context.Context, client *http.Client) {
@@ -193,21 +283,38 @@
 		h.run.fail("encoding a heartbeat: %v", err)
 		return
 	}
+	if h.call(ctx, client, http.MethodPut, body) != http.StatusOK || !draining {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.startedAt == startedAt && h.drainAckedAt.IsZero() {
+		h.drainAckedAt = time.Now()
+	}
+}
+
+// call calls the agent about this host and returns the status of the answer, 0 if there is none.
+func (h *host) call(ctx context.Context, client *http.Client, method string, body []byte) int {
 	url := fmt.Sprintf("http://%s/instances/h-%s", netip.AddrPortFrom(h.ip, controlPort), h.ip)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		h.run.fail("building a heartbeat: %v", err)
-		return
+		h.run.fail("building a call of a host: %v", err)
+		return 0
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return
+		return 0
 	}
 	_, _ = io.Copy(io.Discard, res.Body)
 	_ = res.Body.Close()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if res.StatusCode == http.StatusOK && draining && h.startedAt == startedAt && h.drainAckedAt.IsZero() {
-		h.drainAckedAt = time.Now()
-	}
+	return res.StatusCode
+}
+
+// leave drains the host, shuts it down after the longest drain and stops its agent for good.
+func (h *host) leave(ctx context.Context) {
+	h.drain()
+	time.Sleep(2*heartbeatInterval + maxDrainDelay)
+	h.crash()
+	h.call(ctx, &http.Client{Timeout: time.Second}, http.MethodDelete, nil)
+	h.agent.leave()
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -23,10 +23,13 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. lastDisturbed is when the process last started, ended, received a
-	// signal or was resumed; endExpected is set when a signal that ends the process has been sent.
-	cmd           *exec.Cmd
-	lastDisturbed time.Time
-	endExpected   bool
+	// signal or was resumed, lastFault when it was last killed, paused or resumed; endExpected is set when a signal
+	// that ends the process has been sent.
+	cmd                      *exec.Cmd
+	lastDisturbed, lastFault time.Time
+	paused, endExpected      bool
+	// leave stops the process for good.
+	leave context.CancelFunc
 }
 
 // startupTime is the time that a process may need until it handles signals.
@@ -43,11 +46,11 @@
 	return p, nil
 }
 
-// supervise runs the process and restarts it until ctx ends.
-func (p *process) supervise(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		defer func() { done <- nil }()
+// supervise runs the process after a delay, and restarts it until ctx ends or it leaves.
+func (p *process) supervise(ctx context.Context, delay time.Duration) <-chan error {
+	ctx, p.leave = context.WithCancel(ctx)
+	return background(func() {
+		time.Sleep(delay)
 		for ctx.Err() == nil {
 			if err := p.runOnce(ctx); err != nil {
 				p.run.fail("%s %s did not start: %v", p.role, p.ip, err)
@@ -58,8 +61,7 @@
 			case <-time.After(restartPause):
 			}
 		}
-	}()
-	return done
+	})
 }
 
 func (p *process) runOnce(ctx context.Context) error {
@@ -69,11 +71,18 @@
 	}
 	defer func() { _ = log.Close() }()
 	cmd := exec.CommandContext(ctx, p.run.cfg.Program, p.role)
+	cmd.Cancel = func() error {
+		if p.run.finished.Load() {
+			return cmd.Process.Kill()
+		}
+		return cmd.Process.Signal(syscall.SIGTERM)
+	}
+	cmd.WaitDelay = stopGrace
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	p.mu.Lock()
 	err = cmd.Start()
-	p.cmd, p.lastDisturbed, p.endExpected = cmd, time.Now(), false
+	p.cmd, p.lastDisturbed, p.endExpected, p.paused = cmd, time.Now(), false, false
 	p.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("starting: %w", err)
@@ -102,6 +111,9 @@
 	}
 	p.lastDisturbed = time.Now()
 	p.endExpected = p.endExpected || s == syscall.SIGKILL || s == syscall.SIGTERM
+	if s == syscall.SIGKILL || s == syscall.SIGSTOP || s == syscall.SIGCONT {
+		p.lastFault, p.paused = time.Now(), s == syscall.SIGSTOP
+	}
 	// An error means that the process has just ended; it is restarted anyway.
 	_ = p.cmd.Process.Signal(s)
 }
@@ -112,3 +124,10 @@
 	defer p.mu.Unlock()
 	return time.Since(p.lastDisturbed) > d
 }
+
+// withoutFaultFor reports whether the process has had no fault for longer than d. Planned restarts are no faults.
+func (p *process) withoutFaultFor(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.paused && time.Since(p.lastFault) > d
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -45,9 +45,7 @@
 
 // serve forwards connections until the listener is closed.
 func (p *proxy) serve(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		defer func() { done <- nil }()
+	return background(func() {
 		for {
 			conn, err := p.listener.Accept()
 			if err != nil {
@@ -55,8 +53,7 @@
 			}
 			go p.forward(ctx, conn)
 		}
-	}()
-	return done
+	})
 }
 
 func (p *proxy) forward(ctx context.Context, conn net.Conn) {
--- a/soak/report.go
+++ b/soak/report.go
@@ -17,6 +17,8 @@
 	Seconds []Second `json:"seconds"`
 	// Opened is the number of flows that hosts opened.
 	Opened int `json:"opened"`
+	// Elsewhere is the number of packets of open flows that reached other hosts than the flow's.
+	Elsewhere int `json:"elsewhere"`
 }
 
 // Event is a fault at a time since the start of the faults.
@@ -38,7 +40,8 @@
 
 // WriteTimeline writes a summary, a line for each second with its requests and faults, and the failures.
 func (r Report) WriteTimeline(w io.Writer) error {
-	if _, err := fmt.Fprintf(w, "seed %d: %d flows opened, %d faults, %d failures\n", r.Seed, r.Opened, len(r.Faults), len(r.Failures)); err != nil {
+	if _, err := fmt.Fprintf(w, "seed %d: %d flows opened, %d packets at other hosts, %d faults, %d failures\n",
+		r.Seed, r.Opened, r.Elsewhere, len(r.Faults), len(r.Failures)); err != nil {
 		return fmt.Errorf("writing the timeline: %w", err)
 	}
 	for n, s := range r.Seconds {
--- a/soak/run.go
+++ b/soak/run.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
@@ -29,14 +31,24 @@
 	entries   []*process
 	agents    []*process
 	hosts     []*host
+	// parts report the end of the goroutines that run until the end of the run.
+	parts []<-chan error
+	// finished is set at the end of the run, when processes may be killed.
+	finished atomic.Bool
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	report Report
 	// inRotation holds the entries that passed their readiness checks.
-	inRotation []netip.Addr
-	// sentPackets holds the packets that callers sent, without the fields that the system writes.
+	inRotation []*process
+	// sentPackets holds the packets that callers sent, without the fields that the system writes; lastEntries the
+	// entry that each flow's last one went to.
 	sentPackets map[string]struct{}
+	lastEntries map[flow.Key]*process
+	// open holds the open flows whose route has not been removed.
+	open map[flow.Key]*openFlow
+	// joined holds the hosts that joined during the run, with those that left.
+	joined []*host
 	// configVersion is the version of the configuration written last, withToggled whether it has the toggled route.
 	configVersion uint64
 	withToggled   bool
@@ -52,70 +64,81 @@
 
 // Run executes a soak run and returns its report. Violated guarantees are in the report, not in the error.
 func Run(ctx context.Context, cfg Config) (Report, error) {
-	r := &run{cfg: cfg.withDefaults(), sentPackets: make(map[string]struct{})}
+	r := &run{cfg: cfg.withDefaults(), sentPackets: make(map[string]struct{}), lastEntries: make(map[flow.Key]*process), open: make(map[flow.Key]*openFlow)}
 	r.random = rand.New(rand.NewPCG(r.cfg.Seed, 0))
 	// A random network separates concurrent runs on one machine.
 	r.network = [2]byte{byte(16 + rand.IntN(200)), byte(rand.IntN(256))}
 	r.report.Seed = r.cfg.Seed
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	parts, err := r.start(ctx)
-	if err != nil {
+	if err := r.start(ctx); err != nil {
 		return r.report, err
 	}
 	r.runScenario(ctx)
+	r.finished.Store(true)
 	cancel()
-	for _, done := range parts {
+	var err error
+	for _, done := range r.parts {
 		err = errors.Join(err, <-done)
 	}
 	return r.report, err
 }
 
 // start starts the store, the proxy, the hosts and the processes, which run until ctx ends.
-func (r *run) start(ctx context.Context) (parts []<-chan error, err error) {
+func (r *run) start(ctx context.Context) error {
 	r.store = standin.NewPlatform(standin.PlatformConfig{Address: "127.0.0.1:0"})
 	done, err := r.store.Run(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("starting the store: %w", err)
+		return fmt.Errorf("starting the store: %w", err)
 	}
-	parts = append(parts, done)
+	r.parts = append(r.parts, done)
 	if r.client, err = platform.New(platform.Config{URL: "http://" + r.store.Addr().String()}); err != nil {
-		return nil, fmt.Errorf("opening the store: %w", err)
+		return fmt.Errorf("opening the store: %w", err)
 	}
 	if r.proxy, err = newProxy(ctx, r.store.Addr().String()); err != nil {
-		return nil, err
+		return err
 	}
 	context.AfterFunc(ctx, func() { _ = r.proxy.listener.Close() })
-	parts = append(parts, r.proxy.serve(ctx))
+	r.parts = append(r.parts, r.proxy.serve(ctx))
 	if err := r.configure(ctx, true); err != nil {
-		return nil, err
+		return err
 	}
 	for n := range r.cfg.Hosts {
 		service := packettest.FirstService
 		if n >= r.cfg.Hosts-max(r.cfg.Hosts/4, 1) {
 			service = packettest.SecondService
 		}
-		p, err := r.newProcess("agent", r.address(hostKind, n), service)
-		if err != nil {
-			return nil, err
-		}
-		h, err := r.newHost(ctx, p, service)
+		h, err := r.addHost(ctx, n, service, 0, 0)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		context.AfterFunc(ctx, func() { _ = h.conn.Close() })
-		r.agents, r.hosts = append(r.agents, p), append(r.hosts, h)
-		parts = append(parts, h.serve(), h.sendHeartbeats(ctx), p.supervise(ctx))
+		r.agents, r.hosts = append(r.agents, h.agent), append(r.hosts, h)
 	}
 	for n := range r.cfg.Entries {
 		p, err := r.newProcess("entry", r.address(entryKind, n), "")
 		if err != nil {
-			return nil, err
+			return err
 		}
 		r.entries = append(r.entries, p)
-		parts = append(parts, p.supervise(ctx))
+		r.parts = append(r.parts, p.supervise(ctx, 0))
 	}
-	return append(parts, r.maintainRotation(ctx)), nil
+	r.parts = append(r.parts, r.maintainRotation(ctx))
+	return nil
+}
+
+// addHost starts the nth host and its agent after the given delays.
+func (r *run) addHost(ctx context.Context, n int, service string, hostDelay, agentDelay time.Duration) (*host, error) {
+	p, err := r.newProcess("agent", r.address(hostKind, n), service)
+	if err != nil {
+		return nil, err
+	}
+	h, err := r.newHost(ctx, p, service)
+	if err != nil {
+		return nil, err
+	}
+	time.AfterFunc(hostDelay, h.restart)
+	r.parts = append(r.parts, h.serve(), h.sendHeartbeats(ctx), p.supervise(ctx, agentDelay))
+	return h, nil
 }
 
 // configure writes the next version of the configuration, with or without the toggled route.
@@ -146,6 +169,7 @@
 	r.routeDroppedAt = time.Time{}
 	if !withToggled {
 		r.routeDroppedAt = time.Now()
+		maps.DeleteFunc(r.open, func(key flow.Key, _ *openFlow) bool { return key.Service == toggledRouteAddr })
 	}
 	return nil
 }
@@ -183,19 +207,17 @@
 // maintainRotation checks the readiness of entries like the platform's routers: two failed checks take an
 // entry out of rotation.
 func (r *run) maintainRotation(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
 	client := &http.Client{Timeout: 300 * time.Millisecond}
-	go func() {
-		defer func() { done <- nil }()
+	return background(func() {
 		misses := make(map[netip.Addr]int)
 		for ctx.Err() == nil {
-			var ready []netip.Addr
+			var ready []*process
 			for _, p := range r.entries {
 				if misses[p.ip]++; isReady(ctx, client, p.ip) {
 					misses[p.ip] = 0
 				}
 				if misses[p.ip] < 2 {
-					ready = append(ready, p.ip)
+					ready = append(ready, p)
 				}
 			}
 			r.mu.Lock()
@@ -206,8 +228,7 @@
 			case <-time.After(500 * time.Millisecond):
 			}
 		}
-	}()
-	return done
+	})
 }
 
 func isReady(ctx context.Context, client *http.Client, ip netip.Addr) bool {
@@ -223,14 +244,29 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// nextEntry returns the entry that receives the next packet, like the fabric.
-func (r *run) nextEntry() netip.Addr {
+// nextEntry returns the entry that receives the next packet of a flow. For half of the flows it is chosen by a hash over
+// the entries in rotation, like the routers do, for the others at random, so that many entries have to find a flow.
+func (r *run) nextEntry(key flow.Key) *process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.inRotation) == 0 {
-		return r.entries[rand.IntN(len(r.entries))].ip
+	entries := r.inRotation
+	if len(entries) == 0 {
+		entries = r.entries
+	}
+	if key.Caller.Port/16%2 == 0 {
+		return entries[key.Hash()%uint64(len(entries))]
 	}
-	return r.inRotation[rand.IntN(len(r.inRotation))]
+	return entries[rand.IntN(len(entries))]
+}
+
+// background runs f on a goroutine and returns the channel that reports its end.
+func background(f func()) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		f()
+		done <- nil
+	}()
+	return done
 }
 
 // runScenario sends load and injects faults.
@@ -243,20 +279,26 @@
 	callersDone := c.serve()
 	r.awaitReady(ctx)
 	r.startedAt = time.Now()
-	faults := r.injectFaults(ctx)
+	faults := []<-chan error{r.injectFaults(ctx)}
+	if r.cfg.Series {
+		faults = append(faults, r.injectSeries(ctx), r.joinHosts(ctx))
+	}
+	until := r.startedAt.Add(r.cfg.FaultTime + r.cfg.SettleTime)
 	ticker := time.NewTicker(time.Second / time.Duration(r.cfg.FlowsPerSecond))
 	defer ticker.Stop()
 	var flows sync.WaitGroup
-	for n := 0; time.Since(r.startedAt) < r.cfg.FaultTime+r.cfg.SettleTime && ctx.Err() == nil; n++ {
+	for n := 0; time.Now().Before(until) && ctx.Err() == nil; n++ {
 		<-ticker.C
 		key := packettest.Key(n)
 		key.Caller.IP = flow.EndpointOf(netip.AddrPortFrom(c.ip, 0)).IP
 		if n%4 == 0 {
 			key.Service = toggledRouteAddr
 		}
-		flows.Go(func() { c.runFlow(ctx, key) })
+		flows.Go(func() { c.runFlow(ctx, key, until) })
+	}
+	for _, done := range faults {
+		err = errors.Join(err, <-done)
 	}
-	err = <-faults
 	flows.Wait()
 	_ = c.conn.Close()
 	if err = errors.Join(err, <-callersDone); err != nil {
@@ -282,6 +324,11 @@
 func (r *run) fail(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failLocked(format, args...)
+}
+
+// failLocked is fail while r.mu is held.
+func (r *run) failLocked(format string, args ...any) {
 	text := fmt.Sprintf("%.3f s: ", time.Since(r.startedAt).Seconds()) + fmt.Sprintf(format, args...)
 	r.report.Failures = append(r.report.Failures, text)
 	_, _ = fmt.Fprintln(r.cfg.Out, "FAILED:", text)
@@ -318,8 +365,9 @@
 	return string(b)
 }
 
-func (r *run) recordSent(packet []byte) {
+func (r *run) recordSent(key flow.Key, packet []byte, entry *process) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lastEntries[key] = entry
 	r.sentPackets[withoutMarks(packet)] = struct{}{}
 }
