soak: add cases with hosts that join and leave during rolling restarts

Both fail on the code with the suspected fault: directory agents are worked out anew when agents join or leave.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -179,8 +179,8 @@
 }
 
 // exchange sends and retransmits a packet until an answer that accept matches, a reset or the timeout, and
-// acknowledges data. If packet and accept are nil, it only receives. On an open flow only a reset near the last acknowledgement
-// number counts.
+// acknowledges data. If packet and accept are nil, it only receives. On an open flow only a reset near the last
+// acknowledgement number counts.
 func (f *callerFlow) exchange(ctx context.Context, limit time.Duration, packet func(uint32) []byte, accept func(flow.Segment) bool) (flow.Segment, bool) {
 	timeout := time.After(limit)
 	var retransmit <-chan time.Time
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -12,32 +13,47 @@
 	"endiveflow.example/endiveflow/soak"
 )
 
-// regressions are seeds that failed in the past, with the cause of each failure, and one with restores of the
-// store. Restores change which faults a seed gives.
-var regressions = []struct {
-	name     string
-	seed     uint64
-	restores bool
+// cases are seeds that failed in the past, with the cause of each failure, and one with restores of the store.
+// Restores change which faults a seed gives.
+var cases = []struct {
+	name string
+	cfg  soak.Config
 }{
 	// A restarted host accepted flows before its first heartbeat, which then ended them.
-	{"flows before the first heartbeat", 1, false},
+	{"flows before the first heartbeat", soak.Config{Seed: 1}},
 	// A host whose port had refused a connection once was never used again.
-	{"refused connection", 104, false},
+	{"refused connection", soak.Config{Seed: 104}},
 	// A paused agent reset flows that had been opened at another host meanwhile.
-	{"flows opened elsewhere", 109, false},
-	{"restored store", 2, true},
+	{"flows opened elsewhere", soak.Config{Seed: 109}},
+	{"restored store", soak.Config{Seed: 2, Restores: true}},
+	// Entries asked the directory agents that rendezvous hashing gave after hosts had joined or left, which had not
+	// been told where the flow is. Agents that had just started gave its packets to their hosts.
+	{"hosts join during rolling restart of entries", soak.Config{
+		Seed: 90062, Restores: true, Series: true, FaultTime: seriesTime, Entries: 6, Hosts: 12, FlowsPerSecond: 100,
+	}},
+	{"hosts join during rolling restart of agents", soak.Config{
+		Seed: 90060, Restores: true, Series: true, FaultTime: seriesTime, Entries: 6, Hosts: 12, FlowsPerSecond: 100,
+	}},
 }
 
-// Guards against guarantees that the real programs violate under faults: flows reset while their hosts run,
-// changed packets, new flows at draining or wrong hosts or on removed routes, processes that end unexpectedly,
-// and no recovery after the faults.
+const (
+	faultTime = 8 * time.Second
+	// seriesTime is shorter, as these cases run more processes.
+	seriesTime = 6 * time.Second
+)
+
+// Guards against guarantees that the real programs violate under faults: flows reset while their hosts run, packets of
+// open flows that only reach other hosts, changed packets, new flows at draining or wrong hosts or on removed routes,
+// processes that end unexpectedly, and no recovery after the faults.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "endiveflow-node")
 	out, err := exec.Command("go", "build", "-o", program, "../cmd/endiveflow-node").CombinedOutput()
 	require.NoError(t, err, string(out))
-	for _, r := range regressions {
-		t.Run(r.name, func(t *testing.T) {
-			report, err := soak.Run(t.Context(), soak.Config{Program: program, Dir: t.TempDir(), Seed: r.seed, Restores: r.restores, FaultTime: 8 * time.Second})
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			cfg := c.cfg
+			cfg.Program, cfg.Dir, cfg.FaultTime = program, t.TempDir(), cmp.Or(cfg.FaultTime, faultTime)
+			report, err := soak.Run(t.Context(), cfg)
 			require.NoError(t, err)
 			var timeline strings.Builder
 			require.NoError(t, report.WriteTimeline(&timeline))
