packetagent: a restart right after the start of the VM loses no flows

What callers saw: nothing yet; open flows got no answer, and their packets reached other hosts, after an agent restarted within half a second of the start of its VM.

Change: that a host started together with its agent counts in a search at all agents only.

--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -36,9 +36,9 @@
 	warmUntil atomic.Int64
 	// lastHeartbeat is when the host's last heartbeat arrived, in the time of Config.Now.
 	lastHeartbeat atomic.Int64
-	// allFlowsKnown reports whether flows holds every flow of the host, because the agent started before it or together with
-	// it.
-	allFlowsKnown atomic.Bool
+	// allFlowsKnown reports whether flows holds every flow of the host, because the agent started before it. startedTogether
+	// reports whether this is likely, because they started with the VM.
+	allFlowsKnown, startedTogether atomic.Bool
 	// loggedFaulty reports whether the host was last logged as faulty.
 	loggedFaulty atomic.Bool
 
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -666,6 +666,15 @@
 	require.Empty(t, a.takeSentToHost())
 }
 
+// Guards against a flow that is lost when its agent restarts right after the start of the VM: the entry knows where the flow
+// is.
+func TestAgentThatRestartsRightAfterItsHostFindsFlows(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", agentStartedAt-450, 2, host.Ready)
+	a.receive(mesh.KindDeliver, packettest.Request(packettest.Key(1), hostSeq+1, 100))
+	require.Len(t, a.takeSentToHost(), 1)
+}
+
 // Guards against FINs that a search at all agents gives to hosts one after the other: they are repeated for seconds.
 func TestSearchAtAllAgentsDoesNotProbeWithFIN(t *testing.T) {
 	a := newTestAgent(t)
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -133,7 +133,7 @@
 	if m.Step != mesh.StepAll && !m.Terms.Resent && a.forwardSearch(m, s.Key) {
 		return
 	}
-	if location == flowUnknown && justifiesProbe(m, s) && a.shouldProbe(m, s) {
+	if location == flowUnknown && a.justifiesProbe(m, s) && a.shouldProbe(m, s) {
 		context := contextSearch
 		if m.Step != mesh.StepAll {
 			context = contextProbe
@@ -159,10 +159,11 @@
 }
 
 // justifiesProbe reports whether a search for a flow without a record is reason enough to give its packet to the host. That the
-// agent is asked as a directory agent is none. In a search at all agents, most hosts that get the packet are wrong ones, and
-// a caller that closes a flow has its answer. An opening packet would open the flow at the host.
-func justifiesProbe(m *mesh.Message, s flow.Segment) bool {
-	return !s.IsSYN && (m.Terms.Resent || m.Step == mesh.StepAll && !s.IsFIN)
+// agent is asked as a directory agent is none. In a search at all agents, most hosts that get the packet are wrong ones, so
+// that neither a host that is likely to have no unknown flows gets it, nor is it worth it for a caller that closes a flow. An
+// opening packet would open the flow at the host.
+func (a *Agent) justifiesProbe(m *mesh.Message, s flow.Segment) bool {
+	return !s.IsSYN && (m.Terms.Resent || m.Step == mesh.StepAll && !s.IsFIN && !a.startedTogether.Load())
 }
 
 // forwardSearch forwards a search to the other agent that most likely has the flow, and reports whether one is known.
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -50,15 +50,16 @@
 // handleReplacement ends the flows of the host's previous incarnation, whose last heartbeat arrived at
 // previousHeartbeat. Flows opened since then may be at the new incarnation, which accepts flows before its
 // first heartbeat; if they aren't, their next packet bounces. known reports whether the agent had a report of
-// the previous incarnation. The agent has a record of every flow of a host that started after the agent or together with it.
+// the previous incarnation. The agent has a record of every flow of a host that started after the agent.
 func (a *Agent) handleReplacement(known bool, r host.Report, previousHeartbeat time.Duration) {
 	if known {
 		a.endFlows("the host was replaced by another incarnation", previousHeartbeat, r.StartedAt)
 		a.load.Reset()
 	}
-	if known || r.StartedAt+startSkew.Milliseconds() > a.cfg.Incarnation {
+	if known || r.StartedAt > a.cfg.Incarnation {
 		a.allFlowsKnown.Store(true)
 	}
+	a.startedTogether.Store(r.StartedAt+startSkew.Milliseconds() > a.cfg.Incarnation)
 }
 
 // HostLeft handles the notification of a host that it is shutting down.
--- a/packettest/caller.go
+++ b/packettest/caller.go
@@ -25,11 +25,10 @@
 	fleet *Fleet
 }
 
-// retransmitDelays are the delays before each retransmission of a packet, closeDelays those of the packet that closes a
-// flow.
+// retransmitDelays are the delays before each retransmission of an opening packet, dataDelays those of other packets.
 var (
 	retransmitDelays = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
-	closeDelays      = append(slices.Clone(retransmitDelays), slices.Repeat([]time.Duration{1600 * time.Millisecond}, 5)...)
+	dataDelays      = append(slices.Clone(retransmitDelays), slices.Repeat([]time.Duration{1600 * time.Millisecond}, 5)...)
 )
 
 // finSeq is the sequence number of the packet that closes a flow.
@@ -77,7 +76,7 @@
 		return
 	}
 	want := c.Answers + 1
-	c.send(retransmitDelays, 0, func(uint32) []byte {
+	c.send(dataDelays, 0, func(uint32) []byte {
 		if c.Answers >= want {
 			return nil
 		}
@@ -91,7 +90,7 @@
 		return
 	}
 	c.Closing = true
-	c.send(closeDelays, 0, func(uint32) []byte {
+	c.send(dataDelays, 0, func(uint32) []byte {
 		if c.Closed {
 			return nil
 		}
