--- a/packettest/caller.go
+++ b/packettest/caller.go
@@ -28,7 +28,7 @@
 // retransmitDelays are the delays before each retransmission of an opening packet, dataDelays those of other packets.
 var (
 	retransmitDelays = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
-	dataDelays      = append(slices.Clone(retransmitDelays), slices.Repeat([]time.Duration{1600 * time.Millisecond}, 5)...)
+	dataDelays       = append(slices.Clone(retransmitDelays), slices.Repeat([]time.Duration{1600 * time.Millisecond}, 5)...)
 )
 
 // finSeq is the sequence number of the packet that closes a flow.
