packetagent, packetentry: one way to a flow's search, and to the agent that has it

recordUnanswered and recordAbsence looked up or added the search of a flow alike, agentBesides repeated holder, and two tests the restart of all processes. Found in the last reading; no change of behaviour.

--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -353,15 +353,21 @@
 	}
 }
 
-// recordUnanswered records the directory agents of a flow whose opening packet the host left unanswered for too long.
-func (a *Agent) recordUnanswered(key flow.Key, directories [mesh.DirectoryCount]uint32) {
-	shard := a.searches.Lock(key)
-	defer shard.Unlock()
+// searchOf returns the search for a flow, and adds one if there is none. The shard must be locked.
+func searchOf(shard *flowtable.Shard[search], key flow.Key) *search {
 	found := shard.Get(key)
 	if found == nil {
 		found = new(search)
 		shard.Put(key, found)
 	}
+	return found
+}
+
+// recordUnanswered records the directory agents of a flow whose opening packet the host left unanswered for too long.
+func (a *Agent) recordUnanswered(key flow.Key, directories [mesh.DirectoryCount]uint32) {
+	shard := a.searches.Lock(key)
+	defer shard.Unlock()
+	found := searchOf(shard, key)
 	found.directories, found.at = directories, a.cfg.Now()
 }
 
@@ -370,11 +376,7 @@
 func (a *Agent) recordAbsence(key flow.Key) search {
 	shard := a.searches.Lock(key)
 	defer shard.Unlock()
-	found := shard.Get(key)
-	if found == nil {
-		found = new(search)
-		shard.Put(key, found)
-	}
+	found := searchOf(shard, key)
 	previous := *found
 	found.bounced, found.at = true, a.cfg.Now()
 	return previous
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -199,8 +199,8 @@
 // agentBesides returns the agent that took the flow, unless it is the given one, with the tag of its service. It returns 0 if
 // there is none. r may be nil.
 func (r *record) agentBesides(other uint32) (agent, service uint32) {
-	if r == nil || !r.taken || r.agent == other {
+	if agent = r.holder(); agent == 0 || agent == other {
 		return 0, 0
 	}
-	return r.agent, r.service
+	return agent, r.service
 }
--- a/packetentry/trace_test.go
+++ b/packetentry/trace_test.go
@@ -39,12 +39,7 @@
 		logs = append(logs, eventlog.New(eventlog.Config{Out: &out, Node: flow.IPText(ip)}))
 		return logs[len(logs)-1]
 	}
-	for _, a := range f.Agents {
-		f.StartAgent(a)
-	}
-	for _, e := range f.Entries {
-		f.StartEntry(e)
-	}
+	restartProcesses(f)
 	f.Run(50 * time.Millisecond)
 	c.Request()
 	f.Run(time.Second)
