evacuation, packetentry, packetagent, packetnode: evacuated zones take no new flows

Change: the entries on watch duty also list and watch them, if the settings name a deadline. The state is ordered by era and revision and travels in all reports, so that a process that starts during an outage learns it. Entries leave out the agents of an evacuated zone; its agents take no new flow and hand over held ones; open flows stay. If no other zone has hosts of the service, new flows are rejected at once. After a restore of the store, an evacuation that the copy lacks stays in force. The loop that follows the store is shared with the configuration's.

--- a/mesh/report.go
+++ b/mesh/report.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/host"
 )
 
@@ -32,6 +33,8 @@
 	HostWarm bool `cbor:"10,keyasint,omitempty"`
 	// IntervalMs is the time until the next regular report, in milliseconds.
 	IntervalMs uint32 `cbor:"11,keyasint,omitempty"`
+	// Evacuations are the evacuated zones, as far as the agent knows.
+	Evacuations evacuation.State `cbor:"12,keyasint,omitempty"`
 }
 
 // EntryReport is the report of an entry on itself and other processes.
@@ -52,6 +55,8 @@
 	AgentCount uint32 `cbor:"9,keyasint,omitempty"`
 	// Store is what the entry knows of the store.
 	Store StoreStatus `cbor:"7,keyasint"`
+	// Evacuations are the evacuated zones, as far as the entry knows.
+	Evacuations evacuation.State `cbor:"10,keyasint,omitempty"`
 }
 
 // StoreStatus is what an entry knows of the store.
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -30,6 +30,8 @@
 	// reportVersion is the version of the last report.
 	reportVersion atomic.Uint64
 	leaving       atomic.Bool
+	// evacuated reports whether the agent's zone is evacuated.
+	evacuated atomic.Bool
 	// unansweredOpenings is the number of consecutive opening packets that the host left unanswered.
 	unansweredOpenings atomic.Int32
 	// warmUntil is when the host's warm-up ends, in the time of Config.Now.
@@ -94,6 +96,9 @@
 // Load returns the current load of the host.
 func (a *Agent) Load() mesh.Load { return a.load.Load() }
 
+// IsOpen reports whether the host accepts new flows, although it may get none while its zone is evacuated.
+func (a *Agent) IsOpen() bool { return a.load.IsOpen() }
+
 // Flows returns the number of flows that have not ended.
 func (a *Agent) Flows() int {
 	n := 0
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/placement"
@@ -61,6 +62,8 @@
 	ToHost   func(packet []byte)
 	ToCaller func(caller flow.Endpoint, packet []byte)
 	ToMember func(ip uint32, datagram []byte)
+	// Evacuations returns the evacuated zones, for the agent's reports; nil means none.
+	Evacuations func() evacuation.State
 	// ConfigVersion returns the version of this process's configuration.
 	ConfigVersion func() uint64
 	// NewerConfig is called when the process at an address has a newer configuration.
@@ -88,6 +91,9 @@
 	if c.UnixMilli == nil {
 		c.UnixMilli = func() int64 { return time.Now().UnixMilli() }
 	}
+	if c.Evacuations == nil {
+		c.Evacuations = func() evacuation.State { return evacuation.State{} }
+	}
 	if c.Load == nil {
 		c.Load = placement.NewHost(placement.HostConfig{})
 	}
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -87,7 +87,7 @@
 
 // CloseUnresponsiveHost closes an unresponsive host until its next heartbeat.
 func (a *Agent) CloseUnresponsiveHost() {
-	if !a.load.Load().Open {
+	if !a.load.IsOpen() {
 		return
 	}
 	a.load.SetOpen(false)
@@ -138,6 +138,20 @@
 	}
 }
 
+// SetEvacuated sets whether the agent's zone is evacuated. While it is, the host gets no new flows: held ones are offered
+// to other agents, and open ones continue.
+func (a *Agent) SetEvacuated(evacuated bool) {
+	if a.evacuated.Swap(evacuated) == evacuated {
+		return
+	}
+	a.load.SetEvacuated(evacuated)
+	a.cfg.Log.Info("host", "outcome", "evacuation", "zone", a.cfg.Zone, "evacuated", evacuated, "flows", a.Flows())
+	if evacuated {
+		a.reofferHeld("the zone is evacuated")
+	}
+	a.cfg.ReportChanged()
+}
+
 // Stop closes the host to new flows; its open flows continue until they end.
 func (a *Agent) Stop() {
 	a.leaving.Store(true)
@@ -153,6 +167,7 @@
 		IP: a.cfg.IP, Incarnation: a.cfg.Incarnation, Version: a.reportVersion.Add(1), Service: a.cfg.Service, Zone: a.cfg.Zone,
 		Leaving: a.leaving.Load(), HostState: r.State, HostID: r.ID, HostStartedAt: r.StartedAt,
 		HostWarm: a.cfg.Now() >= time.Duration(a.warmUntil.Load()), IntervalMs: uint32(interval.Milliseconds()),
+		Evacuations: a.cfg.Evacuations(),
 	}
 }
 
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
@@ -51,6 +52,10 @@
 	// what another entry reports. Either may be nil.
 	StoreStatus   func() mesh.StoreStatus
 	StoreReported func(mesh.StoreStatus)
+	// Evacuations holds the evacuated zones; nil means that none can be. EvacuationsReported is called with what another
+	// process reports; it may be nil.
+	Evacuations         *evacuation.Holder
+	EvacuationsReported func(evacuation.State)
 	// ScheduleTick is called with the time until Tick must be called, when a new timer is started.
 	ScheduleTick func(time.Duration)
 	// Log receives the decisions.
@@ -75,5 +80,11 @@
 	if c.StoreReported == nil {
 		c.StoreReported = func(mesh.StoreStatus) {}
 	}
+	if c.Evacuations == nil {
+		c.Evacuations = new(evacuation.Holder)
+	}
+	if c.EvacuationsReported == nil {
+		c.EvacuationsReported = func(evacuation.State) {}
+	}
 	return c
 }
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -195,6 +195,10 @@
 	m.Terms.TypicalServiceTime = typicalServiceTime(candidates)
 	m.Directories = e.roster.directories(m.Service, key).current()
 	m.Count = placement.Order(key, candidates, &m.Candidates)
+	if m.Count == 0 && e.mustReject(m.Service) {
+		e.rejectEvacuated(shard, key, r, service)
+		return
+	}
 	if m.Count == 0 {
 		e.park(shard, key, r, 0)
 		e.logNoAgent(key, service)
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -9,6 +9,7 @@
 	noAgents         = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="noAgent"}`)
 	noRoutes         = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noRoute"}`)
 	refusedFlows     = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noHost"}`)
+	evacuatedFlows   = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="evacuated"}`)
 	parkedFlows      = metrics.NewCounter(`endiveflow_packetentry_parked_total`)
 	offersSent       = metrics.NewCounter(`endiveflow_packetentry_offers_total`)
 	unansweredOffers = metrics.NewCounter(`endiveflow_packetentry_silent_total`)
--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -83,7 +83,7 @@
 		}
 		tag := mesh.ServiceTag(route.Service(key))
 		if _, counted := slots[tag]; known && !counted {
-			slots[tag] = e.roster.openSlots(tag)
+			slots[tag] = e.placeableFlows(tag)
 		}
 		if !known || now < r.retryAt || slots[tag] <= 0 {
 			shard.Unlock()
@@ -99,6 +99,21 @@
 	e.timersMu.Unlock()
 }
 
+// placeableFlows returns the number of parked flows of a service to place now: the slots of its hosts that take flows, or all
+// of them if none ever will while its zones are evacuated.
+func (e *Entry) placeableFlows(tag uint32) int {
+	if e.mustReject(tag) {
+		return maxParked
+	}
+	return e.roster.openSlots(tag)
+}
+
+// mustReject reports whether all hosts of a service are in evacuated zones, as far as an entry can tell that has run for a
+// while.
+func (e *Entry) mustReject(tag uint32) bool {
+	return e.cfg.Now()-e.started >= settleTime && e.roster.isEvacuated(tag)
+}
+
 // resetUnopened resets a flow that was not offered to any host.
 func (e *Entry) resetUnopened(key flow.Key, r *record) {
 	if s, err := platform.DecodePacket(r.openingPacket, platform.FromCaller); err == nil {
@@ -106,6 +121,20 @@
 	}
 }
 
+// rejectEvacuated ends the placement of a flow whose service has hosts in evacuated zones only; it unlocks the shard. No wait
+// can help the caller until the operator takes a zone back. A flow that another entry or an agent may have isn't reset.
+func (e *Entry) rejectEvacuated(shard *flowtable.Shard[record], key flow.Key, r *record, service string) {
+	shard.Delete(key)
+	shard.Unlock()
+	evacuatedFlows.Inc()
+	if r.firstCopy && r.offerCount == 0 {
+		e.resetUnopened(key, r)
+	}
+	if e.cfg.Log.AllowRare() {
+		e.cfg.Log.Warn("open", "flow", key.String(), "outcome", "refused", "why", "all zones of the service are evacuated", "service", service)
+	}
+}
+
 // handleRefusal handles the answer of an agent that no candidate of an offer takes the flow; it unlocks the shard.
 func (e *Entry) handleRefusal(shard *flowtable.Shard[record], key flow.Key, r *record) {
 	switch {
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -52,6 +52,7 @@
 		badDatagrams.Inc()
 		return
 	}
+	e.cfg.EvacuationsReported(report.Evacuations)
 	isNew, changed := e.roster.updateAgent(report, m.Load)
 	// The agent logs each change of its host itself, so that a sample of what entries learn is enough.
 	if changed && e.cfg.Log.AllowOrdinary() {
@@ -77,6 +78,7 @@
 		e.cfg.PeerDiscovered(report.IP)
 	}
 	e.cfg.StoreReported(report.Store)
+	e.cfg.EvacuationsReported(report.Evacuations)
 	for _, ip := range report.Agents {
 		if e.roster.agent(ip) == nil {
 			e.cfg.PeerDiscovered(ip)
@@ -320,6 +322,7 @@
 		IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
 		IntervalMs: uint32(entryInterval.Milliseconds()), AgentIntervalMs: uint32(agentInterval.Milliseconds()),
 		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn), AgentCount: uint32(len(agents)), Store: e.cfg.StoreStatus(),
+		Evacuations: e.cfg.Evacuations.Current(),
 	})
 	if err != nil {
 		return nil, err
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -290,13 +290,13 @@
 }
 
 // candidates appends to dst the agents that a new flow may be offered to. Agents that are unresponsive or
-// excluded, or whose hosts accept no flows, are omitted unless there are no others.
+// excluded, or whose hosts accept no flows, are omitted unless there are no others; agents of evacuated zones always.
 func (r *roster) candidates(tag uint32, dst []placement.Candidate, excluded func(uint32) bool) []placement.Candidate {
-	now := r.cfg.Now()
+	now, evacuated := r.cfg.Now(), r.cfg.Evacuations.Current()
 	agents := r.serviceAgents(tag)
 	for _, fallback := range []bool{false, true} {
 		for _, a := range agents {
-			if a.isClosing() {
+			if a.isClosing() || evacuated.Includes(a.report.Load().Zone) {
 				continue
 			}
 			c, unresponsive := a.candidate(r.cfg.Zone, now)
@@ -314,9 +314,9 @@
 
 // openSlots returns the number of slots of the hosts of a service that take flows, as far as is known.
 func (r *roster) openSlots(tag uint32) int {
-	now, slots := r.cfg.Now(), 0
+	now, slots, evacuated := r.cfg.Now(), 0, r.cfg.Evacuations.Current()
 	for _, a := range r.serviceAgents(tag) {
-		if a.isClosing() || a.timedOut(now) {
+		if a.isClosing() || a.timedOut(now) || evacuated.Includes(a.report.Load().Zone) {
 			continue
 		}
 		if c, unresponsive := a.candidate(r.cfg.Zone, now); c.Load.Open && !unresponsive {
@@ -326,6 +326,24 @@
 	return slots
 }
 
+// isEvacuated reports whether a service has agents that don't leave, all of them in evacuated zones.
+func (r *roster) isEvacuated(tag uint32) bool {
+	evacuated, found := r.cfg.Evacuations.Current(), false
+	if len(evacuated.Zones) == 0 {
+		return false
+	}
+	for _, a := range r.serviceAgents(tag) {
+		switch {
+		case a.isClosing():
+		case !evacuated.Includes(a.report.Load().Zone):
+			return false
+		default:
+			found = true
+		}
+	}
+	return found
+}
+
 // hasUnknownHost reports whether a host of a service has not reported to its agent yet.
 func (r *roster) hasUnknownHost(tag uint32) bool {
 	now := r.cfg.Now()
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"endiveflow.example/endiveflow/announce"
+	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
@@ -50,10 +51,14 @@
 		Now: b.now, Log: b.log,
 		ToHost:   func(packet []byte) { sendTo(hostConn, s.HostAddr, packet) },
 		ToCaller: callerSender(b.peerConn, s.PacketAddr.Port()), ToMember: b.toMember,
-		ConfigVersion: b.routes.Version, IdleTimeout: b.routes.IdleTimeout, NewerConfig: b.config.noteNewer,
+		ConfigVersion: b.routes.Version, IdleTimeout: b.routes.IdleTimeout, Evacuations: b.evacuations.Current, NewerConfig: b.config.noteNewer,
 		ReportChanged: func() { signal(b.reportNow) }, ScheduleTick: b.alarm.schedule,
 	})
-	entries, heartbeats := newKnownEntries(b.now, b.noteStoreEra), newHeartbeats(b.now)
+	b.evacuationsChanged = func(zones evacuation.State) { agent.SetEvacuated(zones.Includes(s.Zone)) }
+	entries, heartbeats := newKnownEntries(b.now, func(r mesh.EntryReport) {
+		b.noteStoreEra(r.Store.Era)
+		b.noteEvacuations(r.Evacuations)
+	}), newHeartbeats(b.now)
 	b.parts.add("host", receive(hostConn, agent.FromHost))
 	b.parts.add("checks", hostCheck{agent: agent, address: s.HostAddr, heartbeats: heartbeats, interval: s.HeartbeatInterval, log: b.log}.run(ctx))
 	return role{
@@ -82,8 +87,8 @@
 	now func() time.Duration
 	// discovered receives the addresses of entries that were unknown before or have restarted.
 	discovered chan uint32
-	// storeEra is called with the era of the store in each report.
-	storeEra func(uint64)
+	// reported is called with each report.
+	reported func(mesh.EntryReport)
 
 	mu sync.Mutex
 	// byIP holds the entries by address. Guarded by mu.
@@ -100,8 +105,8 @@
 	expires time.Duration
 }
 
-func newKnownEntries(now func() time.Duration, storeEra func(uint64)) *knownEntries {
-	return &knownEntries{now: now, storeEra: storeEra, discovered: make(chan uint32, 64), byIP: make(map[uint32]knownEntry)}
+func newKnownEntries(now func() time.Duration, reported func(mesh.EntryReport)) *knownEntries {
+	return &knownEntries{now: now, reported: reported, discovered: make(chan uint32, 64), byIP: make(map[uint32]knownEntry)}
 }
 
 // observe records the sender of an entry's report and the entries listed in it.
@@ -114,7 +119,7 @@
 	if err != nil || report.IP != m.Origin {
 		return
 	}
-	e.storeEra(report.Store.Era)
+	e.reported(report)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.agentCount = int(report.AgentCount)
@@ -182,7 +187,7 @@
 		defer func() { done <- nil }()
 		for ctx.Err() == nil {
 			sleep(ctx, c.interval/10)
-			if !c.agent.Load().Open || !c.agent.HostUnresponsive() && !c.heartbeats.overdue(time.Duration(missedHeartbeats*float64(c.interval))) {
+			if !c.agent.IsOpen() || !c.agent.HostUnresponsive() && !c.heartbeats.overdue(time.Duration(missedHeartbeats*float64(c.interval))) {
 				continue
 			}
 			c.check(ctx)
--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -138,31 +138,8 @@
 	done := make(chan error, 1)
 	u.duty = duty
 	go func() {
-		backoff := platform.Backoff{Base: storeRetryBase, Max: storeRetryMax}
-		failures := 0
 		u.awaitPeers(ctx)
-		for ctx.Err() == nil {
-			if u.logDuty(duty.Watches()); !u.onDuty {
-				failures = 0
-				sleep(ctx, dutyPoll)
-				continue
-			}
-			err := u.watch(ctx, func() {
-				failures = 0
-				duty.Answered(0)
-			})
-			if ctx.Err() != nil {
-				break
-			}
-			if err == nil || errors.Is(err, platform.Compacted) || errors.Is(err, platform.Restored) {
-				continue
-			}
-			failures++
-			u.logStoreLost(err)
-			if backoff.Wait(ctx, failures) != nil {
-				break
-			}
-		}
+		storeFollower{duty: duty, watch: u.watch, onDuty: u.logDuty, failed: u.logStoreLost}.run(ctx)
 		done <- nil
 	}()
 	return done
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -46,6 +46,7 @@
 				duty.Answered(age)
 			}
 		},
+		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations,
 		PeerDiscovered: func(ip uint32) {
 			select {
 			case discovered <- ip:
@@ -62,6 +63,9 @@
 	b.config.applied = func() { signal(b.configured) }
 	b.config.spread, b.config.firstSpread = fetchSpread, 0
 	b.parts.add("configuration", b.config.followStore(ctx, duty))
+	if s.EvacuationDeadline > 0 {
+		b.parts.add("evacuations", evacuationWatch{store: b.store, duty: duty, current: b.evacuations.Current, read: b.noteEvacuations, log: b.log}.run(ctx))
+	}
 	return role{
 		record:  memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone},
 		receive: entry.Receive, tick: entry.Tick, sweep: entry.Sweep, discovered: discovered,
--- a/packetnode/process.go
+++ b/packetnode/process.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"endiveflow.example/endiveflow/announce"
+	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
@@ -126,18 +127,22 @@
 	config   *configUpdater
 	alarm    *alarm
 	toMember func(uint32, []byte)
-	// reportNow is signalled after a change that all have to know, configured after a new configuration, listed after
-	// each list of the member records.
+	// reportNow is signalled after a change that all have to know, configured after a new configuration or a change of the
+	// evacuated zones, listed after each list of the member records.
 	reportNow, configured, listed chan struct{}
 	// storeRestored is signalled when the store came back from an older copy.
 	storeRestored chan struct{}
 	now           func() time.Duration
+	// evacuations holds the evacuated zones. evacuationsChanged is called after each change, before it is announced.
+	evacuations        evacuation.Holder
+	evacuationsChanged func(evacuation.State)
 }
 
 func newBase(ctx context.Context, s platform.Settings, log *eventlog.Log) (*base, error) {
 	b := &base{
 		settings: s, log: log, alarm: newAlarm(), now: monotonicClock(),
-		reportNow: make(chan struct{}, 1), configured: make(chan struct{}, 1), listed: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
+		evacuationsChanged: func(evacuation.State) {},
+		reportNow:          make(chan struct{}, 1), configured: make(chan struct{}, 1), listed: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 	}
 	var err error
 	b.store, err = platform.New(platform.Config{
@@ -185,6 +190,18 @@
 	}
 }
 
+// noteEvacuations merges the evacuated zones that the store or another process reports, and passes a change on like a new
+// configuration.
+func (b *base) noteEvacuations(s evacuation.State) {
+	if !b.evacuations.Merge(s) {
+		return
+	}
+	b.log.Info("evacuations", "zones", s.Zones, "kept", s.Restored, "revision", s.Revision, "era", s.Era)
+	evacuationChanges.Inc()
+	b.evacuationsChanged(s)
+	signal(b.configured)
+}
+
 // ip returns the VM's address in the form that flows use.
 func (b *base) ip() uint32 { return addressOf(b.settings.IP) }
 
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"endiveflow.example/endiveflow/announce"
+	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetagent"
 	"endiveflow.example/endiveflow/packetentry"
 	"endiveflow.example/endiveflow/platform"
@@ -40,6 +42,8 @@
 	Routes  []routing.Route
 	Entries []*Entry
 	Agents  []*Agent
+	// Zone returns the availability zone of the VM at an address.
+	Zone func(ip uint32) string
 	// Drop reports whether a datagram between two addresses is lost.
 	Drop func(from, to uint32) bool
 	// Delay returns the time by which a datagram between two processes is late.
@@ -67,6 +71,8 @@
 	IP uint32
 	// Up is set while the process runs.
 	Up bool
+	// Evacuations holds the evacuated zones that the process knows.
+	Evacuations *evacuation.Holder
 	// reports schedules the reports of the process.
 	reports *announce.Schedule
 	// pausedUntil is the time until which the process is paused.
@@ -95,12 +101,15 @@
 	Up   bool
 	// reports schedules the reports of the process.
 	reports *announce.Schedule
+	// evacuations holds the evacuated zones that the process knows.
+	evacuations *evacuation.Holder
 }
 
 // NewFleet returns a fleet without entries and agents.
 func NewFleet(seed uint64) *Fleet {
 	f := &Fleet{
 		Random: rand.New(rand.NewPCG(seed, 1)), Drop: func(uint32, uint32) bool { return false }, Delay: func(uint32, uint32) time.Duration { return 0 },
+		Zone:     func(uint32) string { return "a" },
 		ToCaller: func(flow.Segment, uint32) {}, Links: make(map[uint32]*Link), Traffic: make(map[uint32]*Traffic),
 		openFlows: make(map[flow.Key]*openFlow),
 	}
@@ -160,7 +169,7 @@
 func (f *Fleet) StartEntry(e *Entry) {
 	var routes routing.Holder
 	routes.StoreIfNewer(routing.NewTable(1, 0, f.Routes))
-	e.Up = true
+	e.Up, e.Evacuations = true, new(evacuation.Holder)
 	var started *packetentry.Entry
 	tick := f.ticker(func() time.Duration { return started.Tick() }, func(fn func()) {
 		f.whenRunning(e, func() {
@@ -170,7 +179,8 @@
 		})
 	})
 	started = packetentry.New(packetentry.Config{
-		IP: e.IP, Zone: "a", Incarnation: int64(f.now / time.Millisecond), Now: f.Now, Routes: &routes, Log: f.newLog(e.IP),
+		IP: e.IP, Zone: f.Zone(e.IP), Incarnation: int64(f.now / time.Millisecond), Now: f.Now, Routes: &routes, Log: f.newLog(e.IP),
+		Evacuations: e.Evacuations, EvacuationsReported: e.NoteEvacuations,
 		ToCaller:       f.callerSender(e.IP),
 		ToMember:       func(ip uint32, d []byte) { f.toMember(e.IP, ip, d) },
 		NewerConfig:    func(uint32) {},
@@ -190,6 +200,13 @@
 	}
 }
 
+// NoteEvacuations merges a state that the entry read from the store or from a report, and announces a change.
+func (e *Entry) NoteEvacuations(s evacuation.State) {
+	if e.Evacuations.Merge(s) {
+		e.reports.AnnounceAll()
+	}
+}
+
 // AddAgent adds an agent with a ready host of 4 slots and starts both.
 func (f *Fleet) AddAgent(ip uint32, service string) *Agent {
 	a := &Agent{IP: ip, Host: &Host{Service: service, Up: true, State: host.Ready, WorkTime: 30 * time.Millisecond, Slots: DefaultSlots, Flows: map[flow.Key]uint32{}}}
@@ -209,7 +226,7 @@
 func (f *Fleet) StartAgent(a *Agent) {
 	// The process that acknowledged a drain is gone. The host's next heartbeat reports the drain to the new
 	// one.
-	a.Up, a.Host.DrainAckedAt = true, 0
+	a.Up, a.Host.DrainAckedAt, a.evacuations = true, 0, new(evacuation.Holder)
 	var started *packetagent.Agent
 	tick := f.ticker(func() time.Duration { return started.Tick() }, func(fn func()) {
 		if a.Up && a.Agent == started {
@@ -217,12 +234,13 @@
 		}
 	})
 	started = packetagent.New(packetagent.Config{
-		IP: a.IP, Service: a.Host.Service, Host: flow.Endpoint{IP: a.IP, Port: 8165}, Zone: "a", CallerPort: 9000,
+		IP: a.IP, Service: a.Host.Service, Host: flow.Endpoint{IP: a.IP, Port: 8165}, Zone: f.Zone(a.IP), CallerPort: 9000,
 		Incarnation: int64(f.now/time.Millisecond) + 1, Now: f.Now, Log: f.newLog(a.IP),
 		UnixMilli:     func() int64 { return int64(f.now / time.Millisecond) },
 		ToHost:        func(p []byte) { f.toHost(a, p) },
 		ToCaller:      f.callerSender(a.IP),
 		ToMember:      func(ip uint32, d []byte) { f.toMember(a.IP, ip, d) },
+		Evacuations:   a.evacuations.Current,
 		ConfigVersion: func() uint64 { return 1 }, IdleTimeout: func() time.Duration { return routing.MinIdleTimeout }, NewerConfig: func(uint32) {},
 		ReportChanged: func() { a.reports.AnnounceAll() },
 		ScheduleTick:  func(d time.Duration) { f.After(d, tick) },
@@ -349,11 +367,24 @@
 	}
 	for _, a := range f.Agents {
 		if a.IP == to && a.Up {
+			f.noteEvacuations(a, datagram)
 			a.Receive(datagram)
 		}
 	}
 }
 
+// noteEvacuations passes on what an entry's report says of evacuations, as the agent's process does.
+func (f *Fleet) noteEvacuations(a *Agent, datagram []byte) {
+	var m mesh.Message
+	if m.Decode(datagram) != nil || m.Kind != mesh.KindEntryReport {
+		return
+	}
+	report, err := mesh.DecodeReport[mesh.EntryReport](m.Body)
+	if err == nil && a.evacuations.Merge(report.Evacuations) {
+		a.SetEvacuated(a.evacuations.Current().Includes(f.Zone(a.IP)))
+	}
+}
+
 func (f *Fleet) callerSender(from uint32) func(flow.Endpoint, []byte) {
 	return func(_ flow.Endpoint, packet []byte) {
 		s, err := platform.DecodePacket(packet, platform.FromHost)
--- a/placement/host.go
+++ b/placement/host.go
@@ -52,7 +52,8 @@
 	requests []*Request
 	held     queue
 	slots    int
-	open     bool
+	// open reports whether the host accepts new flows, evacuated whether its zone is evacuated.
+	open, evacuated bool
 	// serviceTime is the mean time that a request runs; samples is the number of requests in the mean, at most
 	// serviceSamples.
 	serviceTime time.Duration
@@ -136,7 +137,7 @@
 	case t.MustTake:
 		d.Action = h.takeOrHold(key, t, now)
 	default:
-		if h.open && (t.Best == mesh.NoCandidate || mesh.MillisOf(d.ExpectedLatency) < t.BestLatency) {
+		if h.accepts() && (t.Best == mesh.NoCandidate || mesh.MillisOf(d.ExpectedLatency) < t.BestLatency) {
 			d.Terms.Best, d.Terms.BestLatency = t.Current, mesh.MillisOf(d.ExpectedLatency)
 		}
 		d.Action = h.nextAction(key, &d.Terms, count, now)
@@ -156,9 +157,12 @@
 // with others.
 func (h *Host) canTakeNow(t mesh.Terms) bool {
 	slow := t.TypicalServiceTime > 0 && h.serviceTime > time.Duration(h.cfg.SlowFactor*float64(t.TypicalServiceTime.Duration()))
-	return h.open && h.inUse() < h.slots && len(h.held) == 0 && !slow && !h.failures.faulty
+	return h.accepts() && h.inUse() < h.slots && len(h.held) == 0 && !slow && !h.failures.faulty
 }
 
+// accepts reports whether the host takes new flows.
+func (h *Host) accepts() bool { return h.open && !h.evacuated }
+
 // inUse returns the number of flows with a request in the host or about to arrive there.
 func (h *Host) inUse() int { return h.pendingFlows + len(h.requests) }
 
@@ -171,7 +175,7 @@
 // takeOrHold takes or holds a flow for which no other host is better, or refuses it.
 func (h *Host) takeOrHold(key flow.Key, t mesh.Terms, now time.Duration) Action {
 	switch {
-	case !h.open || h.expectedWait(now) > h.cfg.HoldLimit:
+	case !h.accepts() || h.expectedWait(now) > h.cfg.HoldLimit:
 		return Refuse
 	case h.inUse() < h.admissionLimit() && len(h.held) == 0:
 		h.pendingFlows++
@@ -252,7 +256,7 @@
 func (h *Host) loadLocked() mesh.Load {
 	return mesh.Load{
 		Busy: uint16(h.inUse() + len(h.held)), Slots: uint16(h.slots), ServiceTime: mesh.MillisOf(h.serviceTime),
-		Open: h.open, Faulty: h.failures.faulty,
+		Open: h.accepts(), Faulty: h.failures.faulty,
 	}
 }
 
@@ -277,7 +281,7 @@
 func (h *Host) Dequeue(now time.Duration) (flow.Key, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.open || len(h.held) == 0 || h.inUse() >= h.admissionLimit() {
+	if !h.accepts() || len(h.held) == 0 || h.inUse() >= h.admissionLimit() {
 		return flow.Key{}, false
 	}
 	f := h.held.dequeue(now, h.serviceTime+h.requestDelay)
@@ -394,6 +398,20 @@
 	h.open = open
 }
 
+// IsOpen reports whether the host itself accepts new flows, which it may do although its zone is evacuated.
+func (h *Host) IsOpen() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open
+}
+
+// SetEvacuated sets whether the host's zone is evacuated, so that it is given no new flows.
+func (h *Host) SetEvacuated(evacuated bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evacuated = evacuated
+}
+
 // SetSlots sets the number of requests that the host runs at a time.
 func (h *Host) SetSlots(slots int) {
 	h.mu.Lock()
