--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -34,22 +34,16 @@
 	}
 	discovered := make(chan uint32, 64)
 	var entry *packetentry.Entry
-	newDuty := func() *watchduty.Duty {
-		return watchduty.New(watchduty.Config{IP: b.ip(), Now: b.now, Peers: func() []uint32 { return entry.ZonePeers() }})
-	}
-	// An entry that has just started reads each kind of object unless it hears of an answer to another entry, so that the
-	// answer to one of its own reads must not end the duty to do the other.
-	duty, evacuationDuty := newDuty(), newDuty()
+	duties := newStoreDuties(watchduty.Config{IP: b.ip(), Now: b.now, Peers: func() []uint32 { return entry.ZonePeers() }})
 	entry = packetentry.New(packetentry.Config{
 		IP: b.ip(), Zone: s.Zone, Incarnation: time.Now().UnixMilli(), Now: b.now, Routes: &b.routes, Log: b.log,
 		ToCaller: callerSender(callerConn, s.PacketAddr.Port()), ToMember: b.toMember,
 		NewerConfig: b.config.noteNewer, ScheduleTick: b.alarm.schedule,
-		StoreStatus: func() mesh.StoreStatus { return mesh.NewStoreStatus(b.store.Era(), duty.Age) },
+		StoreStatus: func() mesh.StoreStatus { return mesh.NewStoreStatus(b.store.Era(), duties.config.Age) },
 		StoreReported: func(s mesh.StoreStatus) {
 			b.noteStoreEra(s.Era)
 			if age, known := s.Age(); known {
-				duty.Answered(age)
-				evacuationDuty.Answered(age)
+				duties.answeredOther(age)
 			}
 		},
 		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations,
@@ -68,9 +62,9 @@
 	// Reports carry the configuration's version, which makes other processes fetch a newer one.
 	b.config.applied = func() { signal(b.configured) }
 	b.config.spread, b.config.firstSpread = fetchSpread, 0
-	b.parts.add("configuration", b.config.followStore(ctx, duty))
+	b.parts.add("configuration", b.config.followStore(ctx, duties.config))
 	if s.EvacuationDeadline > 0 {
-		b.parts.add("evacuations", evacuationWatch{store: b.store, duty: evacuationDuty, current: b.evacuations.Current, read: b.noteEvacuations, log: b.log}.run(ctx))
+		b.parts.add("evacuations", evacuationWatch{store: b.store, duty: duties.evacuations, current: b.evacuations.Current, read: b.noteEvacuations, log: b.log}.run(ctx))
 	}
 	return role{
 		record:  memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone},
--- a/packetnode/follower.go
+++ b/packetnode/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -51,3 +52,20 @@
 		}
 	}
 }
+
+// storeDuties are an entry's duties to watch the objects of the store, one for each kind: an entry that has just started
+// reads each kind unless it hears of an answer to another entry, so that the answer to one of its own reads must not end
+// the duty to do the other.
+type storeDuties struct {
+	config, evacuations *watchduty.Duty
+}
+
+func newStoreDuties(cfg watchduty.Config) storeDuties {
+	return storeDuties{config: watchduty.New(cfg), evacuations: watchduty.New(cfg)}
+}
+
+// answeredOther records an answer of the store to another entry, some time ago.
+func (d storeDuties) answeredOther(ago time.Duration) {
+	d.config.Answered(ago)
+	d.evacuations.Answered(ago)
+}
