mesh, platform: capacity, load and rotation state of an entry

Cause: entries need the capacity and the load of the others of their zone to decide on the rotation. Change: EntryReport carries link, share of a core, load and state (keys 11 to 14); a missing key is 0, which means unknown or in rotation.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -200,6 +200,9 @@
 // MaxBytes returns the maximum size of a message with a packet of the given size.
 func MaxBytes(packetBytes int) int { return headerBytes + MaxCandidates*addressBytes + packetBytes }
 
+// Size returns the size of the encoded message in bytes.
+func (m *Message) Size() int { return headerBytes + int(m.Count)*addressBytes + len(m.Body) }
+
 // ErrInvalidMessage reports that a datagram is not a message of this protocol.
 const ErrInvalidMessage = errors.ConstError("malformed mesh message")
 
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -8,6 +8,7 @@
 
 	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/host"
+	"endiveflow.example/endiveflow/rotation"
 )
 
 // AgentReport is the report of an agent. Every report is complete, so that a process that has just started needs
@@ -57,6 +58,21 @@
 	Store StoreStatus `cbor:"7,keyasint"`
 	// Evacuations are the evacuated zones, as far as the entry knows.
 	Evacuations evacuation.State `cbor:"10,keyasint,omitempty"`
+	// LinkBytesPerSecond is the capacity of the VM's link, CPUMilli its share of a core in thousandths; 0 if unknown.
+	LinkBytesPerSecond uint64 `cbor:"11,keyasint,omitempty"`
+	CPUMilli           uint32 `cbor:"12,keyasint,omitempty"`
+	// LoadBytesPerSecond is what the entry carries: the larger of what it receives and sends.
+	LoadBytesPerSecond uint64 `cbor:"13,keyasint,omitempty"`
+	// Rotation is the entry's part in the rotation of the routers.
+	Rotation RotationStatus `cbor:"14,keyasint,omitempty"`
+}
+
+// RotationStatus is an entry's part in the rotation.
+type RotationStatus struct {
+	// State is the entry's state; 0 from entries that don't report it, which count as in rotation.
+	State rotation.State `cbor:"1,keyasint,omitempty"`
+	// Version orders the reports of an incarnation; 0 from entries that don't report it.
+	Version uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // StoreStatus is what an entry knows of the store.
