packetentry, packetnode: entries of low capacity leave the rotation

Cause: an entry with a narrow link gets the same share of the flows as a wide one, and loses packets that others could carry. Change: an entry measures its traffic, reports it with its capacity and state, and is not ready (spare) while rotation decides so. A changed state, also a planned stop, is announced to the zone's entries. An entry that is or may become spare sends echoes to those of higher capacity, since the reports of a large fleet are far apart and an overloaded link loses them.

--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -34,6 +34,9 @@
 	Zone string
 	// Incarnation is the start time of the process in Unix milliseconds.
 	Incarnation int64
+	// LinkBytesPerSecond is the capacity of the VM's link, CPUShare its share of a core; 0 if unknown. If either is, the entry
+	// stays in rotation.
+	LinkBytesPerSecond, CPUShare float64
 	// OfferTimeout and SearchTimeout default to DefaultOfferTimeout and DefaultSearchTimeout.
 	OfferTimeout, SearchTimeout time.Duration
 	// Now returns a monotonic time.
@@ -48,6 +51,9 @@
 	// PeerDiscovered is called with the address of a process of which the entry had no record, so that a report
 	// is sent to it immediately.
 	PeerDiscovered func(ip uint32)
+	// StateChanged is called with the address of each entry that has to know a changed state of this one, so that a report is
+	// sent to it immediately. It may be nil.
+	StateChanged func(ip uint32)
 	// StoreStatus returns what the process knows of the store, for the entry's reports. StoreReported is called with
 	// what another entry reports. Either may be nil.
 	StoreStatus   func() mesh.StoreStatus
@@ -80,6 +86,9 @@
 	if c.StoreReported == nil {
 		c.StoreReported = func(mesh.StoreStatus) {}
 	}
+	if c.StateChanged == nil {
+		c.StateChanged = func(uint32) {}
+	}
 	if c.Evacuations == nil {
 		c.Evacuations = new(evacuation.Holder)
 	}
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -10,6 +10,7 @@
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/placement"
 	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/rotation"
 	"endiveflow.example/endiveflow/routing"
 )
 
@@ -21,6 +22,8 @@
 	// repeats limits what the entry sends on its own account.
 	repeats   *repeats
 	isolation isolation
+	rotation  rotationStatus
+	traffic   trafficMeter
 	// reportCount is the number of reports that the entry has sent, searchTurn the number of agents that it has
 	// searched at in last steps.
 	reportCount, searchTurn atomic.Uint64
@@ -85,11 +88,14 @@
 // New returns an entry that has no record of other processes.
 func New(cfg Config) *Entry {
 	cfg = cfg.withDefaults()
-	return &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), started: cfg.Now()}
+	e := &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), started: cfg.Now()}
+	e.rotation.state = rotation.Unavailable
+	return e
 }
 
 // FromCaller handles a packet of a caller.
 func (e *Entry) FromCaller(packet []byte) {
+	e.traffic.received.Add(uint64(len(packet)))
 	s, err := platform.DecodePacket(packet, platform.FromCaller)
 	if err != nil {
 		badPackets.Inc()
@@ -286,7 +292,10 @@
 	return true
 }
 
-func (e *Entry) send(ip uint32, m *mesh.Message) { m.Send(ip, e.cfg.ToMember) }
+func (e *Entry) send(ip uint32, m *mesh.Message) {
+	e.traffic.sent.Add(uint64(m.Size()))
+	m.Send(ip, e.cfg.ToMember)
+}
 
 func (e *Entry) resetFlow(key flow.Key, ack uint32) { platform.SendReset(key, ack, e.cfg.ToCaller) }
 
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -18,6 +18,8 @@
 	floods           = metrics.NewCounter(`endiveflow_packetentry_floods_total`)
 	withheldRepeats  = metrics.NewCounter(`endiveflow_packetentry_withheld_repeats_total`)
 	searches         = metrics.NewCounter(`endiveflow_packetentry_searches_total`)
+	rotationLeaves   = metrics.NewCounter(`endiveflow_packetentry_rotation_changes_total{to="spare"}`)
+	rotationReturns  = metrics.NewCounter(`endiveflow_packetentry_rotation_changes_total{to="active"}`)
 
 	// The searches that begin with a packet of a caller whose flow the entry has no record of, by step.
 	directorySearchesBegun = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="directory"}`)
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -6,10 +6,12 @@
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/rotation"
 )
 
 // Receive handles a datagram from another process.
 func (e *Entry) Receive(datagram []byte) {
+	e.traffic.received.Add(uint64(len(datagram)))
 	var m mesh.Message
 	if err := m.Decode(datagram); err != nil {
 		badDatagrams.Inc()
@@ -27,6 +29,7 @@
 		e.answerEcho(m.Origin)
 	case mesh.KindEchoed:
 		e.isolation.echoAnswered(m.Origin, m.Step == mesh.EchoedHearsAgents)
+		e.roster.echoAnswered(m.Origin)
 	case mesh.KindAgentReport:
 		e.isolation.agentHeard(e.cfg.Now())
 		e.handleAgentReport(&m)
@@ -84,6 +87,9 @@
 			e.cfg.PeerDiscovered(ip)
 		}
 	}
+	if report.Zone == e.cfg.Zone {
+		e.updateRotation()
+	}
 }
 
 // handleNotice handles an agent's message about a flow.
@@ -283,8 +289,21 @@
 	e.send(entry, &m)
 }
 
-// Ready reports whether the entry can place flows, and if it can't, the reason.
+// Ready reports whether the entry should be in the rotation of the routers, and if it shouldn't, the reason. A spare entry could
+// place flows, but entries of higher capacity take its share.
 func (e *Entry) Ready() (bool, string) {
+	switch state, reason := e.updateRotation(); state {
+	case rotation.Active:
+		return true, ""
+	case rotation.Spare:
+		return false, "spare"
+	default:
+		return false, reason
+	}
+}
+
+// canPlace reports whether the entry can place flows, and if it can't, the reason.
+func (e *Entry) canPlace() (bool, string) {
 	switch {
 	case e.stopping.Load():
 		return false, "leaving"
@@ -300,8 +319,12 @@
 	return true, ""
 }
 
-// Stop makes the entry not ready; it still forwards packets.
-func (e *Entry) Stop() { e.stopping.Store(true) }
+// Stop makes the entry not ready; it still forwards packets. The other entries of the zone are told at once, so that spare
+// ones return before the routers notice.
+func (e *Entry) Stop() {
+	e.stopping.Store(true)
+	e.updateRotation()
+}
 
 // ActivePeers returns the addresses of the processes that sent a message recently.
 func (e *Entry) ActivePeers() (entries, agents []uint32) { return e.roster.activePeers() }
@@ -317,12 +340,14 @@
 // regular reports to the same entry and to the same agent.
 func (e *Entry) ReportMessage(entryInterval, agentInterval time.Duration) ([]byte, error) {
 	entries, agents := e.roster.activePeers()
-	turn := int(e.reportCount.Add(1))
+	count := e.reportCount.Add(1)
+	turn := int(count)
 	body, err := mesh.EncodeReport(mesh.EntryReport{
 		IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
 		IntervalMs: uint32(entryInterval.Milliseconds()), AgentIntervalMs: uint32(agentInterval.Milliseconds()),
 		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn), AgentCount: uint32(len(agents)), Store: e.cfg.StoreStatus(),
-		Evacuations: e.cfg.Evacuations.Current(),
+		Evacuations: e.cfg.Evacuations.Current(), LinkBytesPerSecond: e.cfg.linkBytesPerSecond(), CPUMilli: e.cfg.cpuMilli(),
+		LoadBytesPerSecond: e.traffic.perSecond(e.cfg.Now()), Rotation: mesh.RotationStatus{State: e.rotation.current(), Version: count},
 	})
 	if err != nil {
 		return nil, err
@@ -348,6 +373,7 @@
 func (e *Entry) Sweep() {
 	now, idle := e.cfg.Now(), e.cfg.Routes.IdleTimeout()
 	e.flows.Sweep(func(_ flow.Key, r *record) bool { return now-r.lastPacket <= idle })
+	e.sweepRotation()
 	for _, ip := range e.roster.sweep() {
 		e.cfg.Log.Warn("process removed", "process", flow.IPText(ip), "of", "processes without recent messages")
 	}
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -105,6 +105,8 @@
 type entryPeer struct {
 	report    mesh.EntryReport
 	lastHeard time.Duration
+	// unansweredEchoes is the number of echoes sent since its last report or answer.
+	unansweredEchoes int
 }
 
 func newRoster(cfg Config) *roster {
@@ -206,6 +208,10 @@
 	if known && previous.report.Incarnation > report.Incarnation {
 		return false
 	}
+	if known && previous.report.Incarnation == report.Incarnation && previous.report.Rotation.Version > report.Rotation.Version {
+		// The report was delayed: its state of the entry is older.
+		report.Rotation = previous.report.Rotation
+	}
 	r.entries[report.IP] = entryPeer{report: report, lastHeard: r.cfg.Now()}
 	return !known || previous.report.Incarnation != report.Incarnation
 }
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -32,11 +32,12 @@
 	if err != nil {
 		return role{}, err
 	}
-	discovered := make(chan uint32, 64)
+	discovered, stateChanged := make(chan uint32, 64), make(chan uint32, 64)
 	var entry *packetentry.Entry
 	duty := watchduty.New(watchduty.Config{IP: b.ip(), Now: b.now, Peers: func() []uint32 { return entry.ZonePeers() }})
 	entry = packetentry.New(packetentry.Config{
 		IP: b.ip(), Zone: s.Zone, Incarnation: time.Now().UnixMilli(), Now: b.now, Routes: &b.routes, Log: b.log,
+		LinkBytesPerSecond: s.LinkBytesPerSecond, CPUShare: s.CPUShare,
 		ToCaller: callerSender(callerConn, s.PacketAddr.Port()), ToMember: b.toMember,
 		NewerConfig: b.config.noteNewer, ScheduleTick: b.alarm.schedule,
 		StoreStatus: func() mesh.StoreStatus { return mesh.NewStoreStatus(b.store.Era(), duty.Age) },
@@ -47,12 +48,7 @@
 			}
 		},
 		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations,
-		PeerDiscovered: func(ip uint32) {
-			select {
-			case discovered <- ip:
-			default:
-			}
-		},
+		PeerDiscovered: enqueue(discovered), StateChanged: enqueue(stateChanged),
 	})
 	var lastCallerPacket atomic.Int64
 	b.parts.add("callers", receive(callerConn, func(packet []byte) {
@@ -68,7 +64,7 @@
 	}
 	return role{
 		record:  memberRecord{Role: roleEntry, IP: s.IP, Zone: s.Zone},
-		receive: entry.Receive, tick: entry.Tick, sweep: entry.Sweep, discovered: discovered,
+		receive: entry.Receive, tick: entry.Tick, sweep: entry.Sweep, discovered: discovered, stateChanged: stateChanged,
 		report: func(i *reportIntervals) ([]byte, error) {
 			return entry.ReportMessage(i.of(announce.Entries), i.of(announce.Agents))
 		},
@@ -96,3 +92,13 @@
 		},
 	}, nil
 }
+
+// enqueue returns a function that sends to a channel unless it is full.
+func enqueue(c chan<- uint32) func(uint32) {
+	return func(ip uint32) {
+		select {
+		case c <- ip:
+		default:
+		}
+	}
+}
--- a/packetnode/process.go
+++ b/packetnode/process.go
@@ -102,7 +102,9 @@
 	// discovered delivers the address of each process that becomes known; known returns the addresses of the processes
 	// of a group that report to this one.
 	discovered <-chan uint32
-	known      func(announce.Group) []uint32
+	// stateChanged delivers the address of each process that has to know a changed state of this one; nil if none has to.
+	stateChanged <-chan uint32
+	known        func(announce.Group) []uint32
 	// ratePerSecond returns the largest number of regular reports per second to a group.
 	ratePerSecond func(announce.Group) float64
 	// serve starts the HTTP endpoints for hosts, routers and others. running returns false once a planned
@@ -217,7 +219,7 @@
 		schedule:   announce.New(announce.Config{LinkBytesPerSecond: b.settings.LinkBytesPerSecond}),
 		message:    func() ([]byte, error) { return r.report(intervals) },
 		recipients: func(g announce.Group) []uint32 { return b.recipients(r, registry, g) }, ratePerSecond: r.ratePerSecond,
-		intervals: intervals, send: b.toMember, changed: b.reportNow, configured: b.configured, listed: b.listed, discovered: r.discovered,
+		intervals: intervals, send: b.toMember, changed: b.reportNow, configured: b.configured, listed: b.listed, discovered: r.discovered, stateChanged: r.stateChanged,
 		beforeRegular: r.sweep, log: b.log, now: b.now,
 	}
 	b.parts.add("peers", receive(b.peerConn, r.receive))
--- a/packetnode/report.go
+++ b/packetnode/report.go
@@ -22,7 +22,8 @@
 	// changed is signalled after a change that all recipients have to know, configured after a new configuration,
 	// listed when there may be new recipients.
 	changed, configured, listed <-chan struct{}
-	discovered                  <-chan uint32
+	// discovered and stateChanged deliver processes that get a report soon, those of discovered at most one per second.
+	discovered, stateChanged <-chan uint32
 	// beforeRegular is called once a second.
 	beforeRegular func()
 	log           *eventlog.Log
@@ -71,6 +72,8 @@
 				for g := range announce.GroupCount {
 					r.schedule.AnnounceSome(g, configAnnouncements)
 				}
+			case ip := <-r.stateChanged:
+				r.schedule.Announce(ip)
 			case ip := <-r.discovered:
 				if !introduced[ip] {
 					introduced[ip] = true
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -50,6 +50,9 @@
 	Delay func(from, to uint32) time.Duration
 	// Links holds the links of VMs by address; a VM without one has a link without limits.
 	Links map[uint32]*Link
+	// CPUShares holds the shares of a core that VMs report, by address; the processors of the fleet have no limits. The
+	// entries without one stay in rotation.
+	CPUShares map[uint32]float64
 	// Traffic counts the datagrams of each process by address.
 	Traffic map[uint32]*Traffic
 	// Log returns the log of a process that starts at an address; nil means that lines are discarded.
@@ -178,13 +181,19 @@
 			}
 		})
 	})
+	var linkBytesPerSecond float64
+	if l := f.Links[e.IP]; l != nil {
+		linkBytesPerSecond = l.BytesPerSecond
+	}
 	started = packetentry.New(packetentry.Config{
+		LinkBytesPerSecond: linkBytesPerSecond, CPUShare: f.CPUShares[e.IP],
 		IP: e.IP, Zone: f.Zone(e.IP), Incarnation: int64(f.now / time.Millisecond), Now: f.Now, Routes: &routes, Log: f.newLog(e.IP),
 		Evacuations: e.Evacuations, EvacuationsReported: e.NoteEvacuations,
 		ToCaller:       f.callerSender(e.IP),
 		ToMember:       func(ip uint32, d []byte) { f.toMember(e.IP, ip, d) },
 		NewerConfig:    func(uint32) {},
 		PeerDiscovered: func(ip uint32) { e.reports.Announce(ip) },
+		StateChanged:   func(ip uint32) { e.reports.Announce(ip) },
 		ScheduleTick:   func(d time.Duration) { f.After(d, tick) },
 	})
 	e.Entry = started
