--- a/rotation/choice.go
+++ b/rotation/choice.go
@@ -6,7 +6,7 @@
 )
 
 // CoreBytesPerSecond is what an entry on a whole core can carry, in bytes of callers' packets per second. Receiving a packet of
-// 1,200 bytes and sending it on takes up to 6.8 us of processor time (packetnode BenchmarkForwardDatagram: 9.7 to 10.2 us with
+// 1,200 bytes and sending it on takes about 6.7 us of processor time (packetnode BenchmarkForwardDatagram: 9.7 to 10.2 us with
 // an entry that was idle, 3.1 to 3.4 us without an entry), which is 180 MB/s. Half of it is left for opening packets, searches,
 // reports and garbage collection.
 const CoreBytesPerSecond = 90e6
