rotation: entries are chosen by what they sustain, and return above what all sustain

Change: the k with the largest sum is chosen; an entry leaves below the load that the chosen ones sustain with one lost. Result: rotation's tests; the zone of 2, 1 and 3 entries now keeps three.

--- a/rotation/choice.go
+++ b/rotation/choice.go
@@ -45,10 +45,13 @@
 	// chosen are the entries of highest capacity in order, empty if all entries should be in rotation.
 	chosen []Member
 	// sustained is what the chosen entries sustain in bytes per second, sustainedAfterLoss what they sustain with one of
-	// them lost; 0 if all entries should be in rotation.
-	sustained, sustainedAfterLoss float64
+	// them lost, and sustainedByAll what all available entries sustain; 0 if all entries should be in rotation.
+	sustained, sustainedAfterLoss, sustainedByAll float64
 }
 
+// minChosen is the smallest number of entries that may be chosen: a single one sustains nothing after its loss.
+const minChosen = 2
+
 // choose returns the entries of a zone that should be in rotation. The result doesn't depend on the order of the members.
 //
 // At least half of the zone's entries are chosen, those that are unavailable included in the count: below half in rotation,
@@ -66,22 +69,29 @@
 		available = append(available, m)
 	}
 	slices.SortFunc(available, func(a, b Member) int { return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.IP, b.IP)) })
-	best, bestAfterLoss := 0, 0.0
-	for k := (len(zone) + 1) / 2; k <= len(available); k++ {
-		if afterLoss := float64(k-1) * available[k-1].Capacity; afterLoss >= bestAfterLoss {
-			best, bestAfterLoss = k, afterLoss
+	best, sustained := 0, 0.0
+	for k := max((len(zone)+1)/2, minChosen); k <= len(available); k++ {
+		if s := float64(k) * available[k-1].Capacity; s >= sustained {
+			best, sustained = k, s
 		}
 	}
 	if best == 0 || best == len(available) {
 		return choice{}
 	}
-	sustained := float64(best) * available[best-1].Capacity
-	if sustained <= float64(len(available))*available[len(available)-1].Capacity {
-		return choice{}
+	return choice{
+		chosen: available[:best], sustained: sustained, sustainedAfterLoss: float64(best-1) * available[best-1].Capacity,
+		sustainedByAll: float64(len(available)) * available[len(available)-1].Capacity,
 	}
-	return choice{chosen: available[:best], sustained: sustained, sustainedAfterLoss: bestAfterLoss}
 }
 
+// returnLoad is the load of the zone above which all its entries should be in rotation: the chosen ones don't sustain it
+// after a loss, and with all of them it is sustained as long as none is lost.
+func (c choice) returnLoad() float64 { return max(c.sustainedAfterLoss, c.sustainedByAll) }
+
+// leaveLoad is the largest load at which an entry leaves: the chosen ones sustain it with one of them lost, and it is far enough
+// below the load at which entries return.
+func (c choice) leaveLoad() float64 { return min(c.sustainedAfterLoss, leaveLoadShare*c.returnLoad()) }
+
 // isEmpty reports whether all entries should be in rotation.
 func (c choice) isEmpty() bool { return len(c.chosen) == 0 }
 
--- a/rotation/decider.go
+++ b/rotation/decider.go
@@ -87,7 +87,7 @@
 		out.Reason = "chosen"
 	case !c.isActive():
 		out.Reason = "a chosen entry is not in rotation"
-	case out.Load > c.sustainedAfterLoss, !d.spare && out.Load > leaveLoadShare*c.sustainedAfterLoss:
+	case out.Load > c.returnLoad(), !d.spare && out.Load > c.leaveLoad():
 		out.Reason = "load"
 	default:
 		out.Reason = "entries of higher capacity suffice"
--- a/rotation/rotation_test.go
+++ b/rotation/rotation_test.go
@@ -104,7 +104,7 @@
 		"two entries":                        {[]float64{wide, narrow}, nil},
 		"three wide, two narrow":             {[]float64{narrow, wide, narrow, wide, wide}, []int{0, 2}},
 		"records: two wide, five narrow":     {[]float64{wide, wide, narrow, narrow, narrow, narrow, narrow}, nil},
-		"till: two wide, middle, 3 narrow":   {[]float64{wide, wide, middle, narrow, narrow, narrow}, nil},
+		"till: two wide, middle, 3 narrow":   {[]float64{wide, wide, middle, narrow, narrow, narrow}, []int{3, 4, 5}},
 		"till: two wide, middle, 2 narrow":   {[]float64{wide, wide, middle, narrow, narrow}, []int{3, 4}},
 		"a little narrower":                  {[]float64{wide, wide, wide, 0.9 * wide}, nil},
 		"an entry doesn't know its capacity": {[]float64{wide, wide, wide, narrow, 0}, nil},
