cost, placement, mesh, packetagent, packetentry: placement by the cost of requests

Cause: a host's load counted requests alike and open flows that pause as nothing, and one service time stood for all routes; long flows accumulated at hosts that were idle first, whatever their speed. Change: package cost learns the service time of each route and the standing load of open flows. Hosts count their remaining work; agents report it, the standing load and their cost relative to the fleet; notices carry the estimate of the flow's route. Entries rank long flows by standing load and others by remaining work, each host in proportion to its speed. While one candidate doesn't report its work, all are ranked by busy slots as before.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -168,8 +168,12 @@
 	TargetLatency Millis
 	// Waited is the minimum time that the caller has waited, according to its opening packet and the entry.
 	Waited Millis
-	// TypicalServiceTime is the typical service time of the service's hosts, 0 if unknown.
+	// TypicalServiceTime is the typical service time of the route at the service's hosts, 0 if unknown. In messages of kind
+	// KindTaken, KindPassed and KindRefused it is the estimate of the sender's host for the route of the flow.
 	TypicalServiceTime Millis
+	// LongFlows reports, in the same messages, whether the flows of the route may carry several requests: the sender's host
+	// hasn't seen that most carry one. Messages without Load.WorkMs don't tell.
+	LongFlows bool
 }
 
 // Load is the load of an agent's host.
@@ -179,6 +183,11 @@
 	Busy, Slots uint16
 	// ServiceTime is the mean time that a request runs.
 	ServiceTime Millis
+	// WorkMs is the host's remaining work in milliseconds of its own: that of its requests, and one second of its standing
+	// load. It is at least 1; 0 means that the sender is of an earlier version and doesn't tell.
+	WorkMs uint16
+	// StandingMs is the standing load of the host's open flows, in milliseconds of work per second. It is valid if WorkMs isn't 0.
+	StandingMs uint16
 	// Open reports whether the host accepts new flows.
 	Open bool
 	// Faulty reports whether the host fails significantly more of its requests than a healthy one.
@@ -195,11 +204,21 @@
 	flagResent   = 1 << 1
 	flagOpen     = 1 << 2
 	flagFaulty   = 1 << 3
+	flagLong     = 1 << 4
 )
 
 // MaxBytes returns the maximum size of a message with a packet of the given size.
 func MaxBytes(packetBytes int) int { return headerBytes + MaxCandidates*addressBytes + packetBytes }
 
+// carriesWork reports whether messages of a kind carry Load.WorkMs and, in the place of Terms.TargetLatency, Load.StandingMs.
+func (k Kind) carriesWork() bool {
+	switch k {
+	case KindTaken, KindPassed, KindRefused, KindMissing, KindAgentReport:
+		return true
+	}
+	return false
+}
+
 // ErrInvalidMessage reports that a datagram is not a message of this protocol.
 const ErrInvalidMessage = errors.ConstError("malformed mesh message")
 
@@ -222,6 +241,10 @@
 	binary.BigEndian.PutUint16(h[44:], m.Load.Slots)
 	binary.BigEndian.PutUint16(h[46:], uint16(m.Load.ServiceTime))
 	binary.BigEndian.PutUint16(h[48:], uint16(m.Terms.Waited))
+	if m.Load.WorkMs > 0 && m.Kind.carriesWork() {
+		binary.BigEndian.PutUint16(h[38:], m.Load.StandingMs)
+		binary.BigEndian.PutUint16(h[50:], m.Load.WorkMs)
+	}
 	h[35] = m.Step
 	binary.BigEndian.PutUint32(h[52:], m.Directories[0])
 	binary.BigEndian.PutUint32(h[56:], m.Directories[1])
@@ -246,6 +269,9 @@
 	if m.Load.Faulty {
 		f |= flagFaulty
 	}
+	if m.Terms.LongFlows {
+		f |= flagLong
+	}
 	return f
 }
 
@@ -265,7 +291,7 @@
 		},
 		Terms: Terms{
 			Current: b[32], Best: b[33], Priority: b[34],
-			MustTake: b[2]&flagMustTake != 0, Resent: b[2]&flagResent != 0,
+			MustTake: b[2]&flagMustTake != 0, Resent: b[2]&flagResent != 0, LongFlows: b[2]&flagLong != 0,
 			BestLatency:        Millis(binary.BigEndian.Uint16(b[36:])),
 			TargetLatency:      Millis(binary.BigEndian.Uint16(b[38:])),
 			TypicalServiceTime: Millis(binary.BigEndian.Uint16(b[40:])),
@@ -276,6 +302,12 @@
 			ServiceTime: Millis(binary.BigEndian.Uint16(b[46:])), Open: b[2]&flagOpen != 0, Faulty: b[2]&flagFaulty != 0,
 		},
 	}
+	if m.Kind.carriesWork() {
+		m.Load.WorkMs = binary.BigEndian.Uint16(b[50:])
+		if m.Load.WorkMs > 0 {
+			m.Load.StandingMs, m.Terms.TargetLatency = uint16(m.Terms.TargetLatency), 0
+		}
+	}
 	m.Step = b[35]
 	m.Directories[0], m.Directories[1] = binary.BigEndian.Uint32(b[52:]), binary.BigEndian.Uint32(b[56:])
 	rest := b[headerBytes:]
--- a/mesh/message_test.go
+++ b/mesh/message_test.go
@@ -52,6 +52,24 @@
 	})
 }
 
+// Guards against the work of a host that is lost on its way, or read from messages of processes of earlier versions and of
+// kinds that have other fields in its place.
+func TestWorkIsTransmitted(t *testing.T) {
+	in := mesh.Message{
+		Kind: mesh.KindTaken, Terms: mesh.Terms{LongFlows: true, TypicalServiceTime: 17}, Load: mesh.Load{Slots: 2, WorkMs: 700, StandingMs: 650}, Body: []byte{},
+	}
+	var out mesh.Message
+	require.NoError(t, out.Decode(in.Append(nil)))
+	require.Equal(t, in, out)
+	in.Load.WorkMs, in.Terms.TargetLatency = 0, 250
+	require.NoError(t, out.Decode(in.Append(nil)))
+	require.Zero(t, out.Load.StandingMs)
+	in = mesh.Message{Kind: mesh.KindOffer, Count: 1, Terms: mesh.Terms{TargetLatency: 250}, Load: mesh.Load{WorkMs: 700, StandingMs: 650}}
+	require.NoError(t, out.Decode(in.Append(nil)))
+	require.Equal(t, mesh.Load{}, out.Load)
+	require.Equal(t, mesh.Millis(250), out.Terms.TargetLatency)
+}
+
 // Guards against panics and out-of-range reads on arbitrary datagrams.
 func FuzzMessage(f *testing.F) {
 	m := mesh.Message{Kind: mesh.KindOffer, Count: 2, Body: []byte("x")}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -35,6 +35,9 @@
 	IntervalMs uint32 `cbor:"11,keyasint,omitempty"`
 	// Evacuations are the evacuated zones, as far as the agent knows.
 	Evacuations evacuation.State `cbor:"12,keyasint,omitempty"`
+	// RelativeCostPermille is the time that the host works on its requests, in thousandths of the fleet's typical time for
+	// the same requests; 0 if unknown. It is above 1000 for a slow host.
+	RelativeCostPermille uint32 `cbor:"13,keyasint,omitempty"`
 }
 
 // EntryReport is the report of an entry on itself and other processes.
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -156,9 +156,16 @@
 	}
 }
 
-// newMessage returns a message from this agent about a flow.
+// newMessage returns a message from this agent about a flow. Notices carry what the host has learned of the flow's route.
 func (a *Agent) newMessage(k mesh.Kind, key flow.Key) mesh.Message {
-	return mesh.Message{Kind: k, Service: a.serviceTag, ConfigVersion: a.cfg.ConfigVersion(), Origin: a.cfg.IP, Flow: key, Load: a.load.Load()}
+	now := a.cfg.Now()
+	m := mesh.Message{Kind: k, Service: a.serviceTag, ConfigVersion: a.cfg.ConfigVersion(), Origin: a.cfg.IP, Flow: key, Load: a.load.LoadAt(now)}
+	switch k {
+	case mesh.KindTaken, mesh.KindPassed, mesh.KindRefused:
+		route := a.load.RouteCost(key.Service, now)
+		m.Terms.TypicalServiceTime, m.Terms.LongFlows = mesh.MillisOf(route.ServiceTime), route.LongFlows
+	}
+	return m
 }
 
 // notify sends another process a message about a flow.
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -167,7 +167,7 @@
 		IP: a.cfg.IP, Incarnation: a.cfg.Incarnation, Version: a.reportVersion.Add(1), Service: a.cfg.Service, Zone: a.cfg.Zone,
 		Leaving: a.leaving.Load(), HostState: r.State, HostID: r.ID, HostStartedAt: r.StartedAt,
 		HostWarm: a.cfg.Now() >= time.Duration(a.warmUntil.Load()), IntervalMs: uint32(interval.Milliseconds()),
-		Evacuations: a.cfg.Evacuations(),
+		Evacuations: a.cfg.Evacuations(), RelativeCostPermille: uint32(math.Round(1000 * a.load.RelativeCost())),
 	}
 }
 
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -56,7 +56,7 @@
 	offer := &pendingOffer{message: *m, packet: bytes.Clone(m.Body)}
 	offer.message.Body = nil
 	shard.Put(s.Key, &record{
-		phase: p, phaseStarted: now, opened: now, openedUnixMilli: a.cfg.UnixMilli(), lastPacket: now,
+		route: s.Key.Service, phase: p, phaseStarted: now, opened: now, openedUnixMilli: a.cfg.UnixMilli(), lastPacket: now,
 		offer: offer, directories: m.Directories, directoriesNotified: now, directoriesAsked: now,
 	})
 }
@@ -181,7 +181,9 @@
 func (a *Agent) passOffer(m *mesh.Message, key flow.Key) {
 	a.send(m.Candidates[m.Terms.Current], m)
 	notice := a.newMessage(mesh.KindPassed, key)
+	estimate := notice.Terms
 	notice.Terms, notice.Candidates, notice.Count = m.Terms, m.Candidates, m.Count
+	notice.Terms.TypicalServiceTime, notice.Terms.LongFlows = estimate.TypicalServiceTime, estimate.LongFlows
 	a.send(m.Origin, &notice)
 }
 
@@ -214,7 +216,7 @@
 		return
 	}
 	a.cfg.Log.Info("offer", "flow", s.Key.String(), "outcome", d.Action.String(), "entry", flow.IPText(m.Origin),
-		"visit", visit, "of", m.Count, "busy", d.Load.Busy, "slots", d.Load.Slots, "open", d.Load.Open,
+		"visit", visit, "of", m.Count, "busy", d.Load.Busy, "slots", d.Load.Slots, "open", d.Load.Open, "workMs", d.Load.WorkMs, "standingMs", d.Load.StandingMs,
 		"meanMs", uint16(d.Load.ServiceTime), "expectedMs", d.ExpectedLatency.Milliseconds(), "bestMs", uint16(d.Terms.BestLatency),
 		"targetMs", uint16(m.Terms.TargetLatency), "config", m.ConfigVersion)
 }
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveflow.example/endiveflow/cost"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/placement"
@@ -32,6 +33,13 @@
 // record is the agent's record of one flow.
 type record struct {
 	phase phase
+	// route is the flow's service endpoint.
+	route flow.Endpoint
+	// requests is the number of requests of the flow, as far as it is known; a flow that was learned from its host may have
+	// had one before.
+	requests int
+	// countedOpen reports whether the load counts the flow as open.
+	countedOpen bool
 	// request is set while the phase is running.
 	request *placement.Request
 	// opened is when the opening packet was sent to the host.
@@ -79,7 +87,8 @@
 	}
 	switch {
 	case p == running:
-		r.request = load.RequestArrived(now, r.phase.requestPending(), now-r.opened)
+		r.request = load.ClassRequestArrived(cost.Class{Route: r.route, Later: r.requests > 0}, now, r.phase.requestPending(), now-r.opened)
+		r.requests++
 	case r.phase == running && p == idle:
 		load.RequestAnswered(r.request, now)
 	case r.phase == running:
@@ -94,6 +103,21 @@
 	if p != opening {
 		r.offer = nil
 	}
+	r.countOpen(now, load)
+}
+
+// countOpen updates whether the load counts the flow as open: from its first request on until an end closes it.
+func (r *record) countOpen(now time.Duration, load *placement.Host) {
+	open := r.requests > 0 && r.phase != ended && !r.callerClosed && !r.hostClosed
+	switch {
+	case open == r.countedOpen:
+		return
+	case open:
+		load.FlowOpened(r.route, now)
+	default:
+		load.FlowClosed(r.route, r.requests == 1 && r.callerClosed && r.phase == idle, now)
+	}
+	r.countedOpen = open
 }
 
 // abandonRequest ends a running request whose caller has left.
@@ -133,6 +157,7 @@
 		r.confirmed = r.confirmed || r.hostSeqKnown
 	}
 	r.callerClosed = r.callerClosed || s.IsFIN
+	defer r.countOpen(now, load)
 	newData := r.hasNewData(s)
 	switch {
 	case r.phase == ended:
@@ -168,6 +193,7 @@
 		r.hostSeq, r.hostSeqKnown = s.Seq, true
 	}
 	r.hostClosed = r.hostClosed || s.IsFIN
+	defer r.countOpen(now, load)
 	switch {
 	case r.phase == ended:
 	case s.IsRST:
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -20,6 +20,7 @@
 	flows  *flowtable.Table[record]
 	// repeats limits what the entry sends on its own account.
 	repeats   *repeats
+	costs     routeCosts
 	isolation isolation
 	// reportCount is the number of reports that the entry has sent, searchTurn the number of agents that it has
 	// searched at in last steps.
@@ -192,9 +193,13 @@
 	defer candidatePool.Put(scratch)
 	candidates := e.roster.candidates(m.Service, (*scratch)[:0], r.wasUnresponsive)
 	*scratch = candidates
-	m.Terms.TypicalServiceTime = typicalServiceTime(candidates)
+	cost := e.costs.of(key.Service)
+	if cost.ServiceTime == 0 {
+		cost.ServiceTime = typicalServiceTime(candidates).Duration()
+	}
+	m.Terms.TypicalServiceTime = mesh.MillisOf(cost.ServiceTime)
 	m.Directories = e.roster.directories(m.Service, key).current()
-	m.Count = placement.Order(key, candidates, &m.Candidates)
+	m.Count = placement.OrderByCost(key, cost, candidates, &m.Candidates)
 	if m.Count == 0 && e.mustReject(m.Service) {
 		e.rejectEvacuated(shard, key, r, service)
 		return
@@ -218,10 +223,15 @@
 	e.repeats.packetForwarded()
 	e.startTimer(&e.offerTimers, timer{key, now + e.offerTimeout()})
 	offersSent.Inc()
+	placements := singleOffers
+	if cost.LongFlows {
+		placements = longFlowOffers
+	}
+	placements.Inc()
 	if e.cfg.Log.AllowOrdinary() {
 		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "offered", "entry", flow.IPText(e.cfg.IP),
 			"service", service, "first", flow.IPText(m.Candidates[0]),
-			"candidates", m.Count, "attempt", offers, "route", route.Name, "config", m.ConfigVersion, "usualMs", uint16(m.Terms.TypicalServiceTime))
+			"candidates", m.Count, "attempt", offers, "route", route.Name, "config", m.ConfigVersion, "usualMs", uint16(m.Terms.TypicalServiceTime), "longFlows", cost.LongFlows)
 	}
 }
 
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -4,14 +4,17 @@
 
 // Metrics are documented in docs/metrics/packetentry.md.
 var (
-	badDatagrams     = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="datagram"}`)
-	badPackets       = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="packet"}`)
-	noAgents         = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="noAgent"}`)
-	noRoutes         = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noRoute"}`)
-	refusedFlows     = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noHost"}`)
-	evacuatedFlows   = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="evacuated"}`)
-	parkedFlows      = metrics.NewCounter(`endiveflow_packetentry_parked_total`)
-	offersSent       = metrics.NewCounter(`endiveflow_packetentry_offers_total`)
+	badDatagrams   = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="datagram"}`)
+	badPackets     = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="packet"}`)
+	noAgents       = metrics.NewCounter(`endiveflow_packetentry_dropped_total{reason="noAgent"}`)
+	noRoutes       = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noRoute"}`)
+	refusedFlows   = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="noHost"}`)
+	evacuatedFlows = metrics.NewCounter(`endiveflow_packetentry_refused_total{reason="evacuated"}`)
+	parkedFlows    = metrics.NewCounter(`endiveflow_packetentry_parked_total`)
+	offersSent     = metrics.NewCounter(`endiveflow_packetentry_offers_total`)
+	// Offers by what is known of the route's flows.
+	longFlowOffers   = metrics.NewCounter(`endiveflow_packetentry_placements_total{flows="long"}`)
+	singleOffers     = metrics.NewCounter(`endiveflow_packetentry_placements_total{flows="single"}`)
 	unansweredOffers = metrics.NewCounter(`endiveflow_packetentry_silent_total`)
 	gaveUp           = metrics.NewCounter(`endiveflow_packetentry_gave_up_total`)
 	forwarded        = metrics.NewCounter(`endiveflow_packetentry_forwarded_total`)
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -37,6 +37,9 @@
 		if a := e.roster.agent(m.Origin); a != nil {
 			a.recordMessage(m.Load, e.cfg.Now())
 		}
+		if m.Kind != mesh.KindMissing {
+			e.costs.record(&m)
+		}
 		e.handleNotice(&m)
 		if m.Kind == mesh.KindTaken && m.Step == mesh.TakenAsksDirectories {
 			e.sendDirectories(&m)
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -83,6 +83,7 @@
 	defer a.mu.Unlock()
 	return placement.Candidate{
 		IP: r.IP, SameZone: r.Zone == zone, Load: a.load, LoadAge: now - a.loadAt, OffersSinceLoad: a.offersSinceLoad, WarmingUp: !r.HostWarm,
+		RelativeCost: float64(r.RelativeCostPermille) / 1000,
 	}, now < a.unresponsiveUntil
 }
 
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -23,6 +23,10 @@
 	// WorkTime is the processing time of a request. If WorkSpread is set, the time is drawn from an exponential
 	// distribution of that mean on top of it.
 	WorkTime, WorkSpread time.Duration
+	// WorkFactor returns a factor of the processing time of a request on a flow; nil means 1.
+	WorkFactor func(flow.Key) float64
+	// Worked is the time for which the host has processed requests, summed over its slots.
+	Worked time.Duration
 	// Slots is the number of requests that the host processes at a time; others wait in the host.
 	Slots int
 	// ColdTime is how long the host is slow after a loss of power, ColdFactor how much slower.
@@ -143,6 +147,10 @@
 	if f.now < h.coldUntil {
 		d = time.Duration(h.ColdFactor * float64(d))
 	}
+	if h.WorkFactor != nil {
+		d = time.Duration(h.WorkFactor(id.key) * float64(d))
+	}
+	h.Worked += d
 	f.After(d, func() {
 		if !h.Up || h.StartedAt != startedAt {
 			return
@@ -159,7 +167,7 @@
 }
 
 func (f *Fleet) answer(a *Agent, id requestID) {
-	f.fromHost(a, Answer(id.key, a.Host.Flows[id.key]+1, answerBytes))
+	f.fromHost(a, Packet{Flow: id.key, FromHost: true, Flags: ACK, Seq: a.Host.Flows[id.key] + 1, Ack: id.seq + 1, DataBytes: answerBytes}.Bytes())
 }
 
 // answerBytes is the size of an answer.
--- a/placement/host.go
+++ b/placement/host.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"endiveflow.example/endiveflow/cost"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
 )
@@ -46,8 +47,9 @@
 	// mu guards the fields below.
 	mu sync.Mutex
 	// pendingFlows is the number of flows given to the host whose request has not arrived; it is never
-	// negative.
+	// negative. pendingWork is the expected time of their requests.
 	pendingFlows int
+	pendingWork  time.Duration
 	// requests are the requests in the host, in order of arrival; as many of the first as there are slots run.
 	requests []*Request
 	held     queue
@@ -58,6 +60,11 @@
 	// serviceSamples.
 	serviceTime time.Duration
 	samples     int
+	// typicalTime is the mean of the fleet's values for the same requests, 0 if unknown.
+	typicalTime time.Duration
+	costs       *cost.Estimator
+	// lastNow is the latest time that a method was called with.
+	lastNow time.Duration
 	// requestDelay is the mean time from giving a flow to the host until its request arrives.
 	requestDelay time.Duration
 	failures     failureStats
@@ -67,6 +74,9 @@
 type Request struct {
 	// started is when the request began to run; negative while it waits.
 	started time.Duration
+	class   cost.Class
+	// expected is the expected service time, typical the fleet's value of the route, 0 if unknown, both when the request arrived.
+	expected, typical time.Duration
 }
 
 // NewHost returns the state of a host that accepts flows and has none.
@@ -83,7 +93,7 @@
 	if cfg.HoldLimit <= 0 {
 		cfg.HoldLimit = DefaultHoldLimit
 	}
-	return &Host{cfg: cfg, slots: cfg.Slots, open: true, serviceTime: cfg.ServiceTime}
+	return &Host{cfg: cfg, slots: cfg.Slots, open: true, serviceTime: cfg.ServiceTime, costs: cost.New(cost.Config{})}
 }
 
 // Action is what an agent does with an offer.
@@ -129,35 +139,72 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.failures.updateFaulty(now)
-	d := Decision{Terms: t, ExpectedLatency: h.expectedLatency(t, now), Load: h.loadLocked()}
+	h.costs.SetTypical(key.Service, t.TypicalServiceTime.Duration(), now)
+	work := h.costs.Expected(cost.Class{Route: key.Service}, now, h.serviceTime)
+	ahead := h.workAhead(now)
+	d := Decision{Terms: t, ExpectedLatency: h.expectedLatency(key, t, work, ahead, now), Load: h.loadOf(ahead)}
 	switch {
 	case !t.MustTake && h.canTakeNow(t):
-		h.pendingFlows++
+		h.addPending(work)
 		d.Action = Take
 	case t.MustTake:
-		d.Action = h.takeOrHold(key, t, now)
+		d.Action = h.takeOrHold(key, t, work, now)
 	default:
 		if h.accepts() && (t.Best == mesh.NoCandidate || mesh.MillisOf(d.ExpectedLatency) < t.BestLatency) {
 			d.Terms.Best, d.Terms.BestLatency = t.Current, mesh.MillisOf(d.ExpectedLatency)
 		}
-		d.Action = h.nextAction(key, &d.Terms, count, now)
+		d.Action = h.nextAction(key, &d.Terms, count, work, now)
 	}
 	return d
 }
 
-// expectedLatency returns the time after which the host would have answered, plus the expected cost of its
-// failures. That cost only ranks the host behind others: it never raises the result above the hold limit, so
-// that a flow is refused for lack of time only.
-func (h *Host) expectedLatency(t mesh.Terms, now time.Duration) time.Duration {
-	d := h.expectedWait(now) + h.serviceTime
-	return max(d, min(d+h.failures.expectedCost(t.TargetLatency.Duration(), now), h.cfg.HoldLimit))
+// expectedLatency returns the time after which the host would have answered a flow of the given expected work, plus the
+// expected cost of its failures and, for a route with long flows, what the standing load will cost its later requests. Those costs
+// only rank the host behind others: they never raise the result above the hold limit, so that a flow is refused for lack of
+// time only.
+func (h *Host) expectedLatency(key flow.Key, t mesh.Terms, work time.Duration, ahead workAhead, now time.Duration) time.Duration {
+	d := h.expectedWait(ahead, now) + work
+	target := t.TargetLatency.Duration()
+	later := h.failures.expectedCost(target, now)
+	if h.costs.HasLongFlows(key.Service) {
+		later += time.Duration(ahead.standing.Seconds() / float64(h.slots) * standingCostTargets * float64(target))
+	}
+	return max(d, min(d+later, h.cfg.HoldLimit))
 }
 
+// standingCostTargets is the wait that a flow's later requests expect at a host whose slots its open flows fill, in
+// multiples of the route's target. With it, hosts without a free slot are compared by their standing load unless the wait
+// of the first request differs by as much.
+const standingCostTargets = 0.5
+
 // canTakeNow reports whether a slot is free for the flow and the host is neither slow nor faulty compared
 // with others.
 func (h *Host) canTakeNow(t mesh.Terms) bool {
-	slow := t.TypicalServiceTime > 0 && h.serviceTime > time.Duration(h.cfg.SlowFactor*float64(t.TypicalServiceTime.Duration()))
-	return h.accepts() && h.inUse() < h.slots && len(h.held) == 0 && !slow && !h.failures.faulty
+	return h.accepts() && h.inUse() < h.slots && len(h.held) == 0 && !h.isSlow(t) && !h.failures.faulty
+}
+
+// isSlow reports whether the host takes far longer than others for the requests that it ran. These may differ in cost from
+// those of the offered flow, so that they are compared with the fleet's values for themselves, if these are known.
+func (h *Host) isSlow(t mesh.Terms) bool {
+	typical := h.typicalTime
+	if typical == 0 {
+		typical = t.TypicalServiceTime.Duration()
+	}
+	return typical > 0 && h.serviceTime > time.Duration(h.cfg.SlowFactor*float64(typical))
+}
+
+// addPending counts a flow that is given to the host.
+func (h *Host) addPending(work time.Duration) {
+	h.pendingFlows++
+	h.pendingWork += work
+}
+
+// removePending removes a pending flow. Which one it is doesn't matter, as their requests are soon to arrive.
+func (h *Host) removePending() {
+	if h.pendingFlows > 0 {
+		h.pendingWork -= h.pendingWork / time.Duration(h.pendingFlows)
+		h.pendingFlows--
+	}
 }
 
 // accepts reports whether the host takes new flows.
@@ -173,20 +220,20 @@
 }
 
 // takeOrHold takes or holds a flow for which no other host is better, or refuses it.
-func (h *Host) takeOrHold(key flow.Key, t mesh.Terms, now time.Duration) Action {
+func (h *Host) takeOrHold(key flow.Key, t mesh.Terms, work, now time.Duration) Action {
 	switch {
-	case !h.accepts() || h.expectedWait(now) > h.cfg.HoldLimit:
+	case !h.accepts() || h.expectedWait(h.workAhead(now), now) > h.cfg.HoldLimit:
 		return Refuse
 	case h.inUse() < h.admissionLimit() && len(h.held) == 0:
-		h.pendingFlows++
+		h.addPending(work)
 		return Take
 	}
-	h.held = append(h.held, heldFlow{key: key, priority: t.Priority, target: t.TargetLatency.Duration(), since: now - t.Waited.Duration()})
+	h.held = append(h.held, heldFlow{key: key, work: work, priority: t.Priority, target: t.TargetLatency.Duration(), since: now - t.Waited.Duration()})
 	return Hold
 }
 
 // nextAction decides on an offer that this host did not take immediately, and updates its terms.
-func (h *Host) nextAction(key flow.Key, t *mesh.Terms, count uint8, now time.Duration) Action {
+func (h *Host) nextAction(key flow.Key, t *mesh.Terms, count uint8, work, now time.Duration) Action {
 	if t.Current+1 < count {
 		t.Current++
 		return Pass
@@ -196,7 +243,7 @@
 	}
 	t.MustTake = true
 	if t.Best == t.Current {
-		return h.takeOrHold(key, *t, now)
+		return h.takeOrHold(key, *t, work, now)
 	}
 	t.Current = t.Best
 	return Return
@@ -243,23 +290,99 @@
 // expectedWait returns the time until a request that arrives now begins to run. Held flows that can't meet
 // their target don't delay it, as it is served before them; each still adds a little, so that of two hosts
 // the one with fewer such flows is preferred.
-func (h *Host) expectedWait(now time.Duration) time.Duration {
-	meetingTarget := h.held.countMeetingTarget(now, h.serviceTime+h.requestDelay)
-	ahead := h.inUse() + meetingTarget - h.slots + 1
+func (h *Host) expectedWait(ahead workAhead, now time.Duration) time.Duration {
+	meetingTarget, heldWork := h.held.meetingTarget(now, h.requestDelay)
 	wait := time.Duration(len(h.held)-meetingTarget) * time.Millisecond
-	if ahead > 0 {
-		wait += h.serviceTime * time.Duration(ahead) / time.Duration(h.slots)
+	if h.inUse()+meetingTarget < h.slots {
+		return wait
 	}
-	return wait
+	slots := time.Duration(h.slots)
+	// The first slot becomes free after a slots' part of what runs in all of them.
+	return wait + (ahead.running/slots+ahead.waiting+heldWork)/slots
+}
+
+// minRemaining is the least remaining time of a running request, as a part of its expected time. Service times have a long
+// tail, so that a request that has run for longer than expected is not about to end.
+const minRemaining = 2
+
+// workAhead is the work of a host at a moment.
+type workAhead struct {
+	// running is the expected remaining time of the requests that occupy slots, pending ones included, waiting that of those
+	// that wait for a slot, and standing the standing load of a second.
+	running, waiting, standing time.Duration
+}
+
+func (h *Host) workAhead(now time.Duration) (w workAhead) {
+	h.lastNow = max(h.lastNow, now)
+	for i, r := range h.requests {
+		switch {
+		case i >= h.slots:
+			w.waiting += r.expected
+		case r.started < 0:
+			w.running += r.expected
+		default:
+			w.running += max(r.expected-(now-r.started), r.expected/minRemaining)
+		}
+	}
+	w.standing = h.costs.StandingLoad(now, h.serviceTime)
+	free := max(h.slots-len(h.requests), 0)
+	if h.pendingFlows <= free {
+		w.running += h.pendingWork
+		return w
+	}
+	inSlots := h.pendingWork * time.Duration(free) / time.Duration(h.pendingFlows)
+	w.running += inSlots
+	w.waiting += h.pendingWork - inSlots
+	return w
 }
 
-func (h *Host) loadLocked() mesh.Load {
+func (h *Host) loadOf(w workAhead) mesh.Load {
 	return mesh.Load{
 		Busy: uint16(h.inUse() + len(h.held)), Slots: uint16(h.slots), ServiceTime: mesh.MillisOf(h.serviceTime),
 		Open: h.accepts(), Faulty: h.failures.faulty,
+		WorkMs:     uint16(max(mesh.MillisOf(w.running+w.waiting+h.held.work()+w.standing), 1)),
+		StandingMs: uint16(mesh.MillisOf(w.standing)),
 	}
 }
 
+// RouteCost is what a host has learned of a route.
+type RouteCost struct {
+	// ServiceTime is the measured time of a request, 0 if none was answered.
+	ServiceTime time.Duration
+	// LongFlows reports whether flows may carry several requests.
+	LongFlows bool
+}
+
+// RouteCost returns what the host has learned of the route of a service endpoint.
+func (h *Host) RouteCost(at flow.Endpoint, now time.Duration) RouteCost {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return RouteCost{ServiceTime: h.costs.Measured(at, now), LongFlows: h.costs.HasLongFlows(at)}
+}
+
+// RelativeCost returns the service time of the host's requests as a multiple of the fleet's values for the same requests,
+// 0 if unknown.
+func (h *Host) RelativeCost() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.costs.Relative()
+}
+
+// FlowOpened counts an open flow, from its first request on; FlowClosed ends it. single reports whether its caller
+// closed it after one request.
+func (h *Host) FlowOpened(at flow.Endpoint, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.costs.FlowOpened(at, now)
+}
+
+// FlowClosed ends a flow that FlowOpened counted.
+func (h *Host) FlowClosed(at flow.Endpoint, single bool, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.costs.FlowClosed(at, single, now)
+}
+
 // Reassess updates and returns whether the host is faulty, with its failure rate. A host that gets no flows
 // is reassessed only here.
 func (h *Host) Reassess(now time.Duration) (faulty bool, failureRate float64) {
@@ -269,11 +392,18 @@
 	return h.failures.faulty, h.failures.rateAt(now)
 }
 
-// Load returns the current load.
+// Load returns the load at the latest time that the host was called with.
 func (h *Host) Load() mesh.Load {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.loadLocked()
+	return h.loadOf(h.workAhead(h.lastNow))
+}
+
+// LoadAt returns the current load.
+func (h *Host) LoadAt(now time.Duration) mesh.Load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.loadOf(h.workAhead(now))
 }
 
 // Dequeue returns the next held flow if the host has room for it, and counts the flow as pending. It returns
@@ -284,8 +414,8 @@
 	if !h.accepts() || len(h.held) == 0 || h.inUse() >= h.admissionLimit() {
 		return flow.Key{}, false
 	}
-	f := h.held.dequeue(now, h.serviceTime+h.requestDelay)
-	h.pendingFlows++
+	f := h.held.dequeue(now, h.requestDelay)
+	h.addPending(f.work)
 	return f.key, true
 }
 
@@ -314,16 +444,25 @@
 	return h.held.removeOldest(math.MaxInt64)
 }
 
-// RequestArrived records a request that arrived at the host. pending reports whether its flow was counted as
-// pending, and delay is the time since the flow was given to the host.
+// RequestArrived records a request of no particular route that arrived at the host. pending reports whether its flow was
+// counted as pending, and delay is the time since the flow was given to the host.
 func (h *Host) RequestArrived(now time.Duration, pending bool, delay time.Duration) *Request {
+	return h.ClassRequestArrived(cost.Class{}, now, pending, delay)
+}
+
+// ClassRequestArrived records a request of a class that arrived at the host, as RequestArrived does.
+func (h *Host) ClassRequestArrived(c cost.Class, now time.Duration, pending bool, delay time.Duration) *Request {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.lastNow = max(h.lastNow, now)
 	if pending {
-		h.pendingFlows = max(h.pendingFlows-1, 0)
+		h.removePending()
 		h.requestDelay += (delay - h.requestDelay) / serviceSamples
 	}
-	r := &Request{started: -1}
+	if c.Later {
+		h.costs.LaterRequest(c.Route, now)
+	}
+	r := &Request{started: -1, class: c, expected: h.costs.Expected(c, now, h.serviceTime), typical: h.costs.Typical(c.Route)}
 	h.requests = append(h.requests, r)
 	h.startRequests(now)
 	return r
@@ -346,8 +485,17 @@
 		return
 	}
 	h.failures.record(false, now)
+	took := h.costs.Observe(r.class, now-r.started, now)
 	h.samples = min(h.samples+1, serviceSamples)
-	h.serviceTime += (now - r.started - h.serviceTime) / time.Duration(h.samples+1)
+	weight := time.Duration(h.samples + 1)
+	h.serviceTime += (took - h.serviceTime) / weight
+	switch {
+	case r.typical == 0:
+	case h.typicalTime == 0:
+		h.typicalTime = r.typical
+	default:
+		h.typicalTime += (r.typical - h.typicalTime) / weight
+	}
 }
 
 // RequestFailed ends a request whose flow the host reset.
@@ -364,7 +512,7 @@
 func (h *Host) RequestAbandoned(r *Request, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.remove(r, now) && r.started >= 0 && now-r.started > hungRequestFactor*h.serviceTime {
+	if h.remove(r, now) && r.started >= 0 && now-r.started > hungRequestFactor*max(h.serviceTime, r.expected) {
 		h.failures.record(true, now)
 	}
 }
@@ -374,7 +522,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if r == nil {
-		h.pendingFlows = max(h.pendingFlows-1, 0)
+		h.removePending()
 		return
 	}
 	h.remove(r, now)
@@ -424,4 +572,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.pendingFlows, h.requests, h.serviceTime, h.samples, h.failures = 0, nil, h.cfg.ServiceTime, 0, failureStats{}
+	h.pendingWork, h.typicalTime = 0, 0
+	h.costs.Reset()
 }
--- a/placement/order.go
+++ b/placement/order.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
@@ -21,6 +19,8 @@
 	OffersSinceLoad int
 	// WarmingUp reports whether the host is within its warm-up.
 	WarmingUp bool
+	// RelativeCost is the time that the host works on its requests as a multiple of the fleet's, 0 if unknown.
+	RelativeCost float64
 
 	// rank is the result of score for the current flow.
 	rank float64
@@ -44,6 +44,11 @@
 // Order writes the addresses of the best candidates to out, best first, and returns their number. Of many
 // candidates it considers a pseudo-random sample that depends on the flow. It reorders candidates.
 func Order(key flow.Key, candidates []Candidate, out *[mesh.MaxCandidates]uint32) uint8 {
+	return OrderByCost(key, RouteCost{}, candidates, out)
+}
+
+// OrderByCost orders like Order, for a flow of a route with a known cost.
+func OrderByCost(key flow.Key, route RouteCost, candidates []Candidate, out *[mesh.MaxCandidates]uint32) uint8 {
 	seed := key.Hash()
 	if n := 2 * mesh.MaxCandidates; len(candidates) > n {
 		for i := range n {
@@ -53,13 +58,24 @@
 		}
 		candidates = candidates[:n]
 	}
+	setRanks(seed, route, candidates)
+	// Only addresses are sorted: moving whole candidates takes most of the time of a decision.
+	type ranked struct {
+		rank float64
+		ip   uint32
+	}
+	var order [2 * mesh.MaxCandidates]ranked
 	for i := range candidates {
-		candidates[i].rank = candidates[i].score(seed)
+		c := ranked{candidates[i].rank, candidates[i].IP}
+		at := i
+		for ; at > 0 && order[at-1].rank > c.rank; at-- {
+			order[at] = order[at-1]
+		}
+		order[at] = c
 	}
-	slices.SortFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.rank, b.rank) })
 	count := min(len(candidates), mesh.MaxCandidates)
 	for i := range count {
-		out[i] = candidates[i].IP
+		out[i] = order[i].ip
 	}
 	return uint8(count)
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -14,6 +14,8 @@
 	// opening packet, as far as is known.
 	target time.Duration
 	since  time.Duration
+	// work is the expected time of its request when the flow was queued.
+	work time.Duration
 }
 
 // queue holds flows in order of arrival.
@@ -24,12 +26,12 @@
 // above the mean. Among the others, it is the oldest, whose caller gives up first.
 type queue []heldFlow
 
-// dequeue removes the flow to serve next; the queue must not be empty. serviceTime is the expected time to an
-// answer.
-func (q *queue) dequeue(now, serviceTime time.Duration) heldFlow {
+// dequeue removes the flow to serve next; the queue must not be empty. requestDelay is the expected time
+// until its request arrives.
+func (q *queue) dequeue(now, requestDelay time.Duration) heldFlow {
 	best := 0
 	for i, f := range (*q)[1:] {
-		if f.precedes((*q)[best], now, serviceTime) {
+		if f.precedes((*q)[best], now, requestDelay) {
 			best = i + 1
 		}
 	}
@@ -37,8 +39,8 @@
 }
 
 // precedes reports whether f is served before a flow that was queued earlier.
-func (f heldFlow) precedes(older heldFlow, now, serviceTime time.Duration) bool {
-	meets, olderMeets := f.meetsTarget(now, serviceTime), older.meetsTarget(now, serviceTime)
+func (f heldFlow) precedes(older heldFlow, now, requestDelay time.Duration) bool {
+	meets, olderMeets := f.meetsTarget(now, requestDelay), older.meetsTarget(now, requestDelay)
 	switch {
 	case meets != olderMeets:
 		return meets
@@ -49,19 +51,27 @@
 }
 
 // meetsTarget reports whether the flow can be expected to meet its target.
-func (f heldFlow) meetsTarget(now, serviceTime time.Duration) bool {
-	return now-f.since+serviceTime <= f.target
+func (f heldFlow) meetsTarget(now, requestDelay time.Duration) bool {
+	return now-f.since+requestDelay+f.work <= f.target
 }
 
-// countMeetingTarget returns the number of flows that can be expected to meet their target.
-func (q queue) countMeetingTarget(now, serviceTime time.Duration) int {
-	n := 0
+// meetingTarget returns the number and the work of flows that can be expected to meet their target.
+func (q queue) meetingTarget(now, requestDelay time.Duration) (n int, work time.Duration) {
 	for _, f := range q {
-		if f.meetsTarget(now, serviceTime) {
+		if f.meetsTarget(now, requestDelay) {
 			n++
+			work += f.work
 		}
 	}
-	return n
+	return n, work
+}
+
+// work returns the expected time of the requests of all flows.
+func (q queue) work() (work time.Duration) {
+	for _, f := range q {
+		work += f.work
+	}
+	return work
 }
 
 // oldestIndex returns the index of the flow that has waited longest, -1 for an empty queue. It isn't always
