--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -262,7 +262,7 @@
 		// The host answered the opening packet before this process started, or later than it waited. Any
 		// other packet shows that the caller opened the flow here.
 		r = &record{
-			route: s.Key.Service, requests: 1, phase: idle, phaseStarted: now, opened: now, openedUnixMilli: a.cfg.UnixMilli(), confirmed: !s.IsSYN,
+			route: s.Key.Service, requests: 2, phase: idle, phaseStarted: now, opened: now, openedUnixMilli: a.cfg.UnixMilli(), confirmed: !s.IsSYN,
 			directoriesAsked: now - locationRefreshInterval,
 		}
 		shard.Put(s.Key, r)
--- a/packetagent/record.go
+++ b/packetagent/record.go
@@ -35,9 +35,10 @@
 	phase phase
 	// route is the flow's service endpoint.
 	route flow.Endpoint
-	// requests is the number of requests of the flow, as far as it is known; a flow that was learned from its host may have
-	// had one before.
+	// requests is the number of requests of the flow; a flow that was learned from its host counts as having had several.
+	// answered reports whether the host answered any.
 	requests int
+	answered bool
 	// countedOpen reports whether the load counts the flow as open.
 	countedOpen bool
 	// request is set while the phase is running.
@@ -115,7 +116,7 @@
 	case open:
 		load.FlowOpened(r.route, now)
 	default:
-		load.FlowClosed(r.route, r.requests == 1 && r.callerClosed && r.phase == idle, now)
+		load.FlowClosed(r.route, r.requests == 1 && r.answered && r.callerClosed, now)
 	}
 	r.countedOpen = open
 }
@@ -193,6 +194,7 @@
 		r.hostSeq, r.hostSeqKnown = s.Seq, true
 	}
 	r.hostClosed = r.hostClosed || s.IsFIN
+	r.answered = r.answered || s.DataBytes > 0
 	defer r.countOpen(now, load)
 	switch {
 	case r.phase == ended:
