retry: budgets take back what was taken

A search that finds its flow shall not count against the bound of failed searches, so callers of a budget can return retries, up to its burst.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -90,6 +90,13 @@
 	return true
 }
 
+// Return gives back n retries that were taken, up to the budget's burst.
+func (b *Budget) Return(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.units = min(b.units+int64(n)*unitsPerToken, b.limit)
+}
+
 // expire empties the budget if there has been no request for idleExpiry.
 func (b *Budget) expire(now time.Time) {
 	if now.Sub(b.lastRequest) > idleExpiry {
