packetentry, placement: candidates and searches from one rendezvous order

The candidates of a flow were a sample of all agents, so that a search without a record had to ask all of them, within a budget that admits few such searches. The first 8 agents in rendezvous order that take flows are the candidates now, drawn together with the directory agents in one pass without locks. A search asks the first 8 at once before all agents, on a budget of its own; a search that finds its flow returns its cost. The step is sent as StepAll, which earlier versions know. Agents that got the entry's own offer, and the first ones from before agents joined, are asked as well.

--- a/packetentry/bench_test.go
+++ b/packetentry/bench_test.go
@@ -75,14 +75,19 @@
 	}
 }
 
+// BenchmarkOffer measures the placement of a new flow and its refusal.
 func BenchmarkOffer(b *testing.B) {
-	e := newEntryWithAgents(b, 42)
-	b.ReportAllocs()
-	for n := 2; b.Loop(); n++ {
-		k := packettest.Key(n)
-		e.FromCaller(packettest.Open(k, 0))
-		refused := mesh.Message{Kind: mesh.KindRefused, Origin: packettest.Address(100), Flow: k, ConfigVersion: 1}
-		e.Receive(refused.Append(nil))
+	for _, agents := range []int{40, 163, 1000} {
+		b.Run(strconv.Itoa(agents), func(b *testing.B) {
+			e := newEntryWithAgents(b, agents)
+			b.ReportAllocs()
+			for n := 2; b.Loop(); n++ {
+				k := packettest.Key(n)
+				e.FromCaller(packettest.Open(k, 0))
+				refused := mesh.Message{Kind: mesh.KindRefused, Origin: packettest.Address(100), Flow: k, ConfigVersion: 1}
+				e.Receive(refused.Append(nil))
+			}
+		})
 	}
 }
 
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -66,6 +66,8 @@
 	callerStarted time.Duration
 	// unresponsiveAgents are the agents that did not answer an offer of the flow.
 	unresponsiveAgents [maxOffers]uint32
+	// offered are the candidates of the last offer; 0 for none.
+	offered [mesh.MaxCandidates]uint32
 	// offerCount is the number of offers made that were not refused.
 	offerCount int
 	// firstCopy reports whether the opening packet is the first that the caller sent, so that no other entry has
@@ -80,6 +82,8 @@
 	// number of packets searched for in this one. searchedSteps is the last step that any search proceeded to.
 	lastSearch                                  time.Duration
 	searchCount, searchedPackets, searchedSteps int
+	// drawn is what the last step to several agents at once drew from a budget, until the search finds the flow.
+	drawn draw
 }
 
 // New returns an entry that has no record of other processes.
@@ -188,13 +192,10 @@
 			Resent: r.offerCount > 0 || !r.firstCopy,
 		},
 	}
-	scratch := candidatePool.Get().(*[]placement.Candidate)
-	defer candidatePool.Put(scratch)
-	candidates := e.roster.candidates(m.Service, (*scratch)[:0], r.wasUnresponsive)
-	*scratch = candidates
-	m.Terms.TypicalServiceTime = typicalServiceTime(candidates)
-	m.Directories = e.roster.directories(m.Service, key).current()
-	m.Count = placement.Order(key, candidates, &m.Candidates)
+	candidates, directories := e.roster.place(m.Service, key, r.wasUnresponsive)
+	m.Terms.TypicalServiceTime = e.roster.typicalServiceTime(m.Service)
+	m.Directories = directories.directories().current()
+	m.Count = e.orderByLoad(key, &candidates, &m.Candidates)
 	if m.Count == 0 && e.mustReject(m.Service) {
 		e.rejectEvacuated(shard, key, r, service)
 		return
@@ -207,6 +208,7 @@
 	now := e.cfg.Now()
 	m.Terms.Waited = mesh.MillisOf(now - r.callerStarted)
 	r.agent, r.offerUpdated, r.offerLapsed = m.Candidates[0], now, false
+	r.offered = m.Candidates
 	r.offerCount++
 	offers := r.offerCount
 	m.Body = r.openingPacket
@@ -225,6 +227,17 @@
 	}
 }
 
+// orderByLoad writes the addresses of a flow's candidates to out, in the order in which an offer visits them, and returns their
+// number.
+func (e *Entry) orderByLoad(key flow.Key, candidates *ranking, out *[mesh.MaxCandidates]uint32) uint8 {
+	now := e.cfg.Now()
+	var views [mesh.MaxCandidates]placement.Candidate
+	for i, a := range candidates.all() {
+		views[i] = a.candidate(e.cfg.Zone, now)
+	}
+	return placement.Order(key, views[:candidates.count], out)
+}
+
 func (e *Entry) logNoAgent(key flow.Key, service string) {
 	if e.cfg.Log.AllowRare() {
 		e.cfg.Log.Warn("open", "flow", key.String(), "outcome", "parked", "why", "no agent",
@@ -317,6 +330,3 @@
 
 // Flows returns the number of flows that the entry has a record of.
 func (e *Entry) Flows() int { return e.flows.Len() }
-
-// candidatePool holds reusable lists of candidates, as a list is as long as the number of a service's agents.
-var candidatePool = sync.Pool{New: func() any { return new([]placement.Candidate) }}
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -16,10 +16,13 @@
 	gaveUp           = metrics.NewCounter(`endiveflow_packetentry_gave_up_total`)
 	forwarded        = metrics.NewCounter(`endiveflow_packetentry_forwarded_total`)
 	floods           = metrics.NewCounter(`endiveflow_packetentry_floods_total`)
+	firstSearches    = metrics.NewCounter(`endiveflow_packetentry_first_agents_searches_total`)
+	foundSearches    = metrics.NewCounter(`endiveflow_packetentry_found_searches_total`)
 	withheldRepeats  = metrics.NewCounter(`endiveflow_packetentry_withheld_repeats_total`)
 	searches         = metrics.NewCounter(`endiveflow_packetentry_searches_total`)
 
 	// The searches that begin with a packet of a caller whose flow the entry has no record of, by step.
 	directorySearchesBegun = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="directory"}`)
+	firstSearchesBegun     = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="firstAgents"}`)
 	allSearchesBegun       = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="all"}`)
 )
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -100,6 +100,8 @@
 			r = &record{lastPacket: now}
 			shard.Put(m.Flow, r)
 		}
+		r.drawn.giveBack()
+		r.drawn = draw{}
 		r.handleTaken(m.Origin, m.Service)
 	case m.Kind == mesh.KindMissing:
 		if r != nil && r.taken && !r.handleMissing(m.Origin) {
@@ -131,7 +133,7 @@
 	}
 	m := mesh.Message{
 		Kind: mesh.KindLocated, Service: request.Service, ConfigVersion: e.cfg.Routes.Version(), Origin: request.Origin, Flow: request.Flow,
-		Step: mesh.LocatedHere, Directories: e.roster.directories(request.Service, request.Flow).current(),
+		Step: mesh.LocatedHere, Directories: e.roster.directories(request.Service, request.Flow),
 	}
 	e.send(request.Origin, &m)
 }
--- a/packetentry/repeats.go
+++ b/packetentry/repeats.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/retry"
 )
 
@@ -18,21 +19,40 @@
 	// maxSearched is the number of agents that a search at all agents asks at most. Searches have a budget of their own, of
 	// which this is the burst.
 	maxSearched = 256
+	// firstAgentsSearches is the burst of searches at the first agents in rendezvous order, each of which costs
+	// mesh.MaxCandidates datagrams. They earn as many searches per second and packet as single datagrams are earned for
+	// repeats. After a restart of all processes, an entry of 18 searches for 200 of 3,600 open flows, of which 73 per second have
+	// a request; the burst and what is earned meanwhile admit all of them within 5 s if no host has the flows.
+	firstAgentsSearches = 128
+	// maxFirstAgents bounds the agents that a search asks at once as the first ones: those of two services, before and after
+	// agents joined.
+	maxFirstAgents = 4 * mesh.MaxCandidates
 )
 
+// draw is what a search drew from a budget.
+type draw struct {
+	budget    *retry.Budget
+	datagrams int
+}
+
 // repeats limits what the entry sends on its own account: repeated offers, and the steps of a search that follow
 // the first, after each has been taken once for the flow. Under a lossy or full link, each lost packet would cause more packets than it was and keep the link
 // full. Packets of callers are never limited: a copy that the caller sends continues where a repeat was not
 // allowed.
 type repeats struct {
-	budget, searches *retry.Budget
-	now              func() time.Duration
+	budget *retry.Budget
+	// firstAgents is the budget of searches at the first agents in rendezvous order, allAgents that of searches at all agents.
+	firstAgents, allAgents *retry.Budget
+	now                    func() time.Duration
 }
 
 func newRepeats(now func() time.Duration) *repeats {
 	return &repeats{
-		budget:   retry.NewBudget(retry.BudgetConfig{Burst: repeatBurst, PerSecond: repeatsPerSecond}),
-		searches: retry.NewBudget(retry.BudgetConfig{Burst: maxSearched, PerSecond: repeatsPerSecond}), now: now,
+		budget: retry.NewBudget(retry.BudgetConfig{Burst: repeatBurst, PerSecond: repeatsPerSecond}),
+		firstAgents: retry.NewBudget(retry.BudgetConfig{
+			Burst: firstAgentsSearches * mesh.MaxCandidates, PerSecond: repeatsPerSecond * mesh.MaxCandidates,
+		}),
+		allAgents: retry.NewBudget(retry.BudgetConfig{Burst: maxSearched, PerSecond: repeatsPerSecond}), now: now,
 	}
 }
 
@@ -43,7 +63,8 @@
 func (r *repeats) packetForwarded() {
 	now := r.time()
 	r.budget.AddRequest(repeatShare, now)
-	r.searches.AddRequest(repeatShare, now)
+	r.firstAgents.AddRequest(repeatShare*mesh.MaxCandidates, now)
+	r.allAgents.AddRequest(repeatShare, now)
 }
 
 // take returns how many of n datagrams may be sent now.
@@ -53,11 +74,19 @@
 	return granted
 }
 
-// takeSearch reports whether a search may be sent to n agents now.
-func (r *repeats) takeSearch(n int) bool {
-	granted := r.searches.TakeAll(n, r.time())
-	if !granted {
+// takeSearch draws n datagrams of a search from its budget, and reports whether they may be sent now.
+func (r *repeats) takeSearch(budget *retry.Budget, n int) (draw, bool) {
+	if !budget.TakeAll(n, r.time()) {
 		withheldRepeats.Add(n)
+		return draw{}, false
+	}
+	return draw{budget, n}, true
+}
+
+// giveBack returns what a search drew that found its flow. Budgets bound the datagrams of searches that fail.
+func (d draw) giveBack() {
+	if d.budget != nil {
+		d.budget.Return(d.datagrams)
+		foundSearches.Inc()
 	}
-	return granted
 }
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -20,8 +20,15 @@
 	// lastHeard is when the last message arrived, in the time of Config.Now.
 	lastHeard atomic.Int64
 
-	// joined reports whether the agent became known when the entry had known the others for some time.
-	joined bool
+	// joined reports whether the agent became known when the entry had known the others for some time, and joinedAt when.
+	joined   bool
+	joinedAt time.Duration
+	// mixedIP is flow.Mix of the address, from which the rendezvous weights follow.
+	mixedIP uint64
+	// open is load.Open, and unresponsiveUntil when the next offer may be sent to an agent that left some unanswered, in the
+	// time of Config.Now. Both are read for many agents per flow, without the lock.
+	open              atomic.Bool
+	unresponsiveUntil atomic.Int64
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -30,9 +37,8 @@
 	loadAt          time.Duration
 	offersSinceLoad int
 	// unansweredOffers is the number of offers that the agent left unanswered since its last message, up to
-	// maxUnanswered; unresponsiveUntil is when the next one may be sent to it.
-	unansweredOffers  int
-	unresponsiveUntil time.Duration
+	// maxUnanswered.
+	unansweredOffers int
 }
 
 // unresponsiveBase is the time for which an agent that left an offer unanswered gets no others while there are
@@ -47,9 +53,11 @@
 	a.lastHeard.Store(int64(now))
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unansweredOffers, a.unresponsiveUntil = 0, 0
+	a.unansweredOffers = 0
+	a.unresponsiveUntil.Store(0)
 	if l.Slots > 0 {
 		a.load, a.loadAt, a.offersSinceLoad = l, now, 0
+		a.open.Store(l.Open)
 	}
 }
 
@@ -73,17 +81,30 @@
 func (a *agent) markUnresponsive(now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.unresponsiveUntil = now + unresponsiveBase<<a.unansweredOffers
+	a.unresponsiveUntil.Store(int64(now + unresponsiveBase<<a.unansweredOffers))
 	a.unansweredOffers = min(a.unansweredOffers+1, maxUnanswered)
 }
 
-func (a *agent) candidate(zone string, now time.Duration) (c placement.Candidate, unresponsive bool) {
+// takesFlows reports whether the agent answers offers and its host accepts flows, as far as is known.
+func (a *agent) takesFlows(now time.Duration) bool {
+	return a.open.Load() && int64(now) >= a.unresponsiveUntil.Load() && !a.timedOut(now)
+}
+
+// joinedRecently reports whether flows may be open that were placed before the agent was known.
+func (a *agent) joinedRecently(now time.Duration) bool {
+	return a.joined && now-a.joinedAt < maxFlowAge
+}
+
+// maxFlowAge is the time for which a flow may be open, according to the platform.
+const maxFlowAge = 60 * time.Second
+
+func (a *agent) candidate(zone string, now time.Duration) placement.Candidate {
 	r := a.report.Load()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return placement.Candidate{
 		IP: r.IP, SameZone: r.Zone == zone, Load: a.load, LoadAge: now - a.loadAt, OffersSinceLoad: a.offersSinceLoad, WarmingUp: !r.HostWarm,
-	}, now < a.unresponsiveUntil
+	}
 }
 
 // roster holds the agents and entries that the entry has reports of.
@@ -91,6 +112,9 @@
 	cfg     Config
 	started time.Duration
 
+	// lastJoin is when an agent last joined, in the time of Config.Now; 0 for never.
+	lastJoin atomic.Int64
+
 	// mu guards the fields below.
 	mu sync.RWMutex
 	// agents and entries are keyed by address.
@@ -99,6 +123,10 @@
 	// modified.
 	services map[uint32][]*agent
 	entries  map[uint32]entryPeer
+
+	// typicalMu guards typicalTimes, the typical service time of each service tag.
+	typicalMu    sync.Mutex
+	typicalTimes map[uint32]typicalTime
 }
 
 // entryPeer is another entry.
@@ -108,7 +136,10 @@
 }
 
 func newRoster(cfg Config) *roster {
-	return &roster{cfg: cfg, started: cfg.Now(), agents: make(map[uint32]*agent), services: make(map[uint32][]*agent), entries: make(map[uint32]entryPeer)}
+	return &roster{
+		cfg: cfg, started: cfg.Now(), agents: make(map[uint32]*agent), services: make(map[uint32][]*agent), entries: make(map[uint32]entryPeer),
+		typicalTimes: make(map[uint32]typicalTime),
+	}
 }
 
 func (r *roster) agent(ip uint32) *agent {
@@ -150,7 +181,10 @@
 	defer r.mu.Unlock()
 	a := r.agents[report.IP]
 	if a == nil {
-		a = &agent{joined: now-r.started >= settleTime}
+		a = &agent{joined: now-r.started >= settleTime, joinedAt: now, mixedIP: flow.Mix(uint64(report.IP))}
+		if a.joined {
+			r.lastJoin.Store(int64(now))
+		}
 		a.report.Store(&report)
 		a.recordMessage(load, now)
 		r.agents[report.IP] = a
@@ -289,29 +323,6 @@
 	return removed
 }
 
-// candidates appends to dst the agents that a new flow may be offered to. Agents that are unresponsive or
-// excluded, or whose hosts accept no flows, are omitted unless there are no others; agents of evacuated zones always.
-func (r *roster) candidates(tag uint32, dst []placement.Candidate, excluded func(uint32) bool) []placement.Candidate {
-	now, evacuated := r.cfg.Now(), r.cfg.Evacuations.Current()
-	agents := r.serviceAgents(tag)
-	for _, fallback := range []bool{false, true} {
-		for _, a := range agents {
-			if a.isClosing() || evacuated.Includes(a.report.Load().Zone) {
-				continue
-			}
-			c, unresponsive := a.candidate(r.cfg.Zone, now)
-			leastPreferred := unresponsive || !c.Load.Open || a.timedOut(now) || excluded(c.IP)
-			if leastPreferred == fallback {
-				dst = append(dst, c)
-			}
-		}
-		if len(dst) > 0 {
-			break
-		}
-	}
-	return dst
-}
-
 // openSlots returns the number of slots of the hosts of a service that take flows, as far as is known.
 func (r *roster) openSlots(tag uint32) int {
 	now, slots, evacuated := r.cfg.Now(), 0, r.cfg.Evacuations.Current()
@@ -319,8 +330,8 @@
 		if a.isClosing() || a.timedOut(now) || evacuated.Includes(a.report.Load().Zone) {
 			continue
 		}
-		if c, unresponsive := a.candidate(r.cfg.Zone, now); c.Load.Open && !unresponsive {
-			slots += int(c.Load.Slots)
+		if a.takesFlows(now) {
+			slots += int(a.candidate(r.cfg.Zone, now).Load.Slots)
 		}
 	}
 	return slots
@@ -354,56 +365,3 @@
 	}
 	return false
 }
-
-// directoryOrder are agents of a service in the order in which they are the directory agents of a flow; 0 for none.
-type directoryOrder [mesh.DirectorySteps]uint32
-
-// current returns the directory agents that record the flow's location.
-func (o directoryOrder) current() [mesh.DirectoryCount]uint32 {
-	return [mesh.DirectoryCount]uint32(o[:mesh.DirectoryCount])
-}
-
-// directories returns the agents of a service with the highest rendezvous hashes for a flow, in this order. Entries with
-// records of the same agents return the same ones.
-func (r *roster) directories(tag uint32, key flow.Key) directoryOrder {
-	var order directoryOrder
-	var weights [mesh.DirectorySteps]uint64
-	seed := key.Hash()
-	now := r.cfg.Now()
-	for _, a := range r.serviceAgents(tag) {
-		// An agent whose host has shut down leaves with it.
-		if a.timedOut(now) || a.report.Load().HostState == host.Gone {
-			continue
-		}
-		ip := a.report.Load().IP
-		w := flow.Mix(seed ^ flow.Mix(uint64(ip)))
-		if w <= weights[len(weights)-1] {
-			continue
-		}
-		for i := range order {
-			if w > weights[i] {
-				// The agents from here on move back by one place.
-				order[i], ip = ip, order[i]
-				weights[i], w = w, weights[i]
-			}
-		}
-	}
-	return order
-}
-
-// typicalServiceTime returns the lower median of the service times that agents reported.
-func typicalServiceTime(candidates []placement.Candidate) mesh.Millis {
-	var times [64]mesh.Millis
-	n := 0
-	for _, c := range candidates {
-		if c.Load.ServiceTime > 0 && n < len(times) {
-			times[n] = c.Load.ServiceTime
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	slices.Sort(times[:n])
-	return times[(n-1)/2]
-}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -23,21 +23,46 @@
 	searchBurst = 4
 )
 
+// Steps of a search after those that ask a directory agent each, which are numbered from 0. On the wire both are
+// mesh.StepAll: agents treat them alike, and those of earlier versions know no other step.
+const (
+	// stepFirstAgents asks the first agents in rendezvous order at once.
+	stepFirstAgents = mesh.DirectorySteps + iota
+	// stepAllAgents asks all agents.
+	stepAllAgents
+)
+
 // nextSearchStep returns the next step of the search for a packet's flow and records it; the shard must be
 // locked. ok is false if enough packets were searched for in this step: a flow whose host is down must not
 // cause a search for each packet.
 func (e *Entry) nextSearchStep(shard *flowtable.Shard[record], key flow.Key, r *record) (step int, ok bool) {
 	now := e.cfg.Now()
-	if r == nil {
+	switch {
+	case r == nil:
 		r = &record{lastPacket: now, callerStarted: now, lastSearch: now}
 		shard.Put(key, r)
-	} else if now-r.lastSearch > searchRetryAfter<<uint(min(r.searchCount, maxSearchDoublings)) {
+	case r.lastSearch == 0:
+		r.lastSearch = now
+	case now-r.lastSearch > searchRetryAfter<<uint(min(r.searchCount, maxSearchDoublings)):
 		// The answer to the previous search was lost, or no agent had one.
 		r.searchCount++
 		r.lastSearch, r.searchedPackets = now, 0
 	}
 	r.searchedPackets++
-	return searchStarts[r.searchCount%len(searchStarts)], r.searchedPackets <= searchBurst
+	return r.searchStart(), r.searchedPackets <= searchBurst
+}
+
+// searchStart returns the step with which a search begins. One without an answer goes on with the first agents, as it doesn't get past
+// a directory agent that doesn't answer, then with all agents, and every third begins anew.
+func (r *record) searchStart() int {
+	const starts = 3
+	switch {
+	case r.searchCount%starts == 0:
+		return 0
+	case r.searchedSteps < stepFirstAgents:
+		return stepFirstAgents
+	}
+	return stepAllAgents
 }
 
 // proceedTo records that a search for the flow proceeds to a step, and reports whether it is the first one to do so. Each step
@@ -51,11 +76,7 @@
 	return true
 }
 
-// searchStarts are the steps with which a search begins, one after the other, while it has no answer. A search proceeds from
-// step to step by itself, but not past an agent that doesn't answer.
-var searchStarts = [...]int{0, 1, mesh.DirectorySteps}
-
-// beginSearch searches for the flow of a packet of a caller. If the step is the last one and there is no budget for it, the
+// beginSearch searches for the flow of a packet of a caller. If there is no budget for the step that it would begin with, the
 // search begins with the first one.
 func (e *Entry) beginSearch(s flow.Segment, packet []byte) {
 	shard := e.flows.Lock(s.Key)
@@ -65,22 +86,33 @@
 		return
 	}
 	e.repeats.packetForwarded()
-	if step == mesh.DirectorySteps {
+	switch step {
+	case stepAllAgents:
 		allSearchesBegun.Inc()
+		if e.searchFurther(s, packet) {
+			return
+		}
+	case stepFirstAgents:
+		firstSearchesBegun.Inc()
 		if e.search(s, packet, step) {
 			return
 		}
-		step = 0
-	} else {
+	default:
 		directorySearchesBegun.Inc()
 	}
-	e.search(s, packet, step)
+	e.search(s, packet, 0)
+}
+
+// searchFurther continues the search for a flow that neither its directory agents nor the first agents in rendezvous order
+// answered for. It is called with a later copy of a packet than these were asked with, and reports whether it took a step.
+func (e *Entry) searchFurther(s flow.Segment, packet []byte) bool {
+	return e.search(s, packet, stepAllAgents)
 }
 
 // search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one agent that
-// may be a directory agent of the flow, in the last to all agents of the service. The directory agents may be others now than
-// when the flow opened, so that more agents are asked than there are directory agents. It reports whether the packet was sent:
-// there may be no agent to ask, or no budget for the last step.
+// may be a directory agent of the flow, then to the first agents in rendezvous order, in the last step to all agents of the
+// service. The directory agents may be others now than when the flow opened, so that more agents are asked than there are
+// directory agents. It reports whether the packet was sent: there may be no agent to ask, or no budget for the last two steps.
 func (e *Entry) search(s flow.Segment, packet []byte, step int) bool {
 	table := e.cfg.Routes.Current()
 	route, known := table.Find(s.Key.Service)
@@ -89,15 +121,18 @@
 	for ; known && asked == 0 && step < mesh.DirectorySteps; step++ {
 		service, position := searchedService(route, s.Key, step)
 		m.Service = mesh.ServiceTag(service)
-		order := e.roster.directories(m.Service, s.Key)
+		order := e.roster.searchOrder(m.Service, s.Key)
 		m.Directories, asked, m.Step = order.current(), order[position], mesh.DirectoryStep(step)
 	}
-	if asked == 0 {
-		return e.searchAll(s, m, e.searchedAgents(route, known))
+	switch {
+	case asked != 0:
+		e.logSearch(s, mesh.DirectoryPosition(m.Step), 1, m.ConfigVersion)
+		e.send(asked, &m)
+		return true
+	case known && step <= stepFirstAgents:
+		return e.searchFirst(s, m, route)
 	}
-	e.logSearch(s, mesh.DirectoryPosition(m.Step), 1, m.ConfigVersion)
-	e.send(asked, &m)
-	return true
+	return e.searchAll(s, m, e.searchedAgents(route, known))
 }
 
 // searchedService returns the service whose agents a step of a search asks, and the position among the flow's directory agents
@@ -141,21 +176,96 @@
 // the flow's own one. Of more than maxSearched agents, which ones are asked changes with each search.
 func (e *Entry) searchAll(s flow.Segment, m mesh.Message, agents []*agent) bool {
 	allowed := min(len(agents), maxSearched)
-	if allowed == 0 || !e.repeats.takeSearch(allowed) {
+	if allowed == 0 {
+		return false
+	}
+	drawn, ok := e.repeats.takeSearch(e.repeats.allAgents, allowed)
+	if !ok {
 		return false
 	}
-	m.Step = mesh.StepAll
 	floods.Inc()
-	e.logSearch(s, mesh.DirectorySteps, allowed, m.ConfigVersion)
+	e.recordDraw(s, stepAllAgents, drawn)
+	e.logSearch(s, stepAllAgents, allowed, m.ConfigVersion)
 	first := int(e.searchTurn.Add(uint64(allowed)) % uint64(len(agents)))
 	for i := range allowed {
-		report := agents[(first+i)%len(agents)].report.Load()
-		m.Service = mesh.ServiceTag(report.Service)
-		e.send(report.IP, &m)
+		e.sendToAll(&m, s.Key, agents[(first+i)%len(agents)])
 	}
 	return true
 }
 
+// searchFirst sends a search to the agents that most likely took the flow, if the budget allows it, and reports whether it did.
+// These are the agents that this entry offered the flow to, and the first ones in rendezvous order of the route's services.
+func (e *Entry) searchFirst(s flow.Segment, m mesh.Message, route routing.Route) bool {
+	var buffer [maxFirstAgents + mesh.MaxCandidates + maxOffers]*agent
+	agents := e.appendOffered(buffer[:0], s.Key)
+	service := route.Service(s.Key)
+	agents = e.roster.appendFirst(agents, mesh.ServiceTag(service), s.Key)
+	for _, share := range route.Shares {
+		// The flow may have opened before a change of the shares.
+		if share.Service != service && len(agents) <= maxFirstAgents-2*mesh.MaxCandidates {
+			agents = e.roster.appendFirst(agents, mesh.ServiceTag(share.Service), s.Key)
+		}
+	}
+	if len(agents) == 0 {
+		return false
+	}
+	drawn, ok := e.repeats.takeSearch(e.repeats.firstAgents, len(agents))
+	if !ok {
+		return false
+	}
+	firstSearches.Inc()
+	e.recordDraw(s, stepFirstAgents, drawn)
+	e.logSearch(s, stepFirstAgents, len(agents), m.ConfigVersion)
+	for _, a := range agents {
+		e.sendToAll(&m, s.Key, a)
+	}
+	return true
+}
+
+// sendToAll sends a search to one of several agents that are asked at once, with the directory agents of its service.
+func (e *Entry) sendToAll(m *mesh.Message, key flow.Key, a *agent) {
+	report := a.report.Load()
+	if tag := mesh.ServiceTag(report.Service); m.Step != mesh.StepAll || m.Service != tag {
+		m.Step, m.Service, m.Directories = mesh.StepAll, tag, e.roster.directories(tag, key)
+	}
+	e.send(report.IP, m)
+}
+
+// appendOffered appends the agents that this entry offered a flow to of which it doesn't know who took it.
+func (e *Entry) appendOffered(dst []*agent, key flow.Key) []*agent {
+	shard := e.flows.Lock(key)
+	defer shard.Unlock()
+	r := shard.Get(key)
+	if r == nil || r.taken {
+		return dst
+	}
+	for _, offered := range [][]uint32{r.offered[:], r.unresponsiveAgents[:]} {
+		for _, ip := range offered {
+			if ip != 0 {
+				dst = appendMissing(dst, e.roster.agent(ip))
+			}
+		}
+	}
+	return dst
+}
+
+// recordDraw records that a search takes a step to several agents at once, and what it drew for it. An opening packet without
+// a record gets none, as its next copy would count as one of a flow that is being placed.
+func (e *Entry) recordDraw(s flow.Segment, step int, drawn draw) {
+	now := e.cfg.Now()
+	shard := e.flows.Lock(s.Key)
+	defer shard.Unlock()
+	r := shard.Get(s.Key)
+	if r == nil {
+		if s.IsSYN {
+			return
+		}
+		r = &record{lastPacket: now, callerStarted: now, lastSearch: now}
+		shard.Put(s.Key, r)
+	}
+	r.searchedSteps, r.drawn = max(r.searchedSteps, step), drawn
+}
+
 func (e *Entry) logSearch(s flow.Segment, step int, agents int, version uint64) {
 	searches.Inc()
 	if e.cfg.Log.AllowRare() {
@@ -179,14 +289,23 @@
 	shard.Unlock()
 	switch {
 	case agent != 0 && e.deliver(agent, service, m.Body):
-	case s.IsSYN && unplaced && next >= mesh.DirectoryCount:
+	case s.IsSYN && unplaced && next >= e.openingSteps():
 		// No directory agent has a record of the flow, so no other entry has placed it.
 		e.retryOffer(s.Key, e.cfg.Now(), true)
-	case isFirst || next == mesh.DirectorySteps || e.repeats.take(1) == 1:
+	case isFirst || next == stepFirstAgents || e.repeats.take(1) == 1:
 		e.search(s, m.Body, next)
 	}
 }
 
+// openingSteps returns the number of directory agents to ask for the flow of an opening packet that its caller sent again: the
+// current ones and, after agents joined, those from before.
+func (e *Entry) openingSteps() int {
+	if e.roster.joinedRecently(e.cfg.Now()) {
+		return 2 * mesh.DirectoryCount
+	}
+	return mesh.DirectoryCount
+}
+
 // stepAfter returns the step of a search after an agent returned the packet. A packet that was delivered to the agent is returned
 // with StepAll, and its search begins with the first step.
 func stepAfter(returned uint8) int {
--- a/placement/order.go
+++ b/placement/order.go
@@ -41,18 +41,10 @@
 // hosts.
 const faultyPenalty = 1.0
 
-// Order writes the addresses of the best candidates to out, best first, and returns their number. Of many
-// candidates it considers a pseudo-random sample that depends on the flow. It reorders candidates.
+// Order writes the addresses of the candidates to out, best first, and returns their number. The candidates are those that
+// rendezvous hashing draws for the flow; of more than mesh.MaxCandidates, the best are written. It reorders candidates.
 func Order(key flow.Key, candidates []Candidate, out *[mesh.MaxCandidates]uint32) uint8 {
 	seed := key.Hash()
-	if n := 2 * mesh.MaxCandidates; len(candidates) > n {
-		for i := range n {
-			seed = flow.Mix(seed + 1)
-			j := i + int(seed%uint64(len(candidates)-i))
-			candidates[i], candidates[j] = candidates[j], candidates[i]
-		}
-		candidates = candidates[:n]
-	}
 	for i := range candidates {
 		candidates[i].rank = candidates[i].score(seed)
 	}
--- a/placement/policies_test.go
+++ b/placement/policies_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/placement"
 )
@@ -151,6 +153,11 @@
 		for i, report := range reports[j.entry] {
 			candidates[i] = placement.Candidate{IP: uint32(i), SameZone: i%3 == j.entry%3, Load: report.load, LoadAge: s.now - report.at}
 		}
+		// The candidates are the first hosts in rendezvous order.
+		seed := flowKey(n).Hash()
+		weight := func(c placement.Candidate) uint64 { return flow.Mix(seed ^ flow.Mix(uint64(c.IP))) }
+		slices.SortFunc(candidates, func(a, b placement.Candidate) int { return cmp.Compare(weight(b), weight(a)) })
+		candidates = candidates[:mesh.MaxCandidates]
 		var order [mesh.MaxCandidates]uint32
 		count := placement.Order(flowKey(n), candidates, &order)
 		o := mesh.Terms{Best: mesh.NoCandidate, TargetLatency: mesh.MillisOf(fleetTarget), TypicalServiceTime: mesh.MillisOf(fleetServiceTime)}
