--- a/packettest/traffic.go
+++ b/packettest/traffic.go
@@ -10,6 +10,8 @@
 	// ForCallers counts packets and copies that callers sent, on their way to an agent, Own the repeats of the
 	// process itself, further steps of searches, and reports.
 	ForCallers, Own int
+	// Searches counts the datagrams of searches among these, Bytes the bytes of all datagrams.
+	Searches, Bytes int
 }
 
 // countTraffic counts a datagram that a process sends.
@@ -23,6 +25,10 @@
 		t = new(Traffic)
 		f.Traffic[from] = t
 	}
+	t.Bytes += len(datagram)
+	if m.Kind == mesh.KindSearch {
+		t.Searches++
+	}
 	callersCopy := false
 	if m.Kind == mesh.KindOffer {
 		s, err := platform.DecodePacket(m.Body, platform.FromCaller)
