--- a/placement/order.go
+++ b/placement/order.go
@@ -41,8 +41,8 @@
 // hosts.
 const faultyPenalty = 1.0
 
-// Order writes the addresses of the best candidates to out, best first, and returns their number. Of many
-// candidates it considers a pseudo-random sample that depends on the flow. It reorders candidates.
+// Order writes the addresses of the candidates to out, best first, and returns their number. The candidates are those that
+// rendezvous hashing draws for the flow; of more than mesh.MaxCandidates, the best are written. It reorders candidates.
 func Order(key flow.Key, candidates []Candidate, out *[mesh.MaxCandidates]uint32) uint8 {
 	return OrderByCost(key, RouteCost{}, candidates, out)
 }
@@ -50,32 +50,23 @@
 // OrderByCost orders like Order, for a flow of a route with a known cost.
 func OrderByCost(key flow.Key, route RouteCost, candidates []Candidate, out *[mesh.MaxCandidates]uint32) uint8 {
 	seed := key.Hash()
-	if n := 2 * mesh.MaxCandidates; len(candidates) > n {
-		for i := range n {
-			seed = flow.Mix(seed + 1)
-			j := i + int(seed%uint64(len(candidates)-i))
-			candidates[i], candidates[j] = candidates[j], candidates[i]
-		}
-		candidates = candidates[:n]
-	}
 	setRanks(seed, route, candidates)
 	// Only addresses are sorted: moving whole candidates takes most of the time of a decision.
-	type ranked struct {
-		rank float64
-		ip   uint32
-	}
-	var order [2 * mesh.MaxCandidates]ranked
-	for i := range candidates {
-		c := ranked{candidates[i].rank, candidates[i].IP}
-		at := i
-		for ; at > 0 && order[at-1].rank > c.rank; at-- {
-			order[at] = order[at-1]
+	var ranks [mesh.MaxCandidates]float64
+	count := 0
+	for _, c := range candidates {
+		at := count
+		if count == len(out) {
+			if at--; c.rank >= ranks[at] {
+				continue
+			}
+		} else {
+			count++
 		}
-		order[at] = c
-	}
-	count := min(len(candidates), mesh.MaxCandidates)
-	for i := range count {
-		out[i] = order[i].ip
+		for ; at > 0 && ranks[at-1] > c.rank; at-- {
+			ranks[at], out[at] = ranks[at-1], out[at-1]
+		}
+		ranks[at], out[at] = c.rank, c.IP
 	}
 	return uint8(count)
 }
