platform, routing, mesh, packetentry: limits of warm-ups travel to agents in offers

Cause: the operator's services[].warmupPerS wasn't read. Change: the table holds the limit of each service, and offers carry it in bytes 50 to 51 of their header. A table of the same version that lacks the limits, passed on by an older process, is replaced by one that has them.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -170,6 +170,9 @@
 	Waited Millis
 	// TypicalServiceTime is the typical service time of the service's hosts, 0 if unknown.
 	TypicalServiceTime Millis
+	// WarmupRate is the number of requests per second that a host of the service can sustain while it is warming up, 0 for no
+	// limit. Only messages of kind KindOffer carry it.
+	WarmupRate uint16
 }
 
 // Load is the load of an agent's host.
@@ -223,6 +226,9 @@
 	binary.BigEndian.PutUint16(h[46:], uint16(m.Load.ServiceTime))
 	binary.BigEndian.PutUint16(h[48:], uint16(m.Terms.Waited))
 	h[35] = m.Step
+	if m.Kind == KindOffer {
+		binary.BigEndian.PutUint16(h[50:], m.Terms.WarmupRate)
+	}
 	binary.BigEndian.PutUint32(h[52:], m.Directories[0])
 	binary.BigEndian.PutUint32(h[56:], m.Directories[1])
 	b = append(b, h[:]...)
@@ -277,6 +283,9 @@
 		},
 	}
 	m.Step = b[35]
+	if m.Kind == KindOffer {
+		m.Terms.WarmupRate = binary.BigEndian.Uint16(b[50:])
+	}
 	m.Directories[0], m.Directories[1] = binary.BigEndian.Uint32(b[52:]), binary.BigEndian.Uint32(b[56:])
 	rest := b[headerBytes:]
 	for i := range m.Count {
--- a/mesh/message_test.go
+++ b/mesh/message_test.go
@@ -41,6 +41,9 @@
 			Step:        rapid.Uint8().Draw(t, "step"),
 			Count:       count, Body: rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "body"),
 		}
+		if in.Kind == mesh.KindOffer {
+			in.Terms.WarmupRate = rapid.Uint16().Draw(t, "warmupRate")
+		}
 		for i := range count {
 			in.Candidates[i] = rapid.Uint32().Draw(t, "candidate")
 		}
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -185,7 +185,7 @@
 		Kind: mesh.KindOffer, Service: mesh.ServiceTag(service), ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP,
 		Terms: mesh.Terms{
 			Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), TargetLatency: mesh.MillisOf(route.TargetLatency),
-			Resent: r.offerCount > 0 || !r.firstCopy,
+			Resent: r.offerCount > 0 || !r.firstCopy, WarmupRate: e.cfg.Routes.Current().WarmupRate(service),
 		},
 	}
 	scratch := candidatePool.Get().(*[]placement.Candidate)
@@ -253,11 +253,12 @@
 		e.rejectNoRoute(s, table)
 		return
 	}
+	service := route.Service(s.Key)
 	m := mesh.Message{
-		Kind: mesh.KindOffer, Service: mesh.ServiceTag(route.Service(s.Key)), ConfigVersion: table.Version, Origin: e.cfg.IP,
+		Kind: mesh.KindOffer, Service: mesh.ServiceTag(service), ConfigVersion: table.Version, Origin: e.cfg.IP,
 		Terms: mesh.Terms{
 			Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), TargetLatency: mesh.MillisOf(route.TargetLatency),
-			Resent: true, Waited: mesh.MillisOf(s.Waited()),
+			Resent: true, Waited: mesh.MillisOf(s.Waited()), WarmupRate: table.WarmupRate(service),
 		},
 		Candidates: [mesh.MaxCandidates]uint32{agent}, Count: 1, Body: packet,
 	}
--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -280,7 +280,7 @@
 		return fmt.Errorf("fetching the configuration: %w", err)
 	}
 	if u.apply(table, "peer") {
-		u.encoded.keep(table.Version, body)
+		u.encoded.keep(table, body)
 	}
 	return nil
 }
--- a/routing/codec.go
+++ b/routing/codec.go
@@ -30,6 +30,9 @@
 	// Services are the names that the routes' shares refer to by index.
 	Services []string       `cbor:"3,keyasint" json:"services"`
 	Routes   []encodedRoute `cbor:"4,keyasint" json:"routes"`
+	// KnowsWarmup is set by processes that know the field WarmupRates, which is ordered by service.
+	KnowsWarmup bool                `cbor:"5,keyasint,omitempty" json:"-"`
+	WarmupRates []encodedWarmupRate `cbor:"6,keyasint,omitempty" json:"warmupRates,omitempty"`
 }
 
 // encodedRoute is encoded as an array, which takes less time to decode than a map.
@@ -51,6 +54,12 @@
 	Weight  int      `json:"weight"`
 }
 
+type encodedWarmupRate struct {
+	_         struct{} `cbor:",toarray"`
+	Service   string   `json:"service"`
+	PerSecond uint16   `json:"perSecond"`
+}
+
 // encodable returns the table in the form that is encoded, with the routes in order of their addresses.
 func (t *Table) encodable() encodedTable {
 	e := encodedTable{Version: t.Version, IdleTimeoutMs: t.IdleTimeout.Milliseconds(), Routes: make([]encodedRoute, 0, len(t.routes))}
@@ -73,6 +82,11 @@
 		e.Routes = append(e.Routes, encoded)
 	}
 	slices.SortFunc(e.Routes, func(a, b encodedRoute) int { return cmp.Or(cmp.Compare(a.IP, b.IP), cmp.Compare(a.Port, b.Port)) })
+	e.KnowsWarmup = t.warmupRates != nil
+	for service, rate := range t.warmupRates {
+		e.WarmupRates = append(e.WarmupRates, encodedWarmupRate{Service: service, PerSecond: rate})
+	}
+	slices.SortFunc(e.WarmupRates, func(a, b encodedWarmupRate) int { return cmp.Compare(a.Service, b.Service) })
 	return e
 }
 
@@ -98,7 +112,15 @@
 		}
 		routes = append(routes, route)
 	}
-	return NewTable(e.Version, time.Duration(e.IdleTimeoutMs)*time.Millisecond, routes), nil
+	t := NewTable(e.Version, time.Duration(e.IdleTimeoutMs)*time.Millisecond, routes)
+	if !e.KnowsWarmup {
+		return t, nil
+	}
+	rates := make(map[string]uint16, len(e.WarmupRates))
+	for _, r := range e.WarmupRates {
+		rates[r.Service] = r.PerSecond
+	}
+	return t.WithWarmupRates(rates), nil
 }
 
 // JSON returns the table in a form for people.
--- a/routing/codec_test.go
+++ b/routing/codec_test.go
@@ -28,8 +28,8 @@
 
 // Guards against a table that differs after it was passed on by other processes.
 func TestTableRoundTrip(t *testing.T) {
-	for _, routes := range []int{0, 1, 1000} {
-		table := tableOf(7, routes)
+	limited := tableOf(7, 2).WithWarmupRates(map[string]uint16{"rota": 12, "draws": 0, "a": 1})
+	for _, table := range []*routing.Table{tableOf(7, 0), tableOf(7, 1), tableOf(7, 1000), limited, tableOf(7, 1).WithWarmupRates(nil)} {
 		encoded, err := table.Encode()
 		require.NoError(t, err)
 		decoded, err := routing.Decode(encoded)
--- a/routing/holder.go
+++ b/routing/holder.go
@@ -31,11 +31,12 @@
 	return max(t.IdleTimeout, MinIdleTimeout)
 }
 
-// StoreIfNewer makes a table the current one if it is newer, and reports whether it is.
+// StoreIfNewer makes a table the current one if it is newer, and reports whether it is. A table that has the limits of its
+// services is newer than one of the same version that a process of an earlier version passed on without them.
 func (h *Holder) StoreIfNewer(t *Table) bool {
 	for {
 		current := h.current.Load()
-		if current != nil && t.Version <= current.Version {
+		if !t.replaces(current) {
 			return false
 		}
 		if h.current.CompareAndSwap(current, t) {
--- a/routing/table.go
+++ b/routing/table.go
@@ -46,6 +46,9 @@
 	IdleTimeout time.Duration
 
 	routes map[flow.Endpoint]Route
+	// warmupRates holds the limit of each service that has one, see WarmupRate. It is nil if the limits aren't known, as the
+	// table comes from a process of an earlier version.
+	warmupRates map[string]uint16
 }
 
 // NewTable returns a table of routes. If two routes have the same address and port, the later one is used.
@@ -57,6 +60,33 @@
 	return t
 }
 
+// WithWarmupRates returns the table with limits for hosts that are warming up, see WarmupRate. Services without a limit may be
+// left out.
+func (t *Table) WithWarmupRates(rates map[string]uint16) *Table {
+	next := *t
+	next.warmupRates = make(map[string]uint16, len(rates))
+	for service, rate := range rates {
+		if rate > 0 {
+			next.warmupRates[service] = rate
+		}
+	}
+	return &next
+}
+
+// WarmupRate returns the requests per second that a host of a service can sustain while it is warming up, 0 for no limit.
+func (t *Table) WarmupRate(service string) uint16 {
+	if t == nil {
+		return 0
+	}
+	return t.warmupRates[service]
+}
+
+// replaces reports whether the table is to be used instead of another one, which may be nil. Of two tables of one version, the
+// one that has the limits of its services replaces the one that lacks them.
+func (t *Table) replaces(other *Table) bool {
+	return other == nil || t.Version > other.Version || t.Version == other.Version && t.warmupRates != nil && other.warmupRates == nil
+}
+
 // Find returns the route of an address and port.
 func (t *Table) Find(at flow.Endpoint) (Route, bool) {
 	if t == nil {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -48,3 +48,17 @@
 	require.InDelta(t, 1000, count["b"], 200)
 	require.Zero(t, count["c"])
 }
+
+// Guards against processes that stay without the limits of warm-ups after an upgrade, as a process of the former version passed
+// the table on, and against tables of one version that replace each other without end.
+func TestTableWithWarmupRatesReplacesOneWithout(t *testing.T) {
+	var h routing.Holder
+	plain := routing.NewTable(7, 0, nil)
+	limited := plain.WithWarmupRates(map[string]uint16{"rota": 12})
+	require.True(t, h.StoreIfNewer(plain))
+	require.Zero(t, h.Current().WarmupRate("rota"))
+	require.True(t, h.StoreIfNewer(limited))
+	require.False(t, h.StoreIfNewer(plain))
+	require.False(t, h.StoreIfNewer(plain.WithWarmupRates(nil)))
+	require.EqualValues(t, 12, h.Current().WarmupRate("rota"))
+}
