placement, packetagent: hosts that may be warming up get at most the limit in any second

Cause: an agent gave a host as many flows while it warmed up as at any other time. Change: the agent records all opening packets and, while its host is or may be warming up (at the agent's start, after a withdrawal, after an open flow was lost, until a heartbeat says otherwise), gives it none beyond the limit. Offers are passed on, held flows wait for the window, and copies of opening packets beyond it are dropped. The reported load ranks the host as full until then.

--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -38,6 +38,8 @@
 	warmUntil atomic.Int64
 	// lastHeartbeat is when the host's last heartbeat arrived, in the time of Config.Now.
 	lastHeartbeat atomic.Int64
+	// admissionTick is the time of the last tick that was scheduled for a held flow, in the time of Config.Now.
+	admissionTick atomic.Int64
 	// allFlowsKnown reports whether flows holds every flow of the host, because the agent started before it. startedTogether
 	// reports whether this is likely, because they started with the VM.
 	allFlowsKnown, startedTogether atomic.Bool
@@ -94,7 +96,7 @@
 }
 
 // Load returns the current load of the host.
-func (a *Agent) Load() mesh.Load { return a.load.Load() }
+func (a *Agent) Load() mesh.Load { return a.load.Load(a.cfg.Now()) }
 
 // IsOpen reports whether the host accepts new flows, although it may get none while its zone is evacuated.
 func (a *Agent) IsOpen() bool { return a.load.IsOpen() }
@@ -158,7 +160,7 @@
 
 // newMessage returns a message from this agent about a flow.
 func (a *Agent) newMessage(k mesh.Kind, key flow.Key) mesh.Message {
-	return mesh.Message{Kind: k, Service: a.serviceTag, ConfigVersion: a.cfg.ConfigVersion(), Origin: a.cfg.IP, Flow: key, Load: a.load.Load()}
+	return mesh.Message{Kind: k, Service: a.serviceTag, ConfigVersion: a.cfg.ConfigVersion(), Origin: a.cfg.IP, Flow: key, Load: a.Load()}
 }
 
 // notify sends another process a message about a flow.
@@ -172,6 +174,16 @@
 // resetFlow sends the caller of a flow a reset.
 func (a *Agent) resetFlow(key flow.Key, ack uint32) { platform.SendReset(key, ack, a.cfg.ToCaller) }
 
+// deliverToHost sends the host a packet of a flow that it has been given. A copy of the opening packet counts as an opening
+// packet: one beyond the limit of the host's warm-up is dropped, as its caller sends another.
+func (a *Agent) deliverToHost(packet []byte, s flow.Segment) {
+	if s.Opens() && !a.load.AdmitCopy(a.cfg.Now()) {
+		warmupDropped.Inc()
+		return
+	}
+	a.sendToHost(packet, contextDeliver)
+}
+
 // sendToHost sends a packet to the host.
 func (a *Agent) sendToHost(packet []byte, context uint32) {
 	platform.SetContext(packet, context)
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -48,8 +48,11 @@
 	mesh.Message
 }
 
-func newTestAgent(t *testing.T) *testAgent {
-	a := &testAgent{t: t, idleTimeout: routing.MinIdleTimeout}
+func newTestAgent(t *testing.T) *testAgent { return newTestAgentAt(t, 0) }
+
+// newTestAgentAt returns an agent that starts at a time.
+func newTestAgentAt(t *testing.T, now time.Duration) *testAgent {
+	a := &testAgent{t: t, now: now, idleTimeout: routing.MinIdleTimeout}
 	a.log = eventlog.New(eventlog.Config{Out: &a.logged, Node: "agent"})
 	a.Agent = packetagent.New(packetagent.Config{
 		IP: ownIP, Service: service, Host: hostAddress, Zone: "a", CallerPort: 9000, Incarnation: agentStartedAt,
--- a/packetagent/config.go
+++ b/packetagent/config.go
@@ -95,7 +95,7 @@
 		c.Evacuations = func() evacuation.State { return evacuation.State{} }
 	}
 	if c.Load == nil {
-		c.Load = placement.NewHost(placement.HostConfig{})
+		c.Load = placement.NewHost(placement.HostConfig{Started: c.Now()})
 	}
 	return c
 }
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -13,7 +13,7 @@
 	location, directoriesDue := a.recordPacket(s)
 	switch location {
 	case flowAtHost:
-		a.sendToHost(m.Body, contextDeliver)
+		a.deliverToHost(m.Body, s)
 		if directoriesDue {
 			a.askDirectories(m.Origin, s.Key)
 		}
@@ -120,7 +120,7 @@
 func (a *Agent) handleSearch(m *mesh.Message, s flow.Segment) {
 	location, _ := a.recordPacket(s)
 	if location == flowAtHost {
-		a.sendToHost(m.Body, contextDeliver)
+		a.deliverToHost(m.Body, s)
 	}
 	if location == flowAtHost || location == flowHeld {
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
@@ -344,6 +344,8 @@
 		}
 		a.decline(s.Key, offer, "bounced")
 	case lost:
+		// The host has restarted, unless it gave the flow up.
+		a.load.SetWarmingUp(true)
 		// The host no longer has the flow, so no host has it.
 		a.resetFlow(s.Key, s.Ack)
 		resets.Inc()
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -29,6 +29,7 @@
 	a.lastHeartbeat.Store(int64(now))
 	a.unansweredOpenings.Store(0)
 	a.load.SetSlots(r.Slots)
+	a.load.SetWarmingUp(r.Warmup > 0)
 	a.load.SetOpen(r.State == host.Ready)
 	a.warmUntil.Store(int64(now + r.Warmup))
 	if outcome == host.Replaced {
@@ -183,17 +184,24 @@
 }
 
 // Tick does the work that is due: it passes on the offers that the host did not answer, frees the slots of
-// opened flows whose callers sent no request, and refuses the flows that were held for too long. It returns the
-// time until it must be called again, or 0 if there are no timers.
+// opened flows whose callers sent no request, refuses the flows that were held for too long, and gives the host those that it
+// had to wait for while it was warming up. It returns the time until it must be called again, or 0 if there are no timers.
 func (a *Agent) Tick() time.Duration {
 	now := a.cfg.Now()
 	answer := a.expireAnswerTimers(now)
 	a.refuseExpired()
-	expiry := a.load.NextExpiry(now)
-	if answer == 0 || expiry == 0 {
-		return max(answer, expiry)
+	wait, waits := a.load.NextAdmission(now)
+	if waits && wait == 0 {
+		a.admitHeld()
+		wait, _ = a.load.NextAdmission(now)
+	}
+	next := time.Duration(0)
+	for _, d := range [...]time.Duration{answer, a.load.NextExpiry(now), wait} {
+		if d > 0 && (next == 0 || d < next) {
+			next = d
+		}
 	}
-	return min(answer, expiry)
+	return next
 }
 
 // expireAnswerTimers handles the answer timers that are due. It returns the time until the next one, or 0 if
--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -18,6 +18,8 @@
 	noAnswer       = metrics.NewCounter(`endiveflow_packetagent_no_answer_total`)
 	failedRequests = metrics.NewCounter(`endiveflow_packetagent_failed_requests_total`)
 	learnedFlows   = metrics.NewCounter(`endiveflow_packetagent_learned_total`)
+	warmupLimited  = metrics.NewCounter(`endiveflow_packetagent_warmup_limited_total`)
+	warmupDropped  = metrics.NewCounter(`endiveflow_packetagent_warmup_dropped_total`)
 	resets         = metrics.NewCounter(`endiveflow_packetagent_resets_total`)
 
 	// probes counts packets of unknown flows given to the host, by the reason.
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/flowtable"
@@ -16,13 +17,17 @@
 		badPackets.Inc()
 		return
 	}
+	if a.load.SetWarmupRate(m.ConfigVersion, m.Terms.WarmupRate) {
+		a.cfg.Log.Info("host", "outcome", "warmupRate", "perSecond", m.Terms.WarmupRate, "config", m.ConfigVersion)
+		a.admitHeld()
+	}
 	shard := a.flows.Lock(s.Key)
 	if r := shard.Get(s.Key); r != nil && r.phase != ended {
 		r.lastPacket = a.cfg.Now()
 		isHeld := r.phase == held
 		shard.Unlock()
 		if !isHeld {
-			a.sendToHost(m.Body, contextDeliver)
+			a.deliverToHost(m.Body, s)
 		}
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
 		return
@@ -41,6 +46,7 @@
 		a.addFlow(shard, m, s, held)
 		shard.Unlock()
 		a.cfg.ScheduleTick(a.load.NextExpiry(a.cfg.Now()))
+		a.scheduleAdmission()
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
 		a.announceLocation(s.Key, m.Directories)
 	default:
@@ -81,6 +87,7 @@
 		now := a.cfg.Now()
 		key, ok := a.load.Dequeue(now)
 		if !ok {
+			a.scheduleAdmission()
 			return
 		}
 		shard := a.flows.Lock(key)
@@ -102,13 +109,29 @@
 			logAllowed = a.cfg.Log.AllowRare
 		}
 		if logAllowed() {
-			l := a.load.Load()
+			l := a.load.Load(now)
 			a.cfg.Log.Info("held flow given to the host", "flow", key.String(),
 				"heldMs", waited.Milliseconds(), "targetMs", target.Milliseconds(), "busy", l.Busy, "slots", l.Slots, "meanMs", uint16(l.ServiceTime))
 		}
 	}
 }
 
+// scheduleAdmission schedules a tick for the time at which a held flow may be given to a host that is warming up. It is called
+// whenever a flow is held or room has become free, so that it doesn't schedule the same tick again.
+func (a *Agent) scheduleAdmission() {
+	now := a.cfg.Now()
+	wait, waits := a.load.NextAdmission(now)
+	if !waits {
+		return
+	}
+	at := now + wait
+	if scheduled := time.Duration(a.admissionTick.Load()); scheduled > now && scheduled <= at {
+		return
+	}
+	a.admissionTick.Store(int64(at))
+	a.cfg.ScheduleTick(wait)
+}
+
 // reofferHeld offers all held flows to other agents, for a host that no longer accepts flows.
 func (a *Agent) reofferHeld(why string) {
 	for {
@@ -144,7 +167,7 @@
 		}
 		a.notify(mesh.KindRefused, offer.message.Origin, s.Key)
 		if a.cfg.Log.AllowRare() {
-			a.cfg.Log.Warn("held flow refused", "flow", key.String(), "why", "held too long", "busy", a.load.Load().Busy)
+			a.cfg.Log.Warn("held flow refused", "flow", key.String(), "why", "held too long", "busy", a.Load().Busy)
 		}
 	}
 }
@@ -206,6 +229,9 @@
 
 func (a *Agent) logOffer(m *mesh.Message, s flow.Segment, d placement.Decision, visit uint8) {
 	decisions[d.Action].Inc()
+	if d.WarmupWait > 0 {
+		warmupLimited.Inc()
+	}
 	logAllowed := a.cfg.Log.AllowOrdinary
 	if d.Action == placement.Refuse {
 		logAllowed = a.cfg.Log.AllowRare
@@ -215,6 +241,6 @@
 	}
 	a.cfg.Log.Info("offer", "flow", s.Key.String(), "outcome", d.Action.String(), "entry", flow.IPText(m.Origin),
 		"visit", visit, "of", m.Count, "busy", d.Load.Busy, "slots", d.Load.Slots, "open", d.Load.Open,
-		"meanMs", uint16(d.Load.ServiceTime), "expectedMs", d.ExpectedLatency.Milliseconds(), "bestMs", uint16(d.Terms.BestLatency),
+		"meanMs", uint16(d.Load.ServiceTime), "expectedMs", d.ExpectedLatency.Milliseconds(), "bestMs", uint16(d.Terms.BestLatency), "warmupWaitMs", d.WarmupWait.Milliseconds(),
 		"targetMs", uint16(m.Terms.TargetLatency), "config", m.ConfigVersion)
 }
--- a/placement/failures_test.go
+++ b/placement/failures_test.go
@@ -114,7 +114,7 @@
 	s.flows++
 	candidates := make([]placement.Candidate, failureSimHosts)
 	for i, h := range s.hosts {
-		candidates[i] = placement.Candidate{IP: uint32(i), SameZone: true, Load: h.Load()}
+		candidates[i] = placement.Candidate{IP: uint32(i), SameZone: true, Load: h.Load(0)}
 	}
 	var order [mesh.MaxCandidates]uint32
 	count := placement.Order(flowKey(s.flows), candidates, &order)
--- a/placement/host.go
+++ b/placement/host.go
@@ -7,6 +7,7 @@
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/warmup"
 )
 
 // Defaults of HostConfig.
@@ -32,6 +33,8 @@
 	ServiceTime time.Duration
 	SlowFactor  float64
 	HoldLimit   time.Duration
+	// Started is when the process started, in the time of the other calls.
+	Started time.Duration
 }
 
 // Host tracks the load of the host beside an agent, decides on offers to it, and queues the flows held for
@@ -61,6 +64,15 @@
 	// requestDelay is the mean time from giving a flow to the host until its request arrives.
 	requestDelay time.Duration
 	failures     failureStats
+	// warmingUp reports whether the host is or may be warming up; its opening packets are limited then. It is set until the
+	// host itself reports otherwise. warmup records all of them, so that those from before count.
+	warmingUp bool
+	warmup    warmup.Limiter
+	// warmupRate is the limit of the newest configuration whose limit is known, warmupVersion the version of that one.
+	warmupRate    uint16
+	warmupVersion uint64
+	// limited is set while the host is or may be warming up and has a limit.
+	limited bool
 }
 
 // Request is a request in a host.
@@ -69,7 +81,7 @@
 	started time.Duration
 }
 
-// NewHost returns the state of a host that accepts flows and has none.
+// NewHost returns the state of a host that accepts flows, has none, and may be warming up.
 func NewHost(cfg HostConfig) *Host {
 	if cfg.Slots <= 0 {
 		cfg.Slots = DefaultSlots
@@ -83,7 +95,7 @@
 	if cfg.HoldLimit <= 0 {
 		cfg.HoldLimit = DefaultHoldLimit
 	}
-	return &Host{cfg: cfg, slots: cfg.Slots, open: true, serviceTime: cfg.ServiceTime}
+	return &Host{cfg: cfg, slots: cfg.Slots, open: true, serviceTime: cfg.ServiceTime, warmingUp: true, warmup: warmup.New(cfg.Started)}
 }
 
 // Action is what an agent does with an offer.
@@ -121,6 +133,8 @@
 	ExpectedLatency time.Duration
 	// Load is the load that the decision is based on.
 	Load mesh.Load
+	// WarmupWait is the time until the host may be given the flow, as it is or may be warming up; 0 if it may be now.
+	WarmupWait time.Duration
 }
 
 // Decide answers an offer that has count candidates. After Take the flow is pending until RequestArrived or
@@ -129,10 +143,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.failures.updateFaulty(now)
-	d := Decision{Terms: t, ExpectedLatency: h.expectedLatency(t, now), Load: h.loadLocked()}
+	d := Decision{Terms: t, ExpectedLatency: h.expectedLatency(t, now), Load: h.loadLocked(now), WarmupWait: h.warmupWait(len(h.held), now)}
 	switch {
-	case !t.MustTake && h.canTakeNow(t):
-		h.pendingFlows++
+	case !t.MustTake && d.WarmupWait == 0 && h.canTakeNow(t):
+		h.admit(now)
 		d.Action = Take
 	case t.MustTake:
 		d.Action = h.takeOrHold(key, t, now)
@@ -149,7 +163,7 @@
 // failures. That cost only ranks the host behind others: it never raises the result above the hold limit, so
 // that a flow is refused for lack of time only.
 func (h *Host) expectedLatency(t mesh.Terms, now time.Duration) time.Duration {
-	d := h.expectedWait(now) + h.serviceTime
+	d := h.expectedWait(t.TargetLatency.Duration(), now) + h.serviceTime
 	return max(d, min(d+h.failures.expectedCost(t.TargetLatency.Duration(), now), h.cfg.HoldLimit))
 }
 
@@ -163,6 +177,21 @@
 // accepts reports whether the host takes new flows.
 func (h *Host) accepts() bool { return h.open && !h.evacuated }
 
+// admit counts a flow whose opening packet is given to the host.
+func (h *Host) admit(now time.Duration) {
+	h.pendingFlows++
+	h.warmup.Record(now)
+}
+
+// warmupWait returns the time until the host may be given a flow before which ahead others are; 0 unless it may be warming
+// up.
+func (h *Host) warmupWait(ahead int, now time.Duration) time.Duration {
+	if !h.limited {
+		return 0
+	}
+	return h.warmup.Wait(ahead, now)
+}
+
 // inUse returns the number of flows with a request in the host or about to arrive there.
 func (h *Host) inUse() int { return h.pendingFlows + len(h.requests) }
 
@@ -175,10 +204,10 @@
 // takeOrHold takes or holds a flow for which no other host is better, or refuses it.
 func (h *Host) takeOrHold(key flow.Key, t mesh.Terms, now time.Duration) Action {
 	switch {
-	case !h.accepts() || h.expectedWait(now) > h.cfg.HoldLimit:
+	case !h.accepts() || h.expectedWait(t.TargetLatency.Duration(), now) > h.cfg.HoldLimit:
 		return Refuse
-	case h.inUse() < h.admissionLimit() && len(h.held) == 0:
-		h.pendingFlows++
+	case h.inUse() < h.admissionLimit() && len(h.held) == 0 && h.warmupWait(0, now) == 0:
+		h.admit(now)
 		return Take
 	}
 	h.held = append(h.held, heldFlow{key: key, priority: t.Priority, target: t.TargetLatency.Duration(), since: now - t.Waited.Duration()})
@@ -242,20 +271,37 @@
 
 // expectedWait returns the time until a request that arrives now begins to run. Held flows that can't meet
 // their target don't delay it, as it is served before them; each still adds a little, so that of two hosts
-// the one with fewer such flows is preferred.
-func (h *Host) expectedWait(now time.Duration) time.Duration {
+// the one with fewer such flows is preferred. While the host may be warming up, its limit may delay the request further.
+func (h *Host) expectedWait(target, now time.Duration) time.Duration {
 	meetingTarget := h.held.countMeetingTarget(now, h.serviceTime+h.requestDelay)
 	ahead := h.inUse() + meetingTarget - h.slots + 1
 	wait := time.Duration(len(h.held)-meetingTarget) * time.Millisecond
 	if ahead > 0 {
 		wait += h.serviceTime * time.Duration(ahead) / time.Duration(h.slots)
 	}
-	return wait
+	if !h.limited {
+		return wait
+	}
+	warmupWait := h.warmupWait(meetingTarget, now)
+	if warmupWait+h.serviceTime > target {
+		// It doesn't meet its target either, so that it is served after the others.
+		warmupWait = h.warmupWait(len(h.held), now)
+	}
+	return max(wait, warmupWait)
 }
 
-func (h *Host) loadLocked() mesh.Load {
+// loadLocked returns the load. A host that may not be given a flow yet counts as so busy that Order ranks it as full until it
+// may, although the reported load loses weight with its age.
+func (h *Host) loadLocked(now time.Duration) mesh.Load {
+	busy := h.inUse() + len(h.held)
+	if h.limited {
+		wait := h.warmupWait(len(h.held), now)
+		if wait > 0 {
+			busy = min(max(busy, h.slots+int(math.Ceil(float64(h.slots)*float64(wait)/float64(loadHalfLife)))), math.MaxUint16)
+		}
+	}
 	return mesh.Load{
-		Busy: uint16(h.inUse() + len(h.held)), Slots: uint16(h.slots), ServiceTime: mesh.MillisOf(h.serviceTime),
+		Busy: uint16(busy), Slots: uint16(h.slots), ServiceTime: mesh.MillisOf(h.serviceTime),
 		Open: h.accepts(), Faulty: h.failures.faulty,
 	}
 }
@@ -270,10 +316,10 @@
 }
 
 // Load returns the current load.
-func (h *Host) Load() mesh.Load {
+func (h *Host) Load(now time.Duration) mesh.Load {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.loadLocked()
+	return h.loadLocked(now)
 }
 
 // Dequeue returns the next held flow if the host has room for it, and counts the flow as pending. It returns
@@ -281,14 +327,42 @@
 func (h *Host) Dequeue(now time.Duration) (flow.Key, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.accepts() || len(h.held) == 0 || h.inUse() >= h.admissionLimit() {
+	if !h.hasRoomForHeld() || h.warmupWait(0, now) > 0 {
 		return flow.Key{}, false
 	}
 	f := h.held.dequeue(now, h.serviceTime+h.requestDelay)
-	h.pendingFlows++
+	h.admit(now)
 	return f.key, true
 }
 
+// hasRoomForHeld reports whether a held flow could be given to the host if it weren't warming up.
+func (h *Host) hasRoomForHeld() bool {
+	return h.accepts() && len(h.held) > 0 && h.inUse() < h.admissionLimit()
+}
+
+// NextAdmission returns the time until Dequeue returns a flow if nothing changes. It returns false if no flow is held for the
+// limit on a host that may be warming up only.
+func (h *Host) NextAdmission(now time.Duration) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.limited || !h.hasRoomForHeld() {
+		return 0, false
+	}
+	return h.warmupWait(0, now), true
+}
+
+// AdmitCopy reports whether the host may be given a copy of the opening packet of a flow that it has been given, and records
+// the packet.
+func (h *Host) AdmitCopy(now time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.warmupWait(0, now) > 0 {
+		return false
+	}
+	h.warmup.Record(now)
+	return true
+}
+
 // DequeueExpired returns a held flow that has waited for longer than the hold limit.
 func (h *Host) DequeueExpired(now time.Duration) (flow.Key, bool) {
 	h.mu.Lock()
@@ -405,11 +479,40 @@
 	return h.open
 }
 
-// SetEvacuated sets whether the host's zone is evacuated, so that it is given no new flows.
+// SetEvacuated sets whether the host's zone is evacuated, so that it is given no new flows. When the evacuation ends, the host may
+// have begun to warm up without having reported it yet.
 func (h *Host) SetEvacuated(evacuated bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.warmingUp = h.warmingUp || h.evacuated && !evacuated
 	h.evacuated = evacuated
+	h.updateLimited()
+}
+
+// SetWarmingUp sets whether the host is warming up, as it reports, or may be, as it may have restarted since its last report.
+func (h *Host) SetWarmingUp(warmingUp bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.warmingUp = warmingUp
+	h.updateLimited()
+}
+
+func (h *Host) updateLimited() { h.limited = h.warmingUp && h.warmupRate > 0 }
+
+// SetWarmupRate sets the limit on a host that is warming up, in opening packets per second; 0 means no limit. version is that
+// of the configuration. Limits of older ones are ignored, and so is 0 from a process of an earlier version, which has the
+// same configuration but doesn't know of limits. It reports whether the limit changed.
+func (h *Host) SetWarmupRate(version uint64, rate uint16) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if version < h.warmupVersion || version == h.warmupVersion && rate <= h.warmupRate {
+		return false
+	}
+	changed := rate != h.warmupRate
+	h.warmupVersion, h.warmupRate = version, rate
+	h.warmup.SetLimit(rate)
+	h.updateLimited()
+	return changed
 }
 
 // SetSlots sets the number of requests that the host runs at a time.
--- a/placement/host_test.go
+++ b/placement/host_test.go
@@ -49,7 +49,7 @@
 	hosts := []*placement.Host{busyHost(4), busyHost(9), busyHost(3)}
 	taken, _ := routeOffer(t, hosts, terms(0))
 	require.Equal(t, 2, taken)
-	require.EqualValues(t, 4, hosts[2].Load().Busy)
+	require.EqualValues(t, 4, hosts[2].Load(0).Busy)
 }
 
 // Guards against a flow that queues at a host other than the one with the shortest wait.
@@ -118,11 +118,11 @@
 		require.LessOrEqual(t, visits, len(hosts)+1)
 		after := 0
 		for _, h := range hosts {
-			after += int(h.Load().Busy)
+			after += int(h.Load(0).Busy)
 		}
 		if taken >= 0 {
 			before++
-			require.True(t, hosts[taken].Load().Open)
+			require.True(t, hosts[taken].Load(0).Open)
 		}
 		require.Equal(t, before, after)
 	})
@@ -142,7 +142,7 @@
 			waiting = waiting[1:]
 		}
 	}
-	require.Equal(t, mesh.MillisOf(20*time.Millisecond), h.Load().ServiceTime)
+	require.Equal(t, mesh.MillisOf(20*time.Millisecond), h.Load(0).ServiceTime)
 }
 
 // Guards against an offer that circulates endlessly between hosts that have closed since it was sent.
--- a/placement/policies_test.go
+++ b/placement/policies_test.go
@@ -157,7 +157,7 @@
 		for {
 			j.host = int(order[o.Current])
 			d := hosts[j.host].Decide(flowKey(n), o, count, s.now)
-			reports[j.entry][j.host] = loadReport{hosts[j.host].Load(), s.now}
+			reports[j.entry][j.host] = loadReport{hosts[j.host].Load(s.now), s.now}
 			if d.Action == placement.Take {
 				startJob(j)
 			}
--- a/warmup/limiter.go
+++ b/warmup/limiter.go
@@ -27,9 +27,6 @@
 // admitted as many packets as the limit allows.
 func New(start time.Duration) Limiter { return Limiter{newest: start, unlisted: start} }
 
-// Limit returns the largest number of packets in a window, 0 for no limit.
-func (l *Limiter) Limit() int { return len(l.admitted) }
-
 // SetLimit sets the largest number of packets in a window; 0 means no limit. It allocates memory if it changes the limit:
 // 8 bytes per packet, 512 kB at most.
 func (l *Limiter) SetLimit(limit uint16) {
@@ -74,6 +71,11 @@
 		l.unlisted = l.newest
 		return
 	}
+	l.list()
+}
+
+// list replaces the oldest time in the ring by the newest one.
+func (l *Limiter) list() {
 	l.unlisted = max(l.unlisted, l.admitted[l.next])
 	l.admitted[l.next] = l.newest
 	if l.next++; l.next == len(l.admitted) {
