--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -38,10 +38,13 @@
 // Fleet is a small simulated fleet of entries and agents with fake hosts and callers. It runs on simulated
 // time, one event after the other, so that a run can be repeated.
 type Fleet struct {
-	Random  *rand.Rand
-	Routes  []routing.Route
-	Entries []*Entry
-	Agents  []*Agent
+	Random *rand.Rand
+	Routes []routing.Route
+	// WarmupRates holds the limits of the services' hosts for entries that start later, see routing.Table.WarmupRate. A host
+	// that gets more opening packets within a second while it is cold is a violation.
+	WarmupRates map[string]uint16
+	Entries     []*Entry
+	Agents      []*Agent
 	// Zone returns the availability zone of the VM at an address.
 	Zone func(ip uint32) string
 	// Drop reports whether a datagram between two addresses is lost.
@@ -168,7 +171,7 @@
 // StartEntry starts a new process for an entry, without the state of the previous one.
 func (f *Fleet) StartEntry(e *Entry) {
 	var routes routing.Holder
-	routes.StoreIfNewer(routing.NewTable(1, 0, f.Routes))
+	routes.StoreIfNewer(routing.NewTable(1, 0, f.Routes).WithWarmupRates(f.WarmupRates))
 	e.Up, e.Evacuations = true, new(evacuation.Holder)
 	var started *packetentry.Entry
 	tick := f.ticker(func() time.Duration { return started.Tick() }, func(fn func()) {
@@ -417,8 +420,7 @@
 		a.Up, a.Host.Up = false, false
 		f.After(down+f.randomDelay(startSpread), func() { f.StartAgent(a) })
 		f.After(down+f.randomDelay(startSpread), func() {
-			f.StartHost(a)
-			a.Host.coldUntil = f.now + a.Host.ColdTime
+			f.StartColdHost(a)
 		})
 	}
 }
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
@@ -36,7 +37,9 @@
 	WithoutHeartbeats bool
 	// AnswerDelay is the time after which the host answers an opening packet.
 	AnswerDelay time.Duration
-	sequence    uint64
+	// openings are the times of the opening packets of the last second.
+	openings []time.Duration
+	sequence uint64
 	// coldUntil is when the host ceases to be slow.
 	coldUntil time.Duration
 	// requests holds the requests of this incarnation that have arrived; true once answered.
@@ -98,6 +101,7 @@
 	initialSeq, exists := h.Flows[s.Key]
 	switch {
 	case s.Opens():
+		f.checkWarmup(a)
 		if !exists {
 			initialSeq = f.Random.Uint32()
 			h.Flows[s.Key] = initialSeq
@@ -169,6 +173,22 @@
 // flight.
 const drainGrace = 50 * time.Millisecond
 
+// StartColdHost starts a new incarnation of an agent's host that is slow for its ColdTime.
+func (f *Fleet) StartColdHost(a *Agent) {
+	f.StartHost(a)
+	a.Host.coldUntil = f.now + a.Host.ColdTime
+}
+
+// checkWarmup records an opening packet and checks the limit of a cold host.
+func (f *Fleet) checkWarmup(a *Agent) {
+	h := a.Host
+	h.openings = slices.DeleteFunc(h.openings, func(at time.Duration) bool { return at <= f.now-time.Second })
+	h.openings = append(h.openings, f.now)
+	if rate := int(f.WarmupRates[h.Service]); rate > 0 && f.now < h.coldUntil && len(h.openings) > rate {
+		f.Violations = append(f.Violations, fmt.Sprintf("%d opening packets within a second at a cold host", len(h.openings)))
+	}
+}
+
 func (f *Fleet) checkOpening(a *Agent) {
 	if a.Host.Service != FirstService {
 		f.Violations = append(f.Violations, "a flow was opened at another service")
