--- a/packetagent/warmup_test.go
+++ b/packetagent/warmup_test.go
@@ -14,6 +14,7 @@
 	"endiveflow.example/endiveflow/packettest"
 	"endiveflow.example/endiveflow/placement"
 	"endiveflow.example/endiveflow/platform"
+	_ "endiveflow.example/endiveflow/testseed"
 )
 
 // warmupRate is the limit of the service in these tests; hosts have 4 slots.
