--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -33,3 +33,17 @@
 func benchLoad(i int) mesh.Load {
 	return mesh.Load{Slots: 2, Busy: uint16(i % 3), WorkMs: uint16(400 + i%3*20), StandingMs: 400}
 }
+
+// BenchmarkTake measures an offer to a host with a free slot, and the end of its request.
+func BenchmarkTake(b *testing.B) {
+	h := busyHost(3)
+	b.ReportAllocs()
+	now := time.Hour
+	for b.Loop() {
+		now += time.Millisecond
+		if h.Decide(flowKey(1), terms(0), 2, now).Action != placement.Take {
+			b.Fatal("not taken")
+		}
+		h.RequestEnded(nil, now)
+	}
+}
--- a/placement/host.go
+++ b/placement/host.go
@@ -8,6 +8,7 @@
 	"endiveflow.example/endiveflow/cost"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/mesh"
+	"endiveflow.example/endiveflow/warmup"
 )
 
 // Defaults of HostConfig.
@@ -33,6 +34,8 @@
 	ServiceTime time.Duration
 	SlowFactor  float64
 	HoldLimit   time.Duration
+	// Started is when the process started, in the time of the other calls.
+	Started time.Duration
 }
 
 // Host tracks the load of the host beside an agent, decides on offers to it, and queues the flows held for
@@ -63,11 +66,18 @@
 	// typicalTime is the mean of the fleet's values for the same requests, 0 if unknown.
 	typicalTime time.Duration
 	costs       *cost.Estimator
-	// lastNow is the latest time that a method was called with.
-	lastNow time.Duration
 	// requestDelay is the mean time from giving a flow to the host until its request arrives.
 	requestDelay time.Duration
 	failures     failureStats
+	// warmingUp reports whether the host is or may be warming up; its opening packets are limited then. It is set until the
+	// host itself reports otherwise. warmup records all of them, so that those from before count.
+	warmingUp bool
+	warmup    warmup.Limiter
+	// warmupRate is the limit of the newest configuration whose limit is known, warmupVersion the version of that one.
+	warmupRate    uint16
+	warmupVersion uint64
+	// limited is set while the host is or may be warming up and has a limit.
+	limited bool
 }
 
 // Request is a request in a host.
@@ -79,7 +89,7 @@
 	expected, typical time.Duration
 }
 
-// NewHost returns the state of a host that accepts flows and has none.
+// NewHost returns the state of a host that accepts flows, has none, and may be warming up.
 func NewHost(cfg HostConfig) *Host {
 	if cfg.Slots <= 0 {
 		cfg.Slots = DefaultSlots
@@ -93,7 +103,10 @@
 	if cfg.HoldLimit <= 0 {
 		cfg.HoldLimit = DefaultHoldLimit
 	}
-	return &Host{cfg: cfg, slots: cfg.Slots, open: true, serviceTime: cfg.ServiceTime, costs: cost.New(cost.Config{})}
+	return &Host{
+		cfg: cfg, slots: cfg.Slots, open: true, serviceTime: cfg.ServiceTime, costs: cost.New(cost.Config{}),
+		warmingUp: true, warmup: warmup.New(cfg.Started),
+	}
 }
 
 // Action is what an agent does with an offer.
@@ -131,6 +144,8 @@
 	ExpectedLatency time.Duration
 	// Load is the load that the decision is based on.
 	Load mesh.Load
+	// WarmupWait is the time until the host may be given the flow, as it is or may be warming up; 0 if it may be now.
+	WarmupWait time.Duration
 }
 
 // Decide answers an offer that has count candidates. After Take the flow is pending until RequestArrived or
@@ -142,10 +157,12 @@
 	h.costs.SetTypical(key.Service, t.TypicalServiceTime.Duration(), now)
 	work := h.costs.Expected(cost.Class{Route: key.Service}, now, h.serviceTime)
 	ahead := h.workAhead(now)
-	d := Decision{Terms: t, ExpectedLatency: h.expectedLatency(key, t, work, ahead, now), Load: h.loadOf(ahead)}
+	d := Decision{
+		Terms: t, ExpectedLatency: h.expectedLatency(key, t, work, ahead, now), Load: h.loadOf(ahead, now), WarmupWait: h.warmupWait(len(h.held), now),
+	}
 	switch {
-	case !t.MustTake && h.canTakeNow(t):
-		h.addPending(work)
+	case !t.MustTake && d.WarmupWait == 0 && h.canTakeNow(t):
+		h.admit(work, now)
 		d.Action = Take
 	case t.MustTake:
 		d.Action = h.takeOrHold(key, t, work, now)
@@ -163,8 +180,8 @@
 // only rank the host behind others: they never raise the result above the hold limit, so that a flow is refused for lack of
 // time only.
 func (h *Host) expectedLatency(key flow.Key, t mesh.Terms, work time.Duration, ahead workAhead, now time.Duration) time.Duration {
-	d := h.expectedWait(ahead, now) + work
 	target := t.TargetLatency.Duration()
+	d := h.expectedWait(target, ahead, now) + work
 	later := h.failures.expectedCost(target, now)
 	if h.costs.HasLongFlows(key.Service) {
 		later += time.Duration(ahead.standing.Seconds() / float64(h.slots) * standingCostTargets * float64(target))
@@ -193,12 +210,6 @@
 	return typical > 0 && h.serviceTime > time.Duration(h.cfg.SlowFactor*float64(typical))
 }
 
-// addPending counts a flow that is given to the host.
-func (h *Host) addPending(work time.Duration) {
-	h.pendingFlows++
-	h.pendingWork += work
-}
-
 // removePending removes a pending flow. Which one it is doesn't matter, as their requests are soon to arrive.
 func (h *Host) removePending() {
 	if h.pendingFlows > 0 {
@@ -210,6 +221,22 @@
 // accepts reports whether the host takes new flows.
 func (h *Host) accepts() bool { return h.open && !h.evacuated }
 
+// admit counts a flow of the given expected work whose opening packet is given to the host.
+func (h *Host) admit(work, now time.Duration) {
+	h.pendingFlows++
+	h.pendingWork += work
+	h.warmup.Record(now)
+}
+
+// warmupWait returns the time until the host may be given a flow before which ahead others are; 0 unless it may be warming
+// up.
+func (h *Host) warmupWait(ahead int, now time.Duration) time.Duration {
+	if !h.limited {
+		return 0
+	}
+	return h.warmup.Wait(ahead, now)
+}
+
 // inUse returns the number of flows with a request in the host or about to arrive there.
 func (h *Host) inUse() int { return h.pendingFlows + len(h.requests) }
 
@@ -222,10 +249,10 @@
 // takeOrHold takes or holds a flow for which no other host is better, or refuses it.
 func (h *Host) takeOrHold(key flow.Key, t mesh.Terms, work, now time.Duration) Action {
 	switch {
-	case !h.accepts() || h.expectedWait(h.workAhead(now), now) > h.cfg.HoldLimit:
+	case !h.accepts() || h.expectedWait(t.TargetLatency.Duration(), h.workAhead(now), now) > h.cfg.HoldLimit:
 		return Refuse
-	case h.inUse() < h.admissionLimit() && len(h.held) == 0:
-		h.addPending(work)
+	case h.inUse() < h.admissionLimit() && len(h.held) == 0 && h.warmupWait(0, now) == 0:
+		h.admit(work, now)
 		return Take
 	}
 	h.held = append(h.held, heldFlow{key: key, work: work, priority: t.Priority, target: t.TargetLatency.Duration(), since: now - t.Waited.Duration()})
@@ -289,16 +316,31 @@
 
 // expectedWait returns the time until a request that arrives now begins to run. Held flows that can't meet
 // their target don't delay it, as it is served before them; each still adds a little, so that of two hosts
-// the one with fewer such flows is preferred.
-func (h *Host) expectedWait(ahead workAhead, now time.Duration) time.Duration {
+// the one with fewer such flows is preferred. While the host may be warming up, its limit may delay the request further.
+func (h *Host) expectedWait(target time.Duration, ahead workAhead, now time.Duration) time.Duration {
 	meetingTarget, heldWork := h.held.meetingTarget(now, h.requestDelay)
 	wait := time.Duration(len(h.held)-meetingTarget) * time.Millisecond
+	delay := h.warmupDelay(target, meetingTarget, now)
 	if h.inUse()+meetingTarget < h.slots {
-		return wait
+		return max(wait, delay)
 	}
 	slots := time.Duration(h.slots)
 	// The first slot becomes free after a slots' part of what runs in all of them.
-	return wait + (ahead.running/slots+ahead.waiting+heldWork)/slots
+	return max(wait+(ahead.running/slots+ahead.waiting+heldWork)/slots, delay)
+}
+
+// warmupDelay returns the time for which the limit of a host that may be warming up delays a request that arrives now, of
+// which meetingTarget held flows can meet their target.
+func (h *Host) warmupDelay(target time.Duration, meetingTarget int, now time.Duration) time.Duration {
+	if !h.limited {
+		return 0
+	}
+	wait := h.warmupWait(meetingTarget, now)
+	if wait+h.serviceTime > target {
+		// It doesn't meet its target either, so that it is served after the others.
+		wait = h.warmupWait(len(h.held), now)
+	}
+	return wait
 }
 
 // minRemaining is the least remaining time of a running request, as a part of its expected time. Service times have a long
@@ -313,7 +355,6 @@
 }
 
 func (h *Host) workAhead(now time.Duration) (w workAhead) {
-	h.lastNow = max(h.lastNow, now)
 	for i, r := range h.requests {
 		switch {
 		case i >= h.slots:
@@ -336,11 +377,21 @@
 	return w
 }
 
-func (h *Host) loadOf(w workAhead) mesh.Load {
+// loadOf returns the load. A host that may not be given a flow yet counts as so busy that Order ranks it as full until it
+// may, although the reported load loses weight with its age.
+func (h *Host) loadOf(w workAhead, now time.Duration) mesh.Load {
+	busy, work := h.inUse()+len(h.held), w.running+w.waiting+h.held.work()+w.standing
+	if h.limited {
+		if wait := h.warmupWait(len(h.held), now); wait > 0 {
+			full := h.slots + int(math.Ceil(float64(h.slots)*float64(wait)/float64(loadHalfLife)))
+			busy = min(max(busy, full), math.MaxUint16)
+			work = max(work, w.standing+time.Duration(full)*h.serviceTime)
+		}
+	}
 	return mesh.Load{
-		Busy: uint16(h.inUse() + len(h.held)), Slots: uint16(h.slots), ServiceTime: mesh.MillisOf(h.serviceTime),
+		Busy: uint16(busy), Slots: uint16(h.slots), ServiceTime: mesh.MillisOf(h.serviceTime),
 		Open: h.accepts(), Faulty: h.failures.faulty,
-		WorkMs:     uint16(max(mesh.MillisOf(w.running+w.waiting+h.held.work()+w.standing), 1)),
+		WorkMs:     uint16(max(mesh.MillisOf(work), 1)),
 		StandingMs: uint16(mesh.MillisOf(w.standing)),
 	}
 }
@@ -392,18 +443,11 @@
 	return h.failures.faulty, h.failures.rateAt(now)
 }
 
-// Load returns the load at the latest time that the host was called with.
-func (h *Host) Load() mesh.Load {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.loadOf(h.workAhead(h.lastNow))
-}
-
-// LoadAt returns the current load.
-func (h *Host) LoadAt(now time.Duration) mesh.Load {
+// Load returns the current load.
+func (h *Host) Load(now time.Duration) mesh.Load {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.loadOf(h.workAhead(now))
+	return h.loadOf(h.workAhead(now), now)
 }
 
 // Dequeue returns the next held flow if the host has room for it, and counts the flow as pending. It returns
@@ -411,14 +455,42 @@
 func (h *Host) Dequeue(now time.Duration) (flow.Key, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.accepts() || len(h.held) == 0 || h.inUse() >= h.admissionLimit() {
+	if !h.hasRoomForHeld() || h.warmupWait(0, now) > 0 {
 		return flow.Key{}, false
 	}
 	f := h.held.dequeue(now, h.requestDelay)
-	h.addPending(f.work)
+	h.admit(f.work, now)
 	return f.key, true
 }
 
+// hasRoomForHeld reports whether a held flow could be given to the host if it weren't warming up.
+func (h *Host) hasRoomForHeld() bool {
+	return h.accepts() && len(h.held) > 0 && h.inUse() < h.admissionLimit()
+}
+
+// NextAdmission returns the time until Dequeue returns a flow if nothing changes. It returns false if no flow is held for the
+// limit on a host that may be warming up only.
+func (h *Host) NextAdmission(now time.Duration) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.limited || !h.hasRoomForHeld() {
+		return 0, false
+	}
+	return h.warmupWait(0, now), true
+}
+
+// AdmitCopy reports whether the host may be given a copy of the opening packet of a flow that it has been given, and records
+// the packet.
+func (h *Host) AdmitCopy(now time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.warmupWait(0, now) > 0 {
+		return false
+	}
+	h.warmup.Record(now)
+	return true
+}
+
 // DequeueExpired returns a held flow that has waited for longer than the hold limit.
 func (h *Host) DequeueExpired(now time.Duration) (flow.Key, bool) {
 	h.mu.Lock()
@@ -454,7 +526,6 @@
 func (h *Host) ClassRequestArrived(c cost.Class, now time.Duration, pending bool, delay time.Duration) *Request {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastNow = max(h.lastNow, now)
 	if pending {
 		h.removePending()
 		h.requestDelay += (delay - h.requestDelay) / serviceSamples
@@ -553,11 +624,40 @@
 	return h.open
 }
 
-// SetEvacuated sets whether the host's zone is evacuated, so that it is given no new flows.
+// SetEvacuated sets whether the host's zone is evacuated, so that it is given no new flows. When the evacuation ends, the host may
+// have begun to warm up without having reported it yet.
 func (h *Host) SetEvacuated(evacuated bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.warmingUp = h.warmingUp || h.evacuated && !evacuated
 	h.evacuated = evacuated
+	h.updateLimited()
+}
+
+// SetWarmingUp sets whether the host is warming up, as it reports, or may be, as it may have restarted since its last report.
+func (h *Host) SetWarmingUp(warmingUp bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.warmingUp = warmingUp
+	h.updateLimited()
+}
+
+func (h *Host) updateLimited() { h.limited = h.warmingUp && h.warmupRate > 0 }
+
+// SetWarmupRate sets the limit on a host that is warming up, in opening packets per second; 0 means no limit. version is that
+// of the configuration. Limits of older ones are ignored, and so is 0 from a process of an earlier version, which has the
+// same configuration but doesn't know of limits. It reports whether the limit changed.
+func (h *Host) SetWarmupRate(version uint64, rate uint16) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if version < h.warmupVersion || version == h.warmupVersion && rate <= h.warmupRate {
+		return false
+	}
+	changed := rate != h.warmupRate
+	h.warmupVersion, h.warmupRate = version, rate
+	h.warmup.SetLimit(rate)
+	h.updateLimited()
+	return changed
 }
 
 // SetSlots sets the number of requests that the host runs at a time.
