--- a/mesh/message.go
+++ b/mesh/message.go
@@ -44,12 +44,16 @@
 	// Step is EchoedHearsAgents if the other entry hears agents.
 	KindEcho
 	KindEchoed
+	// KindAbsenceQuery carries an AbsenceQuery from an entry, KindAbsenceAnswer an agent's AbsenceAnswer.
+	KindAbsenceQuery
+	KindAbsenceAnswer
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
 	names := [...]string{
 		"none", "offer", "deliver", "search", "taken", "passed", "refused", "missing", "agentReport", "entryReport", "located", "marker", "echo", "echoed",
+		"absenceQuery", "absenceAnswer",
 	}
 	if int(k) < len(names) {
 		return names[k]
