packetagent: answer whether the host has a flow

Entries that can't find a flow need to know that no host has it. An agent answers absent only if it has seen every flow of its host or the host bounced the flow; keys whose records it removed, or whose offers it passed on, stay unknown.

--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -41,6 +41,8 @@
 	// allFlowsKnown reports whether flows holds every flow of the host, because the agent started before it. startedTogether
 	// reports whether this is likely, because they started with the VM.
 	allFlowsKnown, startedTogether atomic.Bool
+	// absences is what answers to queries for the absence of flows depend on.
+	absences absences
 	// loggedFaulty reports whether the host was last logged as faulty.
 	loggedFaulty atomic.Bool
 
@@ -71,6 +73,8 @@
 	// probed reports whether a packet of the flow was sent to the host to find out whether the host has the
 	// flow, bounced whether the host rejected a packet of the flow.
 	probed, bounced bool
+	// bouncedBy is the incarnation of the host that bounced a packet of the flow as an open one, 0 if none did.
+	bouncedBy uint64
 }
 
 // Contexts are stored in packets for the host and returned in bounced packets. They record why the packet was
@@ -122,7 +126,7 @@
 		a.cfg.NewerConfig(m.Origin)
 	}
 	switch m.Kind {
-	case mesh.KindOffer, mesh.KindDeliver, mesh.KindSearch, mesh.KindLocated:
+	case mesh.KindOffer, mesh.KindDeliver, mesh.KindSearch, mesh.KindLocated, mesh.KindAbsenceQuery:
 	default:
 		return
 	}
@@ -133,6 +137,10 @@
 		}
 		return
 	}
+	if m.Kind == mesh.KindAbsenceQuery {
+		a.handleAbsenceQuery(&m)
+		return
+	}
 	if m.Kind == mesh.KindLocated {
 		if m.Origin == a.cfg.IP && m.Directories[0] != 0 {
 			a.updateDirectories(m.Flow, m.Directories, false)
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -308,6 +308,7 @@
 	bounces.Inc()
 	switch s.Context {
 	case contextSearch, contextProbe:
+		a.recordBounce(s)
 		if search := a.recordProbeAbsence(s.Key, probeBounced); search.entry != 0 && s.Context == contextProbe {
 			a.returnMissing(&mesh.Message{Origin: search.entry, Step: search.step}, s.Key, packet)
 		}
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -32,6 +32,7 @@
 	a.load.SetOpen(r.State == host.Ready)
 	a.warmUntil.Store(int64(now + r.Warmup))
 	if outcome == host.Replaced {
+		a.noteIncarnation(r)
 		a.handleReplacement(known, r, previousHeartbeat)
 	}
 	if r.State == host.Ready {
@@ -127,6 +128,10 @@
 			r.setPhase(ended, now, a.load)
 			n++
 		}
+		if nextStartedAt == math.MaxInt64 {
+			// No new incarnation has reported, so that nothing but this observation shows that the flow is gone.
+			a.forgetFlow(key)
+		}
 		return false
 	})
 	for _, f := range lost {
@@ -235,6 +240,8 @@
 	}
 	offer := r.offer
 	r.setPhase(ended, now, a.load)
+	// The host may answer later.
+	a.forgetFlow(key)
 	shard.Delete(key)
 	shard.Unlock()
 	a.recordUnanswered(key, offer.message.Directories)
@@ -246,7 +253,7 @@
 // Sweep removes expired records. It must be called about once a second.
 func (a *Agent) Sweep() {
 	now, idle := a.cfg.Now(), a.cfg.IdleTimeout()
-	a.flows.Sweep(func(_ flow.Key, r *record) bool {
+	a.flows.Sweep(func(key flow.Key, r *record) bool {
 		if r.phase == running && now-r.phaseStarted > requestTimeout {
 			r.abandonRequest(now, a.load)
 			noAnswer.Inc()
@@ -259,8 +266,10 @@
 			return true
 		}
 		r.setPhase(ended, now, a.load)
+		a.forgetFlow(key)
 		return false
 	})
+	a.absences.sweep(now)
 	a.refreshLocations(now)
 	a.reassess(now)
 	a.admitHeld()
--- a/packetagent/metrics.go
+++ b/packetagent/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"endiveflow.example/endiveflow/flowabsence"
 	"endiveflow.example/endiveflow/placement"
 )
 
@@ -37,6 +38,13 @@
 	lookupsFound    = metrics.NewCounter(`endiveflow_packetagent_lookups_total{result="found"}`)
 	lookupsNotFound = metrics.NewCounter(`endiveflow_packetagent_lookups_total{result="notFound"}`)
 
+	// absenceVerdicts counts the answers to entries that ask whether the host has a flow.
+	absenceVerdicts = map[flowabsence.Verdict]*metrics.Counter{
+		flowabsence.Unknown: metrics.NewCounter(`endiveflow_packetagent_absence_answers_total{verdict="unknown"}`),
+		flowabsence.Absent:  metrics.NewCounter(`endiveflow_packetagent_absence_answers_total{verdict="absent"}`),
+		flowabsence.Present: metrics.NewCounter(`endiveflow_packetagent_absence_answers_total{verdict="present"}`),
+	}
+
 	// holdTimes are the times in seconds for which flows were held before they were sent to the host.
 	holdTimes = metrics.NewHistogram(`endiveflow_packetagent_hold_seconds`)
 
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -179,6 +179,7 @@
 
 // passOffer sends an offer to its current candidate and notifies the entry.
 func (a *Agent) passOffer(m *mesh.Message, key flow.Key) {
+	a.forgetOffer(key)
 	a.send(m.Candidates[m.Terms.Current], m)
 	notice := a.newMessage(mesh.KindPassed, key)
 	notice.Terms, notice.Candidates, notice.Count = m.Terms, m.Candidates, m.Count
