packetentry, packetnode: reset flows that no host has, off by default

Callers whose flows were lost with all VMs wait for their deadlines. Entries query all recorded agents in batches and reset a flow if all answer absent.

--- a/mesh/absence.go
+++ b/mesh/absence.go
@@ -24,6 +24,9 @@
 	Keys []flow.Key
 }
 
+// AbsenceQueryBytes returns the size of the message with a query for a number of flows.
+func AbsenceQueryBytes(flows int) int { return headerBytes + absenceQueryBytes + flows*keyBytes }
+
 // Append appends the encoded query to b.
 func (q AbsenceQuery) Append(b []byte) []byte {
 	b = binary.BigEndian.AppendUint64(b, q.Serial)
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -56,6 +56,9 @@
 	// process reports; it may be nil.
 	Evacuations         *evacuation.Holder
 	EvacuationsReported func(evacuation.State)
+	// Membership returns what the store's member records say of agents. If they were read before since, it requests
+	// another read. nil means that they are never known, and that no flow is reset because no host has it.
+	Membership func(since time.Duration) Membership
 	// ScheduleTick is called with the time until Tick must be called, when a new timer is started.
 	ScheduleTick func(time.Duration)
 	// Log receives the decisions.
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -21,6 +21,7 @@
 	// repeats limits what the entry sends on its own account.
 	repeats   *repeats
 	isolation isolation
+	absences  absences
 	// reportCount is the number of reports that the entry has sent, searchTurn the number of agents that it has
 	// searched at in last steps.
 	reportCount, searchTurn atomic.Uint64
@@ -85,7 +86,7 @@
 // New returns an entry that has no record of other processes.
 func New(cfg Config) *Entry {
 	cfg = cfg.withDefaults()
-	return &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), started: cfg.Now()}
+	return &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), absences: newAbsences(), started: cfg.Now()}
 }
 
 // FromCaller handles a packet of a caller.
@@ -113,6 +114,7 @@
 	case s.Opens():
 		// This is a retransmission; the flow is already being placed.
 		shard.Unlock()
+		e.cancelProof(s.Key)
 	case r != nil && r.taken:
 		agent, service := r.agent, r.service
 		shard.Unlock()
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -17,8 +17,17 @@
 	forwarded        = metrics.NewCounter(`endiveflow_packetentry_forwarded_total`)
 	floods           = metrics.NewCounter(`endiveflow_packetentry_floods_total`)
 	withheldRepeats  = metrics.NewCounter(`endiveflow_packetentry_withheld_repeats_total`)
+	absenceQueries   = metrics.NewCounter(`endiveflow_packetentry_absence_queries_total`)
+	absenceFlows     = metrics.NewCounter(`endiveflow_packetentry_absence_flows_total`)
+	absenceOverflows = metrics.NewCounter(`endiveflow_packetentry_absence_overflows_total`)
 	searches         = metrics.NewCounter(`endiveflow_packetentry_searches_total`)
 
+	// What became of flows whose absence was to be proved.
+	absencesProved     = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="reset"}`)
+	absencesRefuted    = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="refuted"}`)
+	absencesUnanswered = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="unanswered"}`)
+	absencesWithheld   = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="withheld"}`)
+
 	// The searches that begin with a packet of a caller whose flow the entry has no record of, by step.
 	directorySearchesBegun = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="directory"}`)
 	allSearchesBegun       = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="all"}`)
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -41,6 +41,9 @@
 		if m.Kind == mesh.KindTaken && m.Step == mesh.TakenAsksDirectories {
 			e.sendDirectories(&m)
 		}
+	case mesh.KindAbsenceAnswer:
+		e.isolation.agentHeard(e.cfg.Now())
+		e.handleAbsenceAnswer(&m)
 	default:
 		badDatagrams.Inc()
 	}
@@ -143,9 +146,9 @@
 func (e *Entry) Tick() time.Duration {
 	now := e.cfg.Now()
 	e.placeParked(now)
+	next := e.tickAbsences(now)
 	e.timersMu.Lock()
 	defer e.timersMu.Unlock()
-	next := time.Duration(0)
 	if len(e.parked) > 0 {
 		next = parkInterval
 	}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -93,6 +93,7 @@
 		m.Directories, asked, m.Step = order.current(), order[position], mesh.DirectoryStep(step)
 	}
 	if asked == 0 {
+		e.suspectLost(s)
 		return e.searchAll(s, m, e.searchedAgents(route, known))
 	}
 	e.logSearch(s, mesh.DirectoryPosition(m.Step), 1, m.ConfigVersion)
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -79,6 +79,7 @@
 		},
 		flows: agent.Flows, beginStop: agent.Stop,
 		canStop: func(since time.Duration) bool { return since > agentStopMin && agent.Flows() == 0 },
+		hasLeft: agent.HostGone,
 	}, nil
 }
 
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -46,7 +46,7 @@
 				duty.Answered(age)
 			}
 		},
-		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations,
+		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations, Membership: membershipOf(b.members),
 		PeerDiscovered: func(ip uint32) {
 			select {
 			case discovered <- ip:
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -70,6 +70,8 @@
 	now    func() time.Duration
 	// restored is signalled when the store came back from an older copy, in which the own record may be missing.
 	restored chan struct{}
+	// refresh is signalled when an entry needs records that were read at a later time.
+	refresh chan struct{}
 	// tracker is used only by the goroutine of run.
 	tracker absence.Tracker
 
@@ -78,6 +80,16 @@
 	// each list; seeds is replaced after each reload.
 	recorded map[uint32]string
 	seeds    []uint32
+	// current are the agents of the last read of current records, which began at readAt; 0 if there was none. recorded may be
+	// of a later read that was stale. allDecoded reports whether each record of that read was readable, era is its era of the
+	// store, and reliableFrom the
+	// time from which agents have written again what the store lost.
+	current              []uint32
+	readAt, reliableFrom time.Duration
+	allDecoded           bool
+	era                  uint64
+	// ended is set once the process's own record was removed, so that it isn't written again.
+	ended bool
 }
 
 // setSeeds replaces the seed entries from the settings.
@@ -164,8 +176,8 @@
 	return max(listPause, time.Duration(known)*time.Second/listsPerSecond)
 }
 
-// awaitRestore waits for a pause, or until the store was restored and a random part of restoreSpread has passed.
-// It reports whether the store was restored.
+// awaitRestore waits for a pause, or until the store was restored and a random part of restoreSpread has passed, or a
+// refresh is requested and due. It reports whether current records must be read.
 func (m *memberRegistry) awaitRestore(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -173,6 +185,8 @@
 	case <-m.restored:
 		sleep(ctx, time.Duration(rand.Int64N(int64(restoreSpread))))
 		return true
+	case <-m.refresh:
+		return m.awaitRefresh(ctx)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -183,7 +197,7 @@
 // outdated one. If records may have been lost, after an outage or a restore, it reads a current list, because a
 // stale one may still contain them.
 func (m *memberRegistry) reconcile(ctx context.Context, mayHaveLost bool) error {
-	freshness := platform.Stale
+	began, freshness := m.now(), platform.Stale
 	if mayHaveLost {
 		freshness = platform.Current
 	}
@@ -192,8 +206,11 @@
 		return fmt.Errorf("listing members: %w", err)
 	}
 	records, ownWritten := m.updateRecorded(l.Objects)
+	if freshness == platform.Current {
+		m.noteCurrent(began, l.Era, len(records) == len(l.Objects))
+	}
 	m.listed()
-	if !ownWritten {
+	if !ownWritten && !m.hasEnded() {
 		if err := m.write(ctx); err != nil {
 			return fmt.Errorf("writing the member record: %w", err)
 		}
--- a/packetnode/process.go
+++ b/packetnode/process.go
@@ -77,6 +77,7 @@
 	if err == nil {
 		stopStart := b.now()
 		waitUntil(b.settings.ShutdownGrace-stopReserve, func() bool { return r.canStop(b.now() - stopStart) })
+		b.removeRecord(ctx, r)
 	}
 	cancel()
 	b.close()
@@ -112,6 +113,9 @@
 	// beginStop begins a planned stop; canStop reports whether it can complete, given the time since it began.
 	beginStop func()
 	canStop   func(since time.Duration) bool
+	// hasLeft reports at the end of a planned stop whether the process and its host have left for good, so that its member
+	// record is removed; nil means that they haven't.
+	hasLeft func() bool
 }
 
 // base holds what entries and agents have in common.
@@ -125,6 +129,7 @@
 	store    *platform.Client
 	routes   routing.Holder
 	config   *configUpdater
+	members  *memberRegistry
 	alarm    *alarm
 	toMember func(uint32, []byte)
 	// reportNow is signalled after a change that all have to know, configured after a new configuration or a change of the
@@ -161,6 +166,9 @@
 		return nil, err
 	}
 	b.toMember = memberSender(b.peerConn, s.FirstPort)
+	b.members = &memberRegistry{
+		store: b.store, log: b.log, now: b.now, listed: func() { signal(b.listed) }, restored: b.storeRestored, refresh: make(chan struct{}, 1),
+	}
 	b.config = newConfigUpdater(configUpdater{
 		routes: &b.routes, store: b.store, http: newHTTPClient(), port: s.FirstPort, log: log, applied: func() {},
 		spread: agentFetchSpread, firstSpread: agentFetchSpread,
@@ -207,10 +215,8 @@
 
 // start starts the parts that entries and agents have in common.
 func (b *base) start(ctx context.Context, r role, reloads <-chan platform.Settings) {
-	registry := &memberRegistry{
-		own: r.record, store: b.store, log: b.log, now: b.now, listed: func() { signal(b.listed) }, restored: b.storeRestored,
-		known: func() []uint32 { return append(r.known(announce.Entries), r.known(announce.Agents)...) },
-	}
+	registry := b.members
+	registry.own, registry.known = r.record, func() []uint32 { return append(r.known(announce.Entries), r.known(announce.Agents)...) }
 	registry.setSeeds(b.settings.Seeds)
 	intervals := new(reportIntervals)
 	reports := &reporter{
@@ -228,6 +234,19 @@
 	b.parts.add("reports", reports.run(ctx))
 }
 
+// removeRecord removes the member record of a process that has left for good with its host. It takes a small part of the
+// reserve of a planned stop.
+func (b *base) removeRecord(ctx context.Context, r role) {
+	if r.hasLeft == nil || !r.hasLeft() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopReserve/2)
+	defer cancel()
+	if err := b.members.removeOwn(ctx); err != nil {
+		b.log.Warn("cannot remove the own member record", "error", err.Error())
+	}
+}
+
 // recipients returns the processes of a group that get reports: entries get those of all processes, agents those of
 // entries.
 func (b *base) recipients(r role, registry *memberRegistry, g announce.Group) []uint32 {
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -52,6 +52,8 @@
 	Links map[uint32]*Link
 	// Traffic counts the datagrams of each process by address.
 	Traffic map[uint32]*Traffic
+	// Membership returns what entries know of the member records. By default, all agents are listed at any time.
+	Membership func(since time.Duration) packetentry.Membership
 	// Log returns the log of a process that starts at an address; nil means that lines are discarded.
 	Log func(ip uint32) *eventlog.Log
 	// ToCaller receives each packet for a caller.
@@ -113,11 +115,21 @@
 		ToCaller: func(flow.Segment, uint32) {}, Links: make(map[uint32]*Link), Traffic: make(map[uint32]*Traffic),
 		openFlows: make(map[flow.Key]*openFlow),
 	}
+	f.Membership = func(time.Duration) packetentry.Membership { return f.ListedAgents() }
 	endpoint := Key(0).Service
 	f.Routes = []routing.Route{{Name: "r", Endpoint: endpoint, Shares: []routing.Share{{Service: FirstService, Weight: 1}}, TargetLatency: 150 * time.Millisecond}}
 	return f
 }
 
+// ListedAgents returns the member records of all agents, read now.
+func (f *Fleet) ListedAgents() packetentry.Membership {
+	m := packetentry.Membership{ReadAt: f.now, Known: true}
+	for _, a := range f.Agents {
+		m.Agents = append(m.Agents, a.IP)
+	}
+	return m
+}
+
 // Now returns the fleet's simulated time.
 func (f *Fleet) Now() time.Duration { return f.now }
 
@@ -186,6 +198,7 @@
 		NewerConfig:    func(uint32) {},
 		PeerDiscovered: func(ip uint32) { e.reports.Announce(ip) },
 		ScheduleTick:   func(d time.Duration) { f.After(d, tick) },
+		Membership:     func(since time.Duration) packetentry.Membership { return f.Membership(since) },
 	})
 	e.Entry = started
 	e.reports = f.newSchedule(e.IP)
@@ -392,6 +405,7 @@
 			f.Violations = append(f.Violations, "a caller received an invalid packet")
 			return
 		}
+		f.checkReset(from, s)
 		if delay, sent := f.sendDelay(from, len(packet)); sent {
 			f.After(delay+callerDelay, func() { f.ToCaller(s, from) })
 		}
--- a/packettest/reach.go
+++ b/packettest/reach.go
@@ -52,3 +52,12 @@
 		}
 	}
 }
+
+// checkReset checks that no process but the agent of its host resets an open flow.
+func (f *Fleet) checkReset(from uint32, s flow.Segment) {
+	o := f.openFlows[s.Key]
+	if !s.IsRST || o == nil || o.owner.IP == from || !o.owner.Host.Up || o.owner.Host.StartedAt != o.startedAt {
+		return
+	}
+	f.Violations = append(f.Violations, fmt.Sprintf("the open flow %s was reset by %s at %s", s.Key, flow.IPText(from), f.now))
+}
