--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -202,6 +202,7 @@
 
 // passOffer sends an offer to its current candidate and notifies the entry.
 func (a *Agent) passOffer(m *mesh.Message, key flow.Key) {
+	a.forgetOffer(key)
 	a.send(m.Candidates[m.Terms.Current], m)
 	notice := a.newMessage(mesh.KindPassed, key)
 	estimate := notice.Terms
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -25,6 +25,7 @@
 	isolation isolation
 	rotation  rotationStatus
 	traffic   trafficMeter
+	absences  absences
 	// reportCount is the number of reports that the entry has sent, searchTurn the number of agents that it has
 	// searched at in last steps.
 	reportCount, searchTurn atomic.Uint64
@@ -93,7 +94,7 @@
 // New returns an entry that has no record of other processes.
 func New(cfg Config) *Entry {
 	cfg = cfg.withDefaults()
-	e := &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), started: cfg.Now()}
+	e := &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), absences: newAbsences(), started: cfg.Now()}
 	e.rotation.state = rotation.Unavailable
 	return e
 }
@@ -124,6 +125,7 @@
 	case s.Opens():
 		// This is a retransmission; the flow is already being placed.
 		shard.Unlock()
+		e.cancelProof(s.Key)
 	case r != nil && r.taken:
 		agent, service := r.agent, r.service
 		shard.Unlock()
--- a/packetentry/metrics.go
+++ b/packetentry/metrics.go
@@ -22,10 +22,19 @@
 	firstSearches    = metrics.NewCounter(`endiveflow_packetentry_first_agents_searches_total`)
 	foundSearches    = metrics.NewCounter(`endiveflow_packetentry_found_searches_total`)
 	withheldRepeats  = metrics.NewCounter(`endiveflow_packetentry_withheld_repeats_total`)
+	absenceQueries   = metrics.NewCounter(`endiveflow_packetentry_absence_queries_total`)
+	absenceFlows     = metrics.NewCounter(`endiveflow_packetentry_absence_flows_total`)
+	absenceOverflows = metrics.NewCounter(`endiveflow_packetentry_absence_overflows_total`)
 	searches         = metrics.NewCounter(`endiveflow_packetentry_searches_total`)
 	rotationLeaves   = metrics.NewCounter(`endiveflow_packetentry_rotation_changes_total{to="spare"}`)
 	rotationReturns  = metrics.NewCounter(`endiveflow_packetentry_rotation_changes_total{to="active"}`)
 
+	// What became of flows whose absence was to be proved.
+	absencesProved     = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="reset"}`)
+	absencesRefuted    = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="refuted"}`)
+	absencesUnanswered = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="unanswered"}`)
+	absencesWithheld   = metrics.NewCounter(`endiveflow_packetentry_absence_outcomes_total{outcome="withheld"}`)
+
 	// The searches that begin with a packet of a caller whose flow the entry has no record of, by step.
 	directorySearchesBegun = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="directory"}`)
 	firstSearchesBegun     = metrics.NewCounter(`endiveflow_packetentry_searches_begun_total{step="firstAgents"}`)
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -124,12 +124,13 @@
 		order := e.roster.searchOrder(m.Service, s.Key)
 		m.Directories, asked, m.Step = order.current(), order[position], mesh.DirectoryStep(step)
 	}
-	switch {
-	case asked != 0:
+	if asked != 0 {
 		e.logSearch(s, mesh.DirectoryPosition(m.Step), 1, m.ConfigVersion)
 		e.send(asked, &m)
 		return true
-	case known && step <= stepFirstAgents:
+	}
+	e.suspectLost(s)
+	if known && step <= stepFirstAgents {
 		return e.searchFirst(s, m, route)
 	}
 	return e.searchAll(s, m, e.searchedAgents(route, known))
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -47,7 +47,7 @@
 				duties.answeredOther(age)
 			}
 		},
-		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations,
+		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations, Membership: b.members.membership,
 		PeerDiscovered: enqueue(discovered), StateChanged: enqueue(stateChanged),
 	})
 	var lastCallerPacket atomic.Int64
