packetagent, packetentry: an agent whose host doesn't run answers that it has no flow

Change: an agent checks a host without a heartbeat 500 ms after its own start. Nothing listening at the host's address, and a host that left, count as absence; reports tell entries that such agents can answer.

--- a/mesh/report.go
+++ b/mesh/report.go
@@ -39,6 +39,8 @@
 	// RelativeCostPermille is the time that the host works on its requests, in thousandths of the fleet's typical time for
 	// the same requests; 0 if unknown. It is above 1000 for a slow host.
 	RelativeCostPermille uint32 `cbor:"13,keyasint,omitempty"`
+	// HostDown reports whether nothing listens at the host's address, since its last heartbeat if it sent one.
+	HostDown bool `cbor:"14,keyasint,omitempty"`
 }
 
 // EntryReport is the report of an entry on itself and other processes.
--- a/packetagent/absence.go
+++ b/packetagent/absence.go
@@ -40,6 +40,8 @@
 	// complete reports whether the agent has seen every flow of the host's incarnation, as both started together or the host
 	// later. Guarded by mu.
 	complete bool
+	// hostDown reports whether the host's port refused connections since its last heartbeat. Guarded by mu.
+	hostDown bool
 }
 
 // forget records that the agent can't tell until a time whether a host has a flow.
@@ -87,6 +89,31 @@
 	return s.complete
 }
 
+func (s *absences) setHostDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hostDown = down
+}
+
+func (s *absences) isHostDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hostDown
+}
+
+// hasNoHost reports whether no host runs: it announced its shutdown, or nothing listened at its address and no host has sent a
+// heartbeat since. The agent has a record of each flow that a host opens from then on, as the packets of the flow pass it.
+func (a *Agent) hasNoHost() bool {
+	r, known := a.host.Current()
+	return a.absences.isHostDown() || known && r.State == host.Gone
+}
+
+// HostReported reports whether the host has sent a heartbeat since the agent started.
+func (a *Agent) HostReported() bool {
+	_, known := a.host.Current()
+	return known
+}
+
 // hostIncarnation returns a number that identifies the incarnation of a host. It isn't 0.
 func hostIncarnation(r host.Report) uint64 {
 	return max(xxhash.Sum64String(r.ID)^flow.Mix(uint64(r.StartedAt)), 1)
@@ -131,7 +158,7 @@
 	answer := mesh.AbsenceAnswer{Serial: q.Serial, Agent: a.cfg.Incarnation, Host: hostIncarnation(r), Verdicts: make([]byte, len(q.Keys))}
 	for i, key := range q.Keys {
 		v := flowabsence.Unknown
-		if known {
+		if known || a.absences.isHostDown() {
 			v = a.absenceOf(key, answer.Host)
 		}
 		answer.Verdicts[i] = byte(v)
@@ -160,7 +187,7 @@
 	case a.lookUpLocation(key) != 0:
 		// Another agent announced the flow and has not withdrawn it. The entry may not know of that agent.
 		return flowabsence.Unknown
-	case a.absences.isComplete(), now-a.started > a.cfg.MaxFlowAge+flowAgeMargin, a.bouncedBy(key) == incarnation:
+	case a.hasNoHost(), a.absences.isComplete(), now-a.started > a.cfg.MaxFlowAge+flowAgeMargin, a.bouncedBy(key) == incarnation:
 		return flowabsence.Absent
 	}
 	return flowabsence.Unknown
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -27,6 +27,7 @@
 	}
 	now := a.cfg.Now()
 	a.lastHeartbeat.Store(int64(now))
+	a.absences.setHostDown(false)
 	a.unansweredOpenings.Store(0)
 	a.load.SetSlots(r.Slots)
 	a.load.SetWarmingUp(r.Warmup > 0)
@@ -82,6 +83,7 @@
 func (a *Agent) HostDown() {
 	r, _ := a.host.Current()
 	a.load.SetOpen(false)
+	a.absences.setHostDown(true)
 	a.cfg.Log.Warn("host", "host", r.String(), "outcome", "down", "why", "its port refuses connections")
 	a.cfg.ReportChanged()
 	a.endFlows("the host is down", maxTime, math.MaxInt64)
@@ -173,7 +175,7 @@
 		IP: a.cfg.IP, Incarnation: a.cfg.Incarnation, Version: a.reportVersion.Add(1), Service: a.cfg.Service, Zone: a.cfg.Zone,
 		Leaving: a.leaving.Load(), HostState: r.State, HostID: r.ID, HostStartedAt: r.StartedAt,
 		HostWarm: a.cfg.Now() >= time.Duration(a.warmUntil.Load()), IntervalMs: uint32(interval.Milliseconds()),
-		Evacuations: a.cfg.Evacuations(), RelativeCostPermille: uint32(math.Round(1000 * a.load.RelativeCost())),
+		Evacuations: a.cfg.Evacuations(), HostDown: a.absences.isHostDown(), RelativeCostPermille: uint32(math.Round(1000 * a.load.RelativeCost())),
 	}
 }
 
--- a/packetentry/absence.go
+++ b/packetentry/absence.go
@@ -281,7 +281,7 @@
 		} else if r.Leaving && r.HostState == host.Gone {
 			continue
 		}
-		reported = reported && r.HostState != host.Unknown
+		reported = reported && (r.HostState != host.Unknown || r.HostDown)
 		agents = append(agents, requiredAgent{r.IP, mesh.ServiceTag(r.Service), r.Incarnation})
 	}
 	slices.SortFunc(agents, func(x, y requiredAgent) int { return cmp.Compare(x.ip, y.ip) })
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -25,6 +25,8 @@
 	probePause = 500 * time.Millisecond
 	// missedHeartbeats is the number of intervals without a heartbeat after which the host is checked.
 	missedHeartbeats = 2.5
+	// firstHeartbeat is the time after the agent's start after which a host that has sent no heartbeat is checked.
+	firstHeartbeat = 500 * time.Millisecond
 	// agentStopMin is the minimum time for which a stopping agent keeps receiving packets. It gives entries
 	// time to learn of the stop.
 	agentStopMin = 300 * time.Millisecond
@@ -188,7 +190,7 @@
 		defer func() { done <- nil }()
 		for ctx.Err() == nil {
 			sleep(ctx, c.interval/10)
-			if !c.agent.IsOpen() || !c.agent.HostUnresponsive() && !c.heartbeats.overdue(time.Duration(missedHeartbeats*float64(c.interval))) {
+			if !c.agent.IsOpen() || !c.agent.HostUnresponsive() && !c.heartbeats.overdue(c.patience()) {
 				continue
 			}
 			c.check(ctx)
@@ -198,6 +200,15 @@
 	return done
 }
 
+// patience returns the time without a heartbeat after which the host is checked. A host sends its first one when it starts,
+// which is about when its agent starts, unless there is none.
+func (c hostCheck) patience() time.Duration {
+	if !c.agent.HostReported() {
+		return firstHeartbeat
+	}
+	return time.Duration(missedHeartbeats * float64(c.interval))
+}
+
 // check opens a TCP connection to the host's address, which takes no slot of the host.
 func (c hostCheck) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
