mesh: answers to absence queries carry the work of the host

Entries record the load of each message from an agent. Absence answers weren't among the kinds that carry Load.WorkMs, so that the load that an entry knew was replaced by one without work. An entry ranks all candidates by busy slots if one of them doesn't report its work, so that placement by cost was off at the entry until each agent's next message, in the seconds after a mass failure in which all agents are queried.

KindAbsenceAnswer now carries it. TestMessagesFromAgentsCarryWork fails without the change; TestMessageRoundTrip covers the kinds 13 to 15 as well.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -223,7 +223,7 @@
 // carriesWork reports whether messages of a kind carry Load.WorkMs and, in the place of Terms.TargetLatency, Load.StandingMs.
 func (k Kind) carriesWork() bool {
 	switch k {
-	case KindTaken, KindPassed, KindRefused, KindMissing, KindAgentReport:
+	case KindTaken, KindPassed, KindRefused, KindMissing, KindAgentReport, KindAbsenceAnswer:
 		return true
 	}
 	return false
--- a/mesh/message_test.go
+++ b/mesh/message_test.go
@@ -22,7 +22,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.Uint8Range(1, mesh.MaxCandidates).Draw(t, "count")
 		in := mesh.Message{
-			Kind: mesh.Kind(rapid.Uint8Range(1, 12).Draw(t, "kind")), Service: rapid.Uint32().Draw(t, "service"),
+			Kind: mesh.Kind(rapid.Uint8Range(1, uint8(mesh.KindAbsenceAnswer)).Draw(t, "kind")), Service: rapid.Uint32().Draw(t, "service"),
 			ConfigVersion: rapid.Uint64().Draw(t, "version"), Origin: rapid.Uint32().Draw(t, "origin"),
 			Flow: flow.Key{Caller: endpoint(t, "caller"), Service: endpoint(t, "route")},
 			Terms: mesh.Terms{
@@ -73,6 +73,20 @@
 	require.Equal(t, mesh.Millis(250), out.Terms.TargetLatency)
 }
 
+// Guards against a message from an agent that replaces the load that an entry knows by one without work, so that the entry ranks
+// all candidates by busy slots as beside agents of earlier versions.
+func TestMessagesFromAgentsCarryWork(t *testing.T) {
+	kinds := []mesh.Kind{mesh.KindTaken, mesh.KindPassed, mesh.KindRefused, mesh.KindMissing, mesh.KindAgentReport, mesh.KindAbsenceAnswer}
+	for _, k := range kinds {
+		t.Run(k.String(), func(t *testing.T) {
+			in := mesh.Message{Kind: k, Load: mesh.Load{Slots: 2, WorkMs: 700, StandingMs: 650}}
+			var out mesh.Message
+			require.NoError(t, out.Decode(in.Append(nil)))
+			require.Equal(t, in.Load, out.Load)
+		})
+	}
+}
+
 // Guards against panics and out-of-range reads on arbitrary datagrams.
 func FuzzMessage(f *testing.F) {
 	m := mesh.Message{Kind: mesh.KindOffer, Count: 2, Body: []byte("x")}
