packetentry: bound the answers that an absence query awaits

A query kept a map of all agents for each of up to 90 flows, and its datagrams were sent at once. Both grew with the number of agents without a limit: at the target size of 150,000 hosts, one query awaited 13.5 million answers.

A query now awaits at most 16,384 answers. With up to 182 agents nothing changes.

--- a/packetentry/absence.go
+++ b/packetentry/absence.go
@@ -30,6 +30,9 @@
 	maxAbsenceWait = 3 * time.Second
 	// maxAbsenceWaiting bounds the number of flows that wait for a query.
 	maxAbsenceWaiting = 2048
+	// maxAbsenceAnswers bounds the answers that a query awaits, each of which takes memory. With more than 182 agents, a query
+	// asks about fewer flows than mesh.MaxAbsenceKeys; with more than maxAbsenceAnswers agents, no flow is queried.
+	maxAbsenceAnswers = 1 << 14
 	// recentOffer is the time after an offer in which no agent is asked whether it lacks the flow.
 	recentOffer = time.Second
 )
@@ -212,12 +215,12 @@
 }
 
 // begin begins a query for the flows that were searched for before the records of the agents were read. It returns nil if
-// there are none.
+// there are none, or too many agents.
 func (a *absences) begin(agents []requiredAgent, readAt, now, interval time.Duration) *absenceQuery {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := 0
-	for n < len(a.waiting) && n < mesh.MaxAbsenceKeys && a.waiting[n].since < readAt {
+	n, limit := 0, min(mesh.MaxAbsenceKeys, maxAbsenceAnswers/max(len(agents), 1))
+	for n < len(a.waiting) && n < limit && a.waiting[n].since < readAt {
 		n++
 	}
 	if n == 0 {
