packetentry: read the readiness of an entry under the lock of its rotation

updateRotation read whether the entry can place flows before it took the lock. A call that was overtaken by Stop could set and report the state Active after Stop had reported Unavailable, until the next call.

The readiness is now read under the lock. No test: the order of two calls can't be set from outside.

--- a/packetentry/rotation.go
+++ b/packetentry/rotation.go
@@ -45,9 +45,10 @@
 // updateRotation decides whether the entry should be in rotation. It returns the entry's state, and the reason if it can't place
 // flows. A change is reported to the other entries of the zone.
 func (e *Entry) updateRotation() (rotation.State, string) {
-	placing, why := e.canPlace()
 	e.rotation.mu.Lock()
 	defer e.rotation.mu.Unlock()
+	// A call that began before Stop must not undo the state that Stop set.
+	placing, why := e.canPlace()
 	capacity := rotation.Capacity(e.cfg.linkBytesPerSecond(), e.cfg.cpuMilli())
 	state, decision := rotation.Unavailable, rotation.Decision{}
 	if placing {
