packetentry, packetnode, placement, mesh: comments, and a lock for the keys of a query

sendAbsenceQuery read the keys of a query without the lock that guards them. Answers clear keys, but arrive after the query was sent, so that no fault was seen. awaitRefresh returned a constant. Comments: placement.Order no longer reorders candidates, their rank isn't always that of score, and some lines were wrapped in the middle of a sentence.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -72,8 +72,8 @@
 // the first of these for all but 0.4% of the flows.
 const DirectorySteps = 5
 
-// StepAll is the step of a search that is sent to several agents at once: to the first ones in rendezvous order, or to all. The other steps are sent to one agent each, which returns the
-// packet if it has no record of the flow.
+// StepAll is the step of a search that is sent to several agents at once: to the first ones in rendezvous order, or to all. The
+// other steps are sent to one agent each, which returns the packet if it has no record of the flow.
 const StepAll = 2
 
 // DirectoryStep returns the step of a search that asks the agent at a position in the order of the flow's directory agents.
--- a/packetentry/absence.go
+++ b/packetentry/absence.go
@@ -60,7 +60,7 @@
 	since time.Duration
 }
 
-// absenceQuery is a query that was sent to all agents.
+// absenceQuery is a query that was sent to all agents. The elements of its slices are guarded by absences.mu.
 type absenceQuery struct {
 	serial uint64
 	sentAt time.Duration
@@ -248,9 +248,11 @@
 		return
 	}
 	body := mesh.AbsenceQuery{Serial: q.serial}
+	e.absences.mu.Lock()
 	for _, f := range q.flows {
 		body.Keys = append(body.Keys, f.key)
 	}
+	e.absences.mu.Unlock()
 	m := mesh.Message{Kind: mesh.KindAbsenceQuery, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: body.Append(nil)}
 	for _, agent := range agents {
 		m.Service = agent.service
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -150,7 +150,7 @@
 	e.send(request.Origin, &m)
 }
 
-// Tick starts to handle the timers that are due. An agent may only be considered unresponsive after all
+// Tick sends the query for lost flows that is due, and starts to handle the timers that are due. An agent may only be considered unresponsive after all
 // datagrams that arrived before its timeout have been read: a slow entry must not mistake its own delay for the
 // agent's. So Tick sends the entry itself a marker, and the timers are handled when the marker arrives. It
 // returns the time until it must be called again, or 0 if there are no timers.
--- a/packetentry/repeats.go
+++ b/packetentry/repeats.go
@@ -36,9 +36,9 @@
 }
 
 // repeats limits what the entry sends on its own account: repeated offers, and the steps of a search that follow
-// the first, after each has been taken once for the flow. Under a lossy or full link, each lost packet would cause more packets than it was and keep the link
-// full. Packets of callers are never limited: a copy that the caller sends continues where a repeat was not
-// allowed.
+// the first, after each has been taken once for the flow. Under a lossy or full link, each lost packet would cause
+// more packets than it was and keep the link full. Packets of callers are never limited: a copy that the caller
+// sends continues where a repeat was not allowed.
 type repeats struct {
 	budget *retry.Budget
 	// firstAgents is the budget of searches at the first agents in rendezvous order, allAgents that of searches at all agents.
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -82,8 +82,7 @@
 	seeds    []uint32
 	// current are the agents of the last read of current records, which began at readAt; 0 if there was none. recorded may be
 	// of a later read that was stale. allDecoded reports whether each record of that read was readable, era is its era of the
-	// store, and reliableFrom the
-	// time from which agents have written again what the store lost.
+	// store, and reliableFrom the time from which agents have written again what the store lost.
 	current              []uint32
 	readAt, reliableFrom time.Duration
 	allDecoded           bool
@@ -186,7 +185,8 @@
 		sleep(ctx, time.Duration(rand.Int64N(int64(restoreSpread))))
 		return true
 	case <-m.refresh:
-		return m.awaitRefresh(ctx)
+		m.awaitRefresh(ctx)
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/packetnode/membership.go
+++ b/packetnode/membership.go
@@ -70,7 +70,7 @@
 }
 
 // awaitRefresh waits until current records may be read again, or until the store was restored.
-func (m *memberRegistry) awaitRefresh(ctx context.Context) bool {
+func (m *memberRegistry) awaitRefresh(ctx context.Context) {
 	timer := time.NewTimer(m.refreshPause())
 	defer timer.Stop()
 	select {
@@ -79,7 +79,6 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return true
 }
 
 func (m *memberRegistry) hasEnded() bool {
--- a/placement/order.go
+++ b/placement/order.go
@@ -22,7 +22,7 @@
 	// RelativeCost is the time that the host works on its requests as a multiple of the fleet's, 0 if unknown.
 	RelativeCost float64
 
-	// rank is the result of score for the current flow.
+	// rank is the rank for the current flow; the lowest is first.
 	rank float64
 }
 
@@ -42,7 +42,8 @@
 const faultyPenalty = 1.0
 
 // Order writes the addresses of the candidates to out, best first, and returns their number. The candidates are those that
-// rendezvous hashing draws for the flow; of more than mesh.MaxCandidates, the best are written. It reorders candidates.
+// rendezvous hashing draws for the flow; of more than mesh.MaxCandidates, the best are written. It
+// sets the ranks of the candidates.
 func Order(key flow.Key, candidates []Candidate, out *[mesh.MaxCandidates]uint32) uint8 {
 	return OrderByCost(key, RouteCost{}, candidates, out)
 }
