--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -37,16 +37,7 @@
 		e.handleEntryReport(&m)
 	case mesh.KindTaken, mesh.KindPassed, mesh.KindRefused, mesh.KindMissing:
 		e.isolation.agentHeard(e.cfg.Now())
-		if a := e.roster.agent(m.Origin); a != nil {
-			a.recordMessage(m.Load, e.cfg.Now())
-		}
-		if m.Kind != mesh.KindMissing {
-			e.costs.record(&m)
-		}
-		e.handleNotice(&m)
-		if m.Kind == mesh.KindTaken && m.Step == mesh.TakenAsksDirectories {
-			e.sendDirectories(&m)
-		}
+		e.receiveNotice(&m)
 	case mesh.KindAbsenceAnswer:
 		e.isolation.agentHeard(e.cfg.Now())
 		e.handleAbsenceAnswer(&m)
@@ -98,6 +89,20 @@
 	}
 }
 
+// receiveNotice records what an agent's message about a flow tells of the agent and the route, and handles the message.
+func (e *Entry) receiveNotice(m *mesh.Message) {
+	if a := e.roster.agent(m.Origin); a != nil {
+		a.recordMessage(m.Load, e.cfg.Now())
+	}
+	if m.Kind != mesh.KindMissing {
+		e.costs.record(m)
+	}
+	e.handleNotice(m)
+	if m.Kind == mesh.KindTaken && m.Step == mesh.TakenAsksDirectories {
+		e.sendDirectories(m)
+	}
+}
+
 // handleNotice handles an agent's message about a flow.
 func (e *Entry) handleNotice(m *mesh.Message) {
 	shard := e.flows.Lock(m.Flow)
@@ -150,10 +155,10 @@
 	e.send(request.Origin, &m)
 }
 
-// Tick sends the query for lost flows that is due, and starts to handle the timers that are due. An agent may only be considered unresponsive after all
-// datagrams that arrived before its timeout have been read: a slow entry must not mistake its own delay for the
-// agent's. So Tick sends the entry itself a marker, and the timers are handled when the marker arrives. It
-// returns the time until it must be called again, or 0 if there are no timers.
+// Tick sends the query for lost flows that is due, and starts to handle the timers that are due. An agent may only be
+// considered unresponsive after all datagrams that arrived before its timeout have been read: a slow entry must not
+// mistake its own delay for the agent's. So Tick sends the entry itself a marker, and the timers are handled when the
+// marker arrives. It returns the time until it must be called again, or 0 if there are no timers.
 func (e *Entry) Tick() time.Duration {
 	now := e.cfg.Now()
 	e.placeParked(now)
