packetagent, packettest: test of a host that restarts right before its agent

An agent counts as started with its host if it started at most 100 ms after it. The comment said that no earlier process can have given flows to the host then.

The host's reports don't tell this from the start of a VM, and a shorter time would leave more flows of such a start without proof, so that the fault isn't mended here.

--- a/packetagent/absence.go
+++ b/packetagent/absence.go
@@ -19,7 +19,8 @@
 	flowAgeMargin = 5 * time.Second
 	// togetherSkew is the longest time by which the agent may have started after its host to count as started with it. It is
 	// shorter than it takes a process to start, to be given flows, to end and to be started again, so that no earlier process
-	// can have given flows to the host.
+	// that started with the host can have given flows to it. One that was running before the host started can, if it ends and
+	// is started again within this time: TestHostRestartsRightBeforeItsAgent.
 	togetherSkew = 100 * time.Millisecond
 	// maxFirstSequence is the largest sequence number of the first heartbeat that the agent receives of a host that started
 	// with it. A larger one shows that the host has run for longer, whatever the clocks say.
--- a/packettest/absence_test.go
+++ b/packettest/absence_test.go
@@ -109,6 +109,37 @@
 	require.Empty(t, f.Violations)
 }
 
+// Guards against a reset of an open flow that an earlier agent process gave to its host right after the host restarted, if the
+// agent restarts so soon that both seem to have started together, while no other process remembers the earlier one.
+func TestHostRestartsRightBeforeItsAgent(t *testing.T) {
+	f := packettest.NewFleet(1)
+	for n := range 2 {
+		f.AddEntry(packettest.Address(1 + n))
+	}
+	for n := range 4 {
+		f.AddAgent(packettest.Address(100+n), packettest.FirstService)
+	}
+	f.Run(3 * time.Second)
+	for _, a := range f.Agents {
+		f.StartHost(a)
+	}
+	callers := packettest.NewCallers(f)
+	var all []*packettest.Caller
+	for n := range 8 {
+		all = append(all, callers.Start(f, packettest.Key(n), func() *packettest.Entry { return f.Entries[0] }))
+	}
+	f.Run(80 * time.Millisecond)
+	for _, a := range f.Agents {
+		f.StartAgent(a)
+	}
+	for _, e := range f.Entries {
+		f.StartEntry(e)
+	}
+	f.Run(1500 * time.Millisecond)
+	requestAll(f, all, 1200*time.Millisecond)
+	require.Empty(t, f.Violations)
+}
+
 // Guards against a reset of an open flow while messages are lost, late and repeated, agents are cut off, restart or join, hosts
 // restart at their addresses, VMs lose power, entries restart and callers open flows. Fleet.checkReset looks at each reset.
 func TestNoWrongResetDuringFaults(t *testing.T) {
