--- a/packetagent/absence.go
+++ b/packetagent/absence.go
@@ -19,8 +19,9 @@
 	flowAgeMargin = 5 * time.Second
 	// togetherSkew is the longest time by which the agent may have started after its host to count as started with it. It is
 	// shorter than it takes a process to start, to be given flows, to end and to be started again, so that no earlier process
-	// can have given flows to the host.
-	togetherSkew = 100 * time.Millisecond
+	// that started with the host can have given flows to it. One that was running before the host started can only if it ends
+	// and is started again within this time.
+	togetherSkew = 40 * time.Millisecond
 	// maxFirstSequence is the largest sequence number of the first heartbeat that the agent receives of a host that started
 	// with it. A larger one shows that the host has run for longer, whatever the clocks say.
 	maxFirstSequence = 2
@@ -101,9 +102,9 @@
 	return s.hostDown
 }
 
-// hasNoHost reports whether no host runs: it announced its shutdown, or nothing listened at its address and no host has sent a
+// HasNoHost reports whether no host runs: it announced its shutdown, or nothing listened at its address and no host has sent a
 // heartbeat since. The agent has a record of each flow that a host opens from then on, as the packets of the flow pass it.
-func (a *Agent) hasNoHost() bool {
+func (a *Agent) HasNoHost() bool {
 	r, known := a.host.Current()
 	return a.absences.isHostDown() || known && r.State == host.Gone
 }
@@ -187,7 +188,7 @@
 	case a.lookUpLocation(key) != 0:
 		// Another agent announced the flow and has not withdrawn it. The entry may not know of that agent.
 		return flowabsence.Unknown
-	case a.hasNoHost(), a.absences.isComplete(), now-a.started > a.cfg.MaxFlowAge+flowAgeMargin, a.bouncedBy(key) == incarnation:
+	case a.HasNoHost(), a.absences.isComplete(), now-a.started > a.cfg.MaxFlowAge+flowAgeMargin, a.bouncedBy(key) == incarnation:
 		return flowabsence.Absent
 	}
 	return flowabsence.Unknown
@@ -203,9 +204,3 @@
 	}
 	return found.bouncedBy
 }
-
-// HostGone reports whether the host announced its shutdown and no other one has reported since.
-func (a *Agent) HostGone() bool {
-	r, known := a.host.Current()
-	return known && r.State == host.Gone
-}
--- a/packetagent/absence_test.go
+++ b/packetagent/absence_test.go
@@ -50,7 +50,7 @@
 		want      flowabsence.Verdict
 	}{
 		"the host started later":                        {agentStartedAt + 5_000, 1, flowabsence.Absent},
-		"both started together":                         {agentStartedAt - 50, 1, flowabsence.Absent},
+		"both started together":                         {agentStartedAt - 30, 1, flowabsence.Absent},
 		"the host started before":                       {agentStartedAt - 300, 1, flowabsence.Unknown},
 		"a host that has run for long, a stepped clock": {agentStartedAt + 5_000, 3, flowabsence.Unknown},
 		"a host without a start time":                   {0, 1, flowabsence.Unknown},
--- a/packetentry/absence.go
+++ b/packetentry/absence.go
@@ -30,6 +30,9 @@
 	maxAbsenceWait = 3 * time.Second
 	// maxAbsenceWaiting bounds the number of flows that wait for a query.
 	maxAbsenceWaiting = 2048
+	// maxAbsenceAnswers bounds the answers that a query awaits, each of which takes memory. With more than 182 agents, a query
+	// asks about fewer flows than mesh.MaxAbsenceKeys; with more than maxAbsenceAnswers agents, no flow is queried.
+	maxAbsenceAnswers = 1 << 14
 	// recentOffer is the time after an offer in which no agent is asked whether it lacks the flow.
 	recentOffer = time.Second
 )
@@ -57,7 +60,7 @@
 	since time.Duration
 }
 
-// absenceQuery is a query that was sent to all agents.
+// absenceQuery is a query that was sent to all agents. The elements of its slices are guarded by absences.mu.
 type absenceQuery struct {
 	serial uint64
 	sentAt time.Duration
@@ -212,12 +215,12 @@
 }
 
 // begin begins a query for the flows that were searched for before the records of the agents were read. It returns nil if
-// there are none.
+// there are none, or too many agents.
 func (a *absences) begin(agents []requiredAgent, readAt, now, interval time.Duration) *absenceQuery {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := 0
-	for n < len(a.waiting) && n < mesh.MaxAbsenceKeys && a.waiting[n].since < readAt {
+	n, limit := 0, min(mesh.MaxAbsenceKeys, maxAbsenceAnswers/max(len(agents), 1))
+	for n < len(a.waiting) && n < limit && a.waiting[n].since < readAt {
 		n++
 	}
 	if n == 0 {
@@ -245,9 +248,11 @@
 		return
 	}
 	body := mesh.AbsenceQuery{Serial: q.serial}
+	e.absences.mu.Lock()
 	for _, f := range q.flows {
 		body.Keys = append(body.Keys, f.key)
 	}
+	e.absences.mu.Unlock()
 	m := mesh.Message{Kind: mesh.KindAbsenceQuery, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: body.Append(nil)}
 	for _, agent := range agents {
 		m.Service = agent.service
@@ -278,7 +283,7 @@
 		r := a.report.Load()
 		if listed[r.IP] {
 			found++
-		} else if r.Leaving && r.HostState == host.Gone {
+		} else if r.Leaving && (r.HostState == host.Gone || r.HostDown) {
 			continue
 		}
 		reported = reported && (r.HostState != host.Unknown || r.HostDown)
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -62,7 +62,8 @@
 		b.noteEvacuations(r.Evacuations)
 	}), newHeartbeats(b.now)
 	b.parts.add("host", receive(hostConn, agent.FromHost))
-	b.parts.add("checks", hostCheck{agent: agent, address: s.HostAddr, heartbeats: heartbeats, interval: s.HeartbeatInterval, log: b.log}.run(ctx))
+	checks := hostCheck{agent: agent, address: s.HostAddr, heartbeats: heartbeats, interval: s.HeartbeatInterval, log: b.log}
+	b.parts.add("checks", checks.run(ctx))
 	return role{
 		record: memberRecord{Role: roleAgent, IP: s.IP, Zone: s.Zone, Service: s.Service},
 		receive: func(datagram []byte) {
@@ -79,9 +80,14 @@
 			}
 			return b.parts.serve(ctx, s.ReadinessAddr, platform.ReadinessHandler(running))
 		},
-		flows: agent.Flows, beginStop: agent.Stop,
+		flows: agent.Flows,
+		beginStop: func() {
+			// A VM is removed after its host has ended, which the host may not have announced.
+			checks.check(ctx)
+			agent.Stop()
+		},
 		canStop: func(since time.Duration) bool { return since > agentStopMin && agent.Flows() == 0 },
-		hasLeft: agent.HostGone,
+		hasLeft: agent.HasNoHost,
 	}, nil
 }
 
