packetnode, packetentry: VMs without a host keep no proof of lost flows open

Other entries also counted agents that had left until they timed out. Change: an agent writes its record when its host has reported; one without a record whose port refuses connections isn't asked; agents that left are allowed for when the counts of entries are compared.

--- a/packetentry/absence.go
+++ b/packetentry/absence.go
@@ -269,7 +269,7 @@
 }
 
 // requiredAgents returns the agents whose hosts may have a flow, ordered by address, and whether the entry knows all of them. An
-// agent that left after its host is no longer required once its record is gone.
+// agent without a record whose host doesn't run isn't required: it left after its host, or its host has not started.
 func (e *Entry) requiredAgents(members Membership) (agents []requiredAgent, complete bool) {
 	if !members.Known {
 		return nil, false
@@ -278,12 +278,15 @@
 	for _, ip := range members.Agents {
 		listed[ip] = true
 	}
-	found, reported := 0, true
+	found, departed, reported, now := 0, 0, true, e.cfg.Now()
 	for _, a := range e.roster.allAgents() {
 		r := a.report.Load()
 		if listed[r.IP] {
 			found++
-		} else if r.Leaving && (r.HostState == host.Gone || r.HostDown) {
+		} else if r.HostDown || r.Leaving && r.HostState == host.Gone {
+			if !a.timedOut(now) {
+				departed++
+			}
 			continue
 		}
 		reported = reported && (r.HostState != host.Unknown || r.HostDown)
@@ -291,8 +294,8 @@
 	}
 	slices.SortFunc(agents, func(x, y requiredAgent) int { return cmp.Compare(x.ip, y.ip) })
 	// An agent that is recorded but has not reported can't be asked, and one that has no report of its host has no answer. An
-	// agent that another entry counts may be missing here.
-	return agents, len(agents) > 0 && reported && found == len(listed) && e.roster.maxReportedAgents() <= len(agents)
+	// agent that another entry counts may be missing here; others still count those that left until they time out.
+	return agents, len(agents) > 0 && reported && found == len(listed) && e.roster.maxReportedAgents() <= len(agents)+departed
 }
 
 // maxReportedAgents returns the largest number of agents that another entry reported recently.
--- a/packetnode/agent.go
+++ b/packetnode/agent.go
@@ -13,6 +13,7 @@
 	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/eventlog"
 	"endiveflow.example/endiveflow/flow"
+	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetagent"
 	"endiveflow.example/endiveflow/platform"
@@ -62,6 +63,7 @@
 		b.noteEvacuations(r.Evacuations)
 	}), newHeartbeats(b.now)
 	b.parts.add("host", receive(hostConn, agent.FromHost))
+	b.members.hasHost = agent.HostReported
 	checks := hostCheck{agent: agent, address: s.HostAddr, heartbeats: heartbeats, interval: s.HeartbeatInterval, log: b.log}
 	b.parts.add("checks", checks.run(ctx))
 	return role{
@@ -74,7 +76,15 @@
 		report:     func(i *reportIntervals) ([]byte, error) { return agent.ReportMessage(i.of(announce.Entries)) },
 		discovered: entries.discovered, known: entries.addresses, ratePerSecond: entries.reportRate,
 		serve: func(ctx context.Context, running func() bool) error {
-			calls := platform.HostAPI{Heartbeat: heartbeats.recordTime(agent.Heartbeat), Leave: agent.HostLeft, Log: b.log.Logger}
+			heartbeat := heartbeats.recordTime(func(r host.Report) error {
+				isFirst := !agent.HostReported()
+				err := agent.Heartbeat(r)
+				if err == nil && isFirst {
+					signal(b.members.refresh)
+				}
+				return err
+			})
+			calls := platform.HostAPI{Heartbeat: heartbeat, Leave: agent.HostLeft, Log: b.log.Logger}
 			if err := b.parts.serve(ctx, s.ControlAddr, calls.Handler()); err != nil || !s.ReadinessAddr.IsValid() {
 				return err
 			}
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -72,6 +72,9 @@
 	restored chan struct{}
 	// refresh is signalled when an entry needs records that were read at a later time.
 	refresh chan struct{}
+	// hasHost reports whether the agent's host has reported; nil means that the process doesn't wait for a host. An agent writes
+	// its record then, as a VM whose host never starts may be taken away without notice.
+	hasHost func() bool
 	// tracker is used only by the goroutine of run.
 	tracker absence.Tracker
 
@@ -167,6 +170,9 @@
 	return done
 }
 
+// isPresent reports whether the process is to have a record.
+func (m *memberRegistry) isPresent() bool { return m.hasHost == nil || m.hasHost() }
+
 // listPauseFor returns the pause until the next list in a fleet of which the process knows a number of other processes.
 func listPauseFor(known int) time.Duration {
 	if known == 0 {
@@ -210,7 +216,7 @@
 		m.noteCurrent(began, l.Era, len(records) == len(l.Objects))
 	}
 	m.listed()
-	if !ownWritten && !m.hasEnded() {
+	if !ownWritten && m.isPresent() && !m.hasEnded() {
 		if err := m.write(ctx); err != nil {
 			return fmt.Errorf("writing the member record: %w", err)
 		}
