--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -51,36 +51,38 @@
 func (r *run) injectEvacuations(ctx context.Context) <-chan error {
 	random := rand.New(rand.NewPCG(r.cfg.Seed, 3))
 	return background(func() {
-		for r.pause(ctx, random, meanEvacuationPause) {
+		for last := false; !last && ctx.Err() == nil; {
+			r.pause(ctx, random, meanEvacuationPause)
 			zone := r.cfg.zone(random.IntN(zones))
 			until := time.Since(r.startedAt) + maxEvacuateDelay + time.Duration(random.ExpFloat64()*float64(meanEvacuationTime))
 			if until > r.cfg.FaultTime {
-				until = r.cfg.FaultTime + r.cfg.SettleTime*7/8
-			}
-			if err := r.evacuate(ctx, zone); err != nil {
-				r.recordFault(fmt.Sprintf("evacuation of zone %s refused", zone))
-			} else {
-				r.recordFault(fmt.Sprintf("zone %s evacuated", zone))
+				until, last = r.cfg.FaultTime+r.cfg.SettleTime*7/8, true
 			}
+			r.evacuate(ctx, zone)
 			time.Sleep(until - time.Since(r.startedAt))
 			r.withdraw(ctx, zone)
 		}
 	})
 }
 
-// evacuate writes the object of an evacuation. An object that exists stays.
-func (r *run) evacuate(ctx context.Context, zone string) error {
+// evacuate writes the object of an evacuation, several times if the store refuses.
+func (r *run) evacuate(ctx context.Context, zone string) {
 	r.operator.Lock()
 	defer r.operator.Unlock()
-	if err := r.writeEvacuation(ctx, zone); err != nil {
-		return err
+	for range restoreAttempts {
+		if r.writeEvacuation(ctx, zone) == nil {
+			r.mu.Lock()
+			r.evacuated = &evacuation{zone: zone, ackedAt: time.Now()}
+			r.mu.Unlock()
+			r.recordFault(fmt.Sprintf("zone %s evacuated", zone))
+			return
+		}
+		time.Sleep(restorePause)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.evacuated = &evacuation{zone: zone, ackedAt: time.Now()}
-	return nil
+	r.recordFault(fmt.Sprintf("evacuation of zone %s refused", zone))
 }
 
+// writeEvacuation writes the object of an evacuation unless it exists.
 func (r *run) writeEvacuation(ctx context.Context, zone string) error {
 	key := platform.EvacuationsPrefix + zone
 	_, err := r.client.Get(ctx, key)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,8 @@
 	{"refused connection", soak.Config{Seed: 104}},
 	// A paused agent reset flows that had been opened at another host meanwhile.
 	{"flows opened elsewhere", soak.Config{Seed: 109}},
+	// No failure in the past: evacuations, and failures of all processes with and without their hosts.
+	{"evacuations and mass failures", soak.Config{Seed: 8, Evacuations: true, MassFailures: true}},
 	{"restored store", soak.Config{Seed: 2, Restores: true}},
 	// Entries asked the directory agents that rendezvous hashing gave after hosts had joined or left, which had not
 	// been told where the flow is. Agents that had just started gave its packets to their hosts.
@@ -43,7 +45,7 @@
 )
 
 // Guards against guarantees that the real programs violate under faults: flows reset while their hosts run, packets of
-// open flows that only reach other hosts, changed packets, new flows at draining or wrong hosts or on removed routes,
+// open flows that only reach other hosts, changed packets, new flows at draining or wrong hosts, in evacuated zones or on removed routes,
 // processes that end unexpectedly, and no recovery after the faults.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "endiveflow-node")
@@ -59,6 +61,7 @@
 			require.NoError(t, report.WriteTimeline(&timeline))
 			require.Empty(t, report.Failures, timeline.String())
 			require.Positive(t, report.Opened)
+			require.Equal(t, cfg.Evacuations, report.EvacuationChecks > 0, timeline.String())
 			t.Log(timeline.String())
 		})
 	}
