cost: answers that come implausibly fast say nothing about a host's speed

Change: a time below a quarter of the fleet's value counts as the fleet's value. The test of false values asks for the fleet's value now, where it allowed half of it, and still for at most half for plausible times.

--- a/cost/estimator.go
+++ b/cost/estimator.go
@@ -17,8 +17,11 @@
 	window = 16
 	// relativeWindow is the window of Relative. It is longer, as the value tells the speed of a host, which rarely changes.
 	relativeWindow = 64
-	// bound limits a measured time to the fleet's value divided and multiplied by it.
+	// bound limits a measured time to the fleet's value multiplied by it.
 	bound = 8
+	// implausibleSpeed is how many times faster than the fleet's value an answer must come to say nothing about the speed of the
+	// host: one that fails all requests answers at once. Known hosts are up to 1.6 times as fast as others.
+	implausibleSpeed = 4
 	// unusedHalfLife is the time in which an estimate moves half way to the fleet's value while no request confirms
 	// it. A host that gets no flows for its cost is tried again after some of these.
 	unusedHalfLife = 10 * time.Second
@@ -190,12 +193,16 @@
 	return typical + (a.mean-typical)*math.Exp2(-float64(now-a.updated)/float64(unusedHalfLife))
 }
 
-// limit limits a time to the bounds of the fleet's value.
+// limit limits a time to the bounds of the fleet's value. A time that is implausibly short counts as the fleet's value, so that
+// a host doesn't attract requests by failing them.
 func (r *route) limit(x float64) float64 {
-	if r.typical == 0 {
+	switch {
+	case r.typical == 0:
 		return x
+	case x < r.typical/implausibleSpeed:
+		return r.typical
 	}
-	return min(max(x, r.typical/bound), r.typical*bound)
+	return min(x, r.typical*bound)
 }
 
 // Expected returns the expected time that the host works on a request, at least the fleet's value divided by maxCredit.
--- a/cost/estimator_test.go
+++ b/cost/estimator_test.go
@@ -57,8 +57,10 @@
 	learn(e, cost.Class{Route: light}, 1, time.Hour)
 	requireExpected(t, e, cost.Class{Route: light}, 0, typical+(8-1)*typical/16)
 	learn(e, cost.Class{Route: light}, 1000, 0)
+	requireExpected(t, e, cost.Class{Route: light}, 0, typical)
+	require.InDelta(t, typical.Seconds(), e.Measured(light, 0).Seconds(), 0.0001)
+	learn(e, cost.Class{Route: light}, 1000, typical/3)
 	requireExpected(t, e, cost.Class{Route: light}, 0, typical/2)
-	require.InDelta(t, (typical / 8).Seconds(), e.Measured(light, 0).Seconds(), 0.0001)
 }
 
 // Guards against a host that isn't used again because its estimate stays as it was when it was last used.
