--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -89,7 +89,7 @@
 	switch step {
 	case stepAllAgents:
 		allSearchesBegun.Inc()
-		if e.searchFurther(s, packet) {
+		if e.search(s, packet, stepAllAgents) {
 			return
 		}
 	case stepFirstAgents:
@@ -103,12 +103,6 @@
 	e.search(s, packet, 0)
 }
 
-// searchFurther continues the search for a flow that neither its directory agents nor the first agents in rendezvous order
-// answered for. It is called with a later copy of a packet than these were asked with, and reports whether it took a step.
-func (e *Entry) searchFurther(s flow.Segment, packet []byte) bool {
-	return e.search(s, packet, stepAllAgents)
-}
-
 // search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one agent that
 // may be a directory agent of the flow, then to the first agents in rendezvous order, in the last step to all agents of the
 // service. The directory agents may be others now than when the flow opened, so that more agents are asked than there are
--- a/packetnode/config_test.go
+++ b/packetnode/config_test.go
@@ -23,14 +23,7 @@
 func TestConfigurationAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewPlatform(standin.PlatformConfig{})
-		newClient := func() *platform.Client {
-			c, err := platform.New(platform.Config{
-				URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}, MaxAttempts: 1, WatchWait: watchWait, Timeout: storeTimeout,
-			})
-			require.NoError(t, err)
-			return c
-		}
-		operator := newClient()
+		operator := newStoreClient(t, store)
 		write := func(version, base uint64) uint64 {
 			revision, err := operator.Put(t.Context(), platform.RoutesKey, []byte(fmt.Sprintf(`{"version":%d,"routes":[]}`, version)), base)
 			require.NoError(t, err)
@@ -38,7 +31,7 @@
 		}
 		var routes routing.Holder
 		updater := newConfigUpdater(configUpdater{
-			routes: &routes, store: newClient(), log: eventlog.New(eventlog.Config{Out: io.Discard}), applied: func() {},
+			routes: &routes, store: newStoreClient(t, store), log: eventlog.New(eventlog.Config{Out: io.Discard}), applied: func() {},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := updater.followStore(ctx, soleEntry())
@@ -64,6 +57,16 @@
 	})
 }
 
+// newStoreClient returns a client of a stand-in store with the time limits of processes.
+func newStoreClient(t *testing.T, store *standin.Platform) *platform.Client {
+	t.Helper()
+	c, err := platform.New(platform.Config{
+		URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}, MaxAttempts: 1, WatchWait: watchWait, Timeout: storeTimeout,
+	})
+	require.NoError(t, err)
+	return c
+}
+
 // soleEntry returns the duty of an entry that knows no other.
 func soleEntry() *watchduty.Duty {
 	start := time.Now()
--- a/packetnode/evacuations_test.go
+++ b/packetnode/evacuations_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,17 +20,10 @@
 func TestEvacuationWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := standin.NewPlatform(standin.PlatformConfig{})
-		newClient := func() *platform.Client {
-			c, err := platform.New(platform.Config{
-				URL: "http://store", HTTP: &http.Client{Transport: store.Transport()}, MaxAttempts: 1, WatchWait: watchWait, Timeout: storeTimeout,
-			})
-			require.NoError(t, err)
-			return c
-		}
-		operator := newClient()
+		operator := newStoreClient(t, store)
 		var zones evacuation.Holder
 		watch := evacuationWatch{
-			store: newClient(), duty: soleEntry(), current: zones.Current, read: func(s evacuation.State) { zones.Merge(s) },
+			store: newStoreClient(t, store), duty: soleEntry(), current: zones.Current, read: func(s evacuation.State) { zones.Merge(s) },
 			log: eventlog.New(eventlog.Config{Out: io.Discard}),
 		}
 		ctx, cancel := context.WithCancel(context.Background())
