packetagent, packetentry: the entry resets a flow that was held in vain

An agent that held a flow until the hold limit reset it, unless its own offer was marked as repeated.

The agent now reports that it gave up a flow that it never gave to its host (RefusedHeld), and the entry resets the flow if it offered it once. A flow that was declined after it was given to a host is still not reset, as the host may answer late (TestRefusalsRightAfterTheStart).

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -104,6 +104,9 @@
 // The entry answers with a message of kind KindLocated that names the sender as its origin.
 const TakenAsksDirectories = 1
 
+// RefusedHeld is the Step of a message of kind KindRefused whose sender took the flow and held it, but never gave it to its host.
+const RefusedHeld = 1
+
 // Values of Step in messages of kind KindLocated.
 const (
 	LocatedHere uint8 = iota
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -145,8 +145,8 @@
 	}
 }
 
-// refuseExpired refuses the held flows that exceeded the hold limit. A flow that was offered more than once isn't
-// reset, as another agent may have it; its caller's attempt ends at this moment anyway.
+// refuseExpired refuses the held flows that exceeded the hold limit. The entry resets those that it offered only once: it alone
+// knows whether another agent may have the flow.
 func (a *Agent) refuseExpired() {
 	for {
 		key, ok := a.load.DequeueExpired(a.cfg.Now())
@@ -157,15 +157,9 @@
 		if offer == nil {
 			continue
 		}
-		s, err := platform.DecodePacket(offer.packet, platform.FromCaller)
-		if err != nil {
-			badPackets.Inc()
-			continue
-		}
-		if !offer.message.Terms.Resent {
-			a.resetFlow(s.Key, s.Seq)
-		}
-		a.notify(mesh.KindRefused, offer.message.Origin, s.Key)
+		m := a.newMessage(mesh.KindRefused, key)
+		m.Step = mesh.RefusedHeld
+		a.send(offer.message.Origin, &m)
 		if a.cfg.Log.AllowRare() {
 			a.cfg.Log.Warn("held flow refused", "flow", key.String(), "why", "held too long", "busy", a.Load().Busy)
 		}
--- a/packetentry/heldreset_test.go
+++ b/packetentry/heldreset_test.go
@@ -8,8 +8,26 @@
 
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/packettest"
+	"endiveflow.example/endiveflow/placement"
 )
 
+// Guards against callers that learn late that their flow was held in vain, and against entries that hold the flow as taken.
+func TestFlowHeldInVainIsReset(t *testing.T) {
+	f, callers := newFleet(1, 1)
+	h := f.Agents[0].Host
+	h.WorkTime = time.Minute
+	for i := range 2 * h.Slots {
+		callers.Start(f, packettest.Key(i), through(f.Entries[0]))
+		f.Run(10 * time.Millisecond)
+	}
+	c := callers.Start(f, packettest.Key(100), through(f.Entries[0]))
+	f.Run(placement.DefaultHoldLimit - 20*time.Millisecond)
+	require.False(t, c.Reset)
+	f.Run(40 * time.Millisecond)
+	require.True(t, c.Reset)
+	require.NotContains(t, h.Flows, c.Key)
+}
+
 // Guards against a reset of an open flow by an agent that held its opening packet until the hold limit, while another agent
 // took it: the entry had not heard of the first one and offered the flow again.
 func TestHeldFlowThatIsOpenElsewhereIsNotReset(t *testing.T) {
--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -156,6 +156,23 @@
 	}
 }
 
+// isOnlyAt reports whether a flow was offered once and taken by an agent, so that no other agent can have it. r may be nil.
+func (r *record) isOnlyAt(agent uint32) bool {
+	return r != nil && r.taken && r.agent == agent && r.firstCopy && r.offerCount == 1 && r.others == holders{}
+}
+
+// rejectHeld resets a flow that its agent held for too long; it unlocks the shard. No host has the flow, so that the reset is
+// valid whatever its number.
+func (e *Entry) rejectHeld(shard *flowtable.Shard[record], key flow.Key, r *record) {
+	shard.Delete(key)
+	shard.Unlock()
+	refusedFlows.Inc()
+	e.resetFlow(key, 0)
+	if e.cfg.Log.AllowRare() {
+		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "refused", "why", "held too long", "heldMs", (e.cfg.Now() - r.offerUpdated).Milliseconds())
+	}
+}
+
 // isSettled reports whether the entry knows enough of the agents of a flow's service to rely on a refusal.
 func (e *Entry) isSettled(key flow.Key) bool {
 	route, known := e.cfg.Routes.Current().Find(key.Service)
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -127,6 +127,9 @@
 		}
 	case m.Kind == mesh.KindPassed && r != nil && r.taken:
 		r.handlePassedOn(m.Origin)
+	case m.Kind == mesh.KindRefused && m.Step == mesh.RefusedHeld && r.isOnlyAt(m.Origin):
+		e.rejectHeld(shard, m.Flow, r)
+		return
 	case !r.awaitsAnswer():
 	case m.Kind == mesh.KindRefused:
 		e.handleRefusal(shard, m.Flow, r)
