packettest: a run of one seed yields the same datagrams each time

These are now in the order of addresses or flow keys, and the serial number comes from Config.Random.

--- a/flow/key.go
+++ b/flow/key.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 )
@@ -49,6 +50,15 @@
 // String returns the flow ID that logs and commands show.
 func (k Key) String() string { return k.Caller.String() + ">" + k.Service.String() }
 
+// Compare orders keys, for collections whose order must not depend on that of a map.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(k.Caller.compare(other.Caller), k.Service.compare(other.Service))
+}
+
+func (e Endpoint) compare(other Endpoint) int {
+	return cmp.Or(cmp.Compare(e.IP, other.IP), cmp.Compare(e.Port, other.Port))
+}
+
 // Hash returns a hash of the key, by which flows are assigned to shards and candidates.
 func (k Key) Hash() uint64 {
 	return Mix(uint64(k.Caller.IP)<<32|uint64(k.Caller.Port)<<16|uint64(k.Service.Port)) ^ Mix(uint64(k.Service.IP)+1)
--- a/packetagent/directory.go
+++ b/packetagent/directory.go
@@ -1,6 +1,7 @@
 package packetagent
 
 import (
+	"slices"
 	"time"
 
 	"endiveflow.example/endiveflow/flow"
@@ -144,6 +145,7 @@
 		}
 		return true
 	})
+	slices.SortFunc(due, func(x, y refresh) int { return x.key.Compare(y.key) })
 	for _, d := range due {
 		a.announceLocation(d.key, d.directories)
 	}
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -137,6 +138,7 @@
 		}
 		return false
 	})
+	slices.SortFunc(lost, func(x, y lostFlow) int { return x.key.Compare(y.key) })
 	for _, f := range lost {
 		a.resetFlow(f.key, f.ack)
 		resets.Inc()
--- a/packetentry/absence.go
+++ b/packetentry/absence.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -382,5 +381,5 @@
 	}
 }
 
-// newAbsences returns the state of an entry that has just started.
-func newAbsences() absences { return absences{serial: rand.Uint64()} }
+// newAbsences returns the state of an entry that has just started. Its serial numbers begin at a random one.
+func newAbsences(random func() uint64) absences { return absences{serial: random()} }
--- a/packetentry/absence_test.go
+++ b/packetentry/absence_test.go
@@ -13,7 +13,7 @@
 // Guards against queries whose memory grows with the product of flows and agents.
 func TestAnswersOfAbsenceQueryAreBounded(t *testing.T) {
 	for agents, flows := range map[int]int{1: mesh.MaxAbsenceKeys, 163: mesh.MaxAbsenceKeys, 1000: 16, maxAbsenceAnswers: 1, maxAbsenceAnswers + 1: 0} {
-		a := newAbsences()
+		a := newAbsences(func() uint64 { return 1 })
 		for n := range maxAbsenceWaiting {
 			a.waiting = append(a.waiting, lostFlow{key: flow.Key{Caller: flow.Endpoint{IP: uint32(n)}}})
 		}
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -1,6 +1,7 @@
 package packetentry
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"endiveflow.example/endiveflow/evacuation"
@@ -65,6 +66,8 @@
 	// Membership returns what the store's member records say of agents. If they were read before since, it requests
 	// another read. nil means that they are never known, and that no flow is reset because no host has it.
 	Membership func(since time.Duration) Membership
+	// Random returns a random number; nil means the default source of randomness.
+	Random func() uint64
 	// ScheduleTick is called with the time until Tick must be called, when a new timer is started.
 	ScheduleTick func(time.Duration)
 	// Log receives the decisions.
@@ -83,6 +86,9 @@
 			*d.field = d.fallback
 		}
 	}
+	if c.Random == nil {
+		c.Random = rand.Uint64
+	}
 	if c.StoreStatus == nil {
 		c.StoreStatus = func() mesh.StoreStatus { return mesh.StoreStatus{} }
 	}
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -94,7 +94,7 @@
 // New returns an entry that has no record of other processes.
 func New(cfg Config) *Entry {
 	cfg = cfg.withDefaults()
-	e := &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), absences: newAbsences(), started: cfg.Now()}
+	e := &Entry{cfg: cfg, roster: newRoster(cfg), flows: flowtable.New[record](), repeats: newRepeats(cfg.Now), absences: newAbsences(cfg.Random), started: cfg.Now()}
 	e.rotation.state = rotation.Unavailable
 	return e
 }
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -157,7 +157,7 @@
 	return r.services[tag]
 }
 
-// allAgents returns every agent, for a flow whose service isn't known.
+// allAgents returns every agent, ordered by address, for a flow whose service isn't known.
 func (r *roster) allAgents() []*agent {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -165,9 +165,12 @@
 	for _, a := range r.agents {
 		out = append(out, a)
 	}
+	slices.SortFunc(out, byAddress)
 	return out
 }
 
+func byAddress(a, b *agent) int { return cmp.Compare(a.report.Load().IP, b.report.Load().IP) }
+
 // supersedes reports whether report a replaces report b: reports are ordered by incarnation, then by version.
 func supersedes(a, b mesh.AgentReport) bool {
 	if a.Incarnation != b.Incarnation {
@@ -230,7 +233,7 @@
 		services[tag] = append(services[tag], a)
 	}
 	for _, agents := range services {
-		slices.SortFunc(agents, func(a, b *agent) int { return cmp.Compare(a.report.Load().IP, b.report.Load().IP) })
+		slices.SortFunc(agents, byAddress)
 	}
 	r.services = services
 }
@@ -289,7 +292,7 @@
 	return true
 }
 
-// zonePeers returns the addresses of the other entries of the availability zone that sent a message recently.
+// zonePeers returns the addresses of the other entries of the availability zone that sent a message recently, in order.
 func (r *roster) zonePeers() []uint32 {
 	now := r.cfg.Now()
 	r.mu.RLock()
@@ -300,6 +303,7 @@
 			out = append(out, ip)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
@@ -307,7 +311,7 @@
 // mesh.SilenceTimeout.
 const removalFactor = 8
 
-// sweep removes the processes that have not sent a message for a long time, and returns their addresses.
+// sweep removes the processes that have not sent a message for a long time, and returns their addresses in order.
 func (r *roster) sweep() (removed []uint32) {
 	now := r.cfg.Now()
 	r.mu.Lock()
@@ -327,6 +331,7 @@
 	if len(removed) > 0 {
 		r.rebuildServices()
 	}
+	slices.Sort(removed)
 	return removed
 }
 
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -2,6 +2,9 @@
 
 import (
 	"container/heap"
+	"encoding/binary"
+	"hash"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -67,7 +70,9 @@
 	// Violations collects violations of guarantees, such as a flow opened at a draining host.
 	Violations []string
 
-	openFlows   map[flow.Key]*openFlow
+	openFlows map[flow.Key]*openFlow
+	// digest is the digest of all datagrams sent so far, see Digest.
+	digest      hash.Hash64
 	now         time.Duration
 	eventSerial int
 	events      events
@@ -119,7 +124,7 @@
 		Random: rand.New(rand.NewPCG(seed, 1)), Drop: func(uint32, uint32) bool { return false }, Delay: func(uint32, uint32) time.Duration { return 0 },
 		Zone:     func(uint32) string { return "a" },
 		ToCaller: func(flow.Segment, uint32) {}, Links: make(map[uint32]*Link), Traffic: make(map[uint32]*Traffic),
-		openFlows: make(map[flow.Key]*openFlow),
+		openFlows: make(map[flow.Key]*openFlow), digest: fnv.New64a(),
 	}
 	f.Membership = func(time.Duration) packetentry.Membership { return f.ListedAgents() }
 	endpoint := Key(0).Service
@@ -145,6 +150,18 @@
 	heap.Push(&f.events, event{f.now + d, f.eventSerial, fn})
 }
 
+// Digest returns a digest of the datagrams sent so far: their times, senders and contents, in order. Two runs with the same
+// seed have the same digest at the same time.
+func (f *Fleet) Digest() uint64 { return f.digest.Sum64() }
+
+// addToDigest records a datagram that a VM sends. to is the address of the receiving VM, 0 for a caller.
+func (f *Fleet) addToDigest(from, to uint32, datagram []byte) {
+	head := binary.LittleEndian.AppendUint64(make([]byte, 0, 16), uint64(f.now))
+	head = binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint32(head, from), to)
+	f.digest.Write(head)
+	f.digest.Write(datagram)
+}
+
 // Run advances the simulated time by d.
 func (f *Fleet) Run(d time.Duration) {
 	end := f.now + d
@@ -203,6 +220,7 @@
 	started = packetentry.New(packetentry.Config{
 		LinkBytesPerSecond: linkBytesPerSecond, CPUShare: f.CPUShares[e.IP],
 		IP: e.IP, Zone: f.Zone(e.IP), Incarnation: int64(f.now / time.Millisecond), Now: f.Now, Routes: &routes, Log: f.newLog(e.IP),
+		Random:      f.Random.Uint64,
 		Evacuations: e.Evacuations, EvacuationsReported: e.NoteEvacuations,
 		ToCaller:       f.callerSender(e.IP),
 		ToMember:       func(ip uint32, d []byte) { f.toMember(e.IP, ip, d) },
@@ -371,6 +389,7 @@
 // toMember delivers a datagram to the process at an address.
 func (f *Fleet) toMember(from, to uint32, datagram []byte) {
 	f.countTraffic(from, datagram)
+	f.addToDigest(from, to, datagram)
 	d := append([]byte(nil), datagram...)
 	if from == to {
 		f.After(memberDelay, func() { f.deliver(to, d) })
@@ -412,6 +431,7 @@
 
 func (f *Fleet) callerSender(from uint32) func(flow.Endpoint, []byte) {
 	return func(_ flow.Endpoint, packet []byte) {
+		f.addToDigest(from, 0, packet)
 		s, err := platform.DecodePacket(packet, platform.FromHost)
 		if err != nil {
 			f.Violations = append(f.Violations, "a caller received an invalid packet")
