packetentry, mesh: a search asks other services for flows that opened before a change of the route

An entry without a record searched for a flow only at the services that its route leads to now.

A search asks the first agents in rendezvous order of other services for their records (StepRecorded) between the first agents of the route's services and all agents. The search at all agents comes one copy of the packet later.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -76,6 +76,13 @@
 // other steps are sent to one agent each, which returns the packet if it has no record of the flow.
 const StepAll = 2
 
+// StepRecorded is the step of a search that is sent to several agents at once which are unlikely to have the flow. An agent
+// without a record of the flow doesn't give the packet to its host, as it may do in StepAll.
+const StepRecorded = 255
+
+// IsStepToSeveral reports whether a step is sent to several agents at once, which don't return the packet.
+func IsStepToSeveral(step uint8) bool { return step == StepAll || step == StepRecorded }
+
 // DirectoryStep returns the step of a search that asks the agent at a position in the order of the flow's directory agents.
 // Processes of earlier versions know the first two of these steps and take others for StepAll.
 func DirectoryStep(position int) uint8 {
--- a/packetagent/deliver.go
+++ b/packetagent/deliver.go
@@ -124,7 +124,7 @@
 	}
 	if location == flowAtHost || location == flowHeld {
 		a.notify(mesh.KindTaken, m.Origin, s.Key)
-		a.updateDirectories(s.Key, m.Directories, m.Step == mesh.StepAll)
+		a.updateDirectories(s.Key, m.Directories, mesh.IsStepToSeveral(m.Step))
 		return
 	}
 	if location == flowElsewhere {
@@ -153,7 +153,7 @@
 		}
 		a.withdrawLocation(s.Key, m.Directories)
 	}
-	if m.Step != mesh.StepAll {
+	if !mesh.IsStepToSeveral(m.Step) {
 		a.returnMissing(m, s.Key, m.Body)
 	}
 }
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -171,6 +172,13 @@
 
 func byAddress(a, b *agent) int { return cmp.Compare(a.report.Load().IP, b.report.Load().IP) }
 
+// serviceTags returns the tags of the services that have agents, in order.
+func (r *roster) serviceTags() []uint32 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return slices.Sorted(maps.Keys(r.services))
+}
+
 // supersedes reports whether report a replaces report b: reports are ordered by incarnation, then by version.
 func supersedes(a, b mesh.AgentReport) bool {
 	if a.Incarnation != b.Incarnation {
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -23,12 +23,15 @@
 	searchBurst = 4
 )
 
-// Steps of a search after those that ask a directory agent each, which are numbered from 0. On the wire both are
-// mesh.StepAll: agents treat them alike, and those of earlier versions know no other step.
+// Steps of a search after those that ask a directory agent each, which are numbered from 0. On the wire they are
+// mesh.StepAll or mesh.StepRecorded.
 const (
 	// stepFirstAgents asks the first agents in rendezvous order at once.
 	stepFirstAgents = mesh.DirectorySteps + iota
-	// stepAllAgents asks all agents.
+	// stepOtherServices asks the first agents in rendezvous order of services that the route doesn't lead to for their records:
+	// it may have led to them when the flow opened.
+	stepOtherServices
+	// stepAllAgents asks all agents of the route's services.
 	stepAllAgents
 )
 
@@ -53,14 +56,14 @@
 }
 
 // searchStart returns the step with which a search begins. One without an answer goes on with the first agents, as it doesn't get past
-// a directory agent that doesn't answer, then with all agents, and every third begins anew.
+// a directory agent that doesn't answer, then with those of other services, then with all agents, and every third begins anew.
 func (r *record) searchStart() int {
 	const starts = 3
 	switch {
 	case r.searchCount%starts == 0:
 		return 0
-	case r.searchedSteps < stepFirstAgents:
-		return stepFirstAgents
+	case r.searchedSteps < stepAllAgents:
+		return max(r.searchedSteps+1, stepFirstAgents)
 	}
 	return stepAllAgents
 }
@@ -92,7 +95,7 @@
 		if e.search(s, packet, stepAllAgents) {
 			return
 		}
-	case stepFirstAgents:
+	case stepFirstAgents, stepOtherServices:
 		firstSearchesBegun.Inc()
 		if e.search(s, packet, step) {
 			return
@@ -127,6 +130,9 @@
 	if known && step <= stepFirstAgents {
 		return e.searchFirst(s, m, route)
 	}
+	if known && step == stepOtherServices && e.searchOthers(s, m, route) {
+		return true
+	}
 	return e.searchAll(s, m, e.searchedAgents(route, known))
 }
 
@@ -182,8 +188,9 @@
 	e.recordDraw(s, stepAllAgents, drawn)
 	e.logSearch(s, stepAllAgents, allowed, m.ConfigVersion)
 	first := int(e.searchTurn.Add(uint64(allowed)) % uint64(len(agents)))
+	m.Step = mesh.StepAll
 	for i := range allowed {
-		e.sendToAll(&m, s.Key, agents[(first+i)%len(agents)])
+		e.sendToSeveral(&m, s.Key, agents[(first+i)%len(agents)])
 	}
 	return true
 }
@@ -201,6 +208,25 @@
 			agents = e.roster.appendFirst(agents, mesh.ServiceTag(share.Service), s.Key)
 		}
 	}
+	return e.searchAt(s, m, agents, stepFirstAgents)
+}
+
+// searchOthers sends a search to the first agents in rendezvous order of services that the route doesn't lead to, if there are
+// any and the budget allows it, and reports whether it did.
+func (e *Entry) searchOthers(s flow.Segment, m mesh.Message, route routing.Route) bool {
+	var buffer [maxFirstAgents + mesh.MaxCandidates]*agent
+	agents := buffer[:0]
+	for _, tag := range e.roster.serviceTags() {
+		leadsTo := slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return mesh.ServiceTag(s.Service) == tag })
+		if !leadsTo && len(agents) <= maxFirstAgents-2*mesh.MaxCandidates {
+			agents = e.roster.appendFirst(agents, tag, s.Key)
+		}
+	}
+	return e.searchAt(s, m, agents, stepOtherServices)
+}
+
+// searchAt sends a search to several agents at once in a step, if the budget allows it, and reports whether it did.
+func (e *Entry) searchAt(s flow.Segment, m mesh.Message, agents []*agent, step int) bool {
 	if len(agents) == 0 {
 		return false
 	}
@@ -209,19 +235,23 @@
 		return false
 	}
 	firstSearches.Inc()
-	e.recordDraw(s, stepFirstAgents, drawn)
-	e.logSearch(s, stepFirstAgents, len(agents), m.ConfigVersion)
+	e.recordDraw(s, step, drawn)
+	e.logSearch(s, step, len(agents), m.ConfigVersion)
+	m.Step = mesh.StepAll
+	if step == stepOtherServices {
+		m.Step = mesh.StepRecorded
+	}
 	for _, a := range agents {
-		e.sendToAll(&m, s.Key, a)
+		e.sendToSeveral(&m, s.Key, a)
 	}
 	return true
 }
 
-// sendToAll sends a search to one of several agents that are asked at once, with the directory agents of its service.
-func (e *Entry) sendToAll(m *mesh.Message, key flow.Key, a *agent) {
+// sendToSeveral sends a search to one of several agents that are asked at once, with the directory agents of its service.
+func (e *Entry) sendToSeveral(m *mesh.Message, key flow.Key, a *agent) {
 	report := a.report.Load()
-	if tag := mesh.ServiceTag(report.Service); m.Step != mesh.StepAll || m.Service != tag {
-		m.Step, m.Service, m.Directories = mesh.StepAll, tag, e.roster.directories(tag, key)
+	if tag := mesh.ServiceTag(report.Service); m.Service != tag || m.Directories == ([mesh.DirectoryCount]uint32{}) {
+		m.Service, m.Directories = tag, e.roster.directories(tag, key)
 	}
 	e.send(report.IP, m)
 }
@@ -275,6 +305,10 @@
 		badPackets.Inc()
 		return
 	}
+	if m.Step == mesh.StepRecorded {
+		// An agent of an earlier version returns the packet.
+		return
+	}
 	shard := e.flows.Lock(s.Key)
 	r := shard.Get(s.Key)
 	agent, service := r.agentBesides(m.Origin)
