--- a/cost/estimator.go
+++ b/cost/estimator.go
@@ -20,7 +20,7 @@
 	// bound limits a measured time to the fleet's value multiplied by it.
 	bound = 8
 	// implausibleSpeed is how many times faster than the fleet's value an answer must come to say nothing about the speed of the
-	// host: one that fails all requests answers at once. Known hosts are up to 1.6 times as fast as others.
+	// host: one that fails all requests answers at once.
 	implausibleSpeed = 4
 	// unusedHalfLife is the time in which an estimate moves half way to the fleet's value while no request confirms
 	// it. A host that gets no flows for its cost is tried again after some of these.
@@ -29,13 +29,13 @@
 	// for seconds between requests.
 	rateHalfLife = 10 * time.Second
 	// priorFlowSeconds and priorRate are the weight and the value of the request rate of an open flow before any was
-	// measured, in requests per second. Half a request per second is within a factor of two of the known workloads.
+	// measured, in requests per second.
 	priorFlowSeconds = 2.0
 	priorRate        = 0.5
 	// kindHalfLife is the half-life of the counts by which flows of one request are told from long ones.
 	kindHalfLife = time.Minute
 	// maxCredit limits how much faster than the fleet a host may appear to the placement. A host that answers at once
-	// without working, as with errors, would get all flows otherwise. Known hosts are up to 1.6 times as fast as others.
+	// without working, as with errors, would get all flows otherwise.
 	maxCredit = 2
 )
 
--- a/mesh/message.go
+++ b/mesh/message.go
@@ -68,8 +68,7 @@
 const DirectoryCount = 2
 
 // DirectorySteps is the number of agents that a search asks as directory agents. It exceeds DirectoryCount, as agents that
-// join after the flow opened may come before those that have recorded its location. If half as many agents join, five steps reach
-// the first of these for all but 0.4% of the flows.
+// join after the flow opened may come before those that have recorded its location.
 const DirectorySteps = 5
 
 // StepAll is the step of a search that is sent to several agents at once: to the first ones in rendezvous order, or to all. The
--- a/packetentry/repeats.go
+++ b/packetentry/repeats.go
@@ -21,8 +21,7 @@
 	maxSearched = 256
 	// firstAgentsSearches is the burst of searches at the first agents in rendezvous order, each of which costs
 	// mesh.MaxCandidates datagrams. They earn as many searches per second and packet as single datagrams are earned for
-	// repeats. After a restart of all processes, an entry of 18 searches for 200 of 3,600 open flows, of which 73 per second have
-	// a request; the burst and what is earned meanwhile admit all of them within 5 s if no host has the flows.
+	// repeats.
 	firstAgentsSearches = 128
 	// maxFirstAgents bounds the agents that a search asks at once as the first ones: those of two services, before and after
 	// agents joined.
--- a/rotation/choice.go
+++ b/rotation/choice.go
@@ -5,10 +5,8 @@
 	"slices"
 )
 
-// CoreBytesPerSecond is what an entry on a whole core can carry, in bytes of callers' packets per second. Receiving a packet of
-// 1,200 bytes and sending it on takes about 6.7 us of processor time (packetnode BenchmarkForwardDatagram: 9.7 to 10.2 us with
-// an entry that was idle, 3.1 to 3.4 us without an entry), which is 180 MB/s. Half of it is left for opening packets, searches,
-// reports and garbage collection.
+// CoreBytesPerSecond is what an entry on a whole core can carry, in bytes of callers' packets per second, with half of the core
+// left for opening packets, searches, reports and garbage collection. It assumes packets of 1,200 bytes.
 const CoreBytesPerSecond = 90e6
 
 // Capacity returns what an entry can carry in bytes per second, which is the smaller of what its link and its share of a
