placement: flows cross zones only if the own zone's hosts are busier by nearly a request

Each crossing costs the caller the way between zones with each packet, and exposes its flow to the faults of two zones.

Penalties of 0.45 and 0.6.

--- a/placement/order.go
+++ b/placement/order.go
@@ -31,8 +31,9 @@
 const loadHalfLife = 50 * time.Millisecond
 
 // otherZonePenalty is the load, as a share of the slots, by which a host of another zone must be lower to be
-// preferred. Between hosts of equal load it keeps traffic within a zone.
-const otherZonePenalty = 0.05
+// preferred. It is above the random part of ranks, so that of hosts of equal load one of the own zone is first for nearly all
+// flows, and below the load of one request, so that a zone that has lost hosts isn't flooded.
+const otherZonePenalty = 0.45
 
 // warmupPenalty is the corresponding value for hosts within their warm-up.
 const warmupPenalty = 0.25
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -26,7 +26,7 @@
 	minStandingShare = 0.05
 	// The penalties of long flows correspond to those for the share of busy slots, in multiples of the mean standing load. A host
 	// of another zone must be less loaded by more than this to be preferred as often.
-	longOtherZonePenalty = 0.15
+	longOtherZonePenalty = 0.6
 	longWarmupPenalty    = 0.25
 	longFaultyPenalty    = 4.0
 	// longBusyWeight is the weight of the busy slots and of the offers that an agent hasn't answered yet in the rank of a long
