packetentry: a spare entry takes others for silent even while it is full

The rule for full entries also held for spare ones. If a wide entry crashes and less than half of the zone is in rotation, the routers use all entries, the spare ones are full, and each second of it began the silence anew: at 330 requests/s the spare entries returned 6.5 s after the crash instead of 4 s.

Only an entry in rotation counts as full.

--- a/packetentry/rotation.go
+++ b/packetentry/rotation.go
@@ -27,7 +27,8 @@
 	// The fields below are guarded by mu.
 	decider rotation.Decider
 	state   rotation.State
-	// lastFull is when the entry was last full.
+	// lastFull is when the entry was last full while in rotation. A spare entry is full if the routers use all entries, because
+	// others are down.
 	lastFull time.Duration
 	// echoUntil is the time until which the entry sends echoes, echoTurn the number of times that it has.
 	echoUntil time.Duration
@@ -58,7 +59,7 @@
 	if placing {
 		now := e.cfg.Now()
 		self := rotation.Member{IP: e.cfg.IP, Capacity: capacity, Load: float64(e.traffic.perSecond(now))}
-		if capacity > 0 && self.Load >= fullShare*capacity {
+		if capacity > 0 && self.Load >= fullShare*capacity && e.rotation.state != rotation.Spare {
 			e.rotation.lastFull = now
 		}
 		decision = e.rotation.decider.Decide(self, e.roster.zoneMembers(now, e.rotation.lastFull), now)
--- a/packettest/rotation_test.go
+++ b/packettest/rotation_test.go
@@ -76,13 +76,14 @@
 
 // Guards against a zone that routers use as a whole, the stopped entry included, because the spare entries return too late.
 func TestSpareEntriesReturn(t *testing.T) {
-	start := func() (*packettest.Fleet, *packettest.Load) {
+	startAt := func(perSecond float64) (*packettest.Fleet, *packettest.Load) {
 		f := newUnevenFleet(1, true, wideLink, narrowLink, wideLink, narrowLink, wideLink)
-		l := packettest.StartLoad(f, requests(constant(200)))
+		l := packettest.StartLoad(f, requests(constant(perSecond)))
 		f.Run(16 * time.Second)
 		requireInRotation(t, f, l, 0, 2, 4)
 		return f, l
 	}
+	start := func() (*packettest.Fleet, *packettest.Load) { return startAt(200) }
 	t.Run("planned stop", func(t *testing.T) {
 		f, l := start()
 		f.Entries[0].Stop()
@@ -100,6 +101,12 @@
 		f.Run(4500 * time.Millisecond)
 		requireInRotation(t, f, l, 1, 2, 3, 4)
 	})
+	t.Run("crash under a load that fills the spare entries", func(t *testing.T) {
+		f, l := startAt(330)
+		f.Entries[0].Up = false
+		f.Run(4500 * time.Millisecond)
+		requireInRotation(t, f, l, 1, 2, 3, 4)
+	})
 	t.Run("lost datagrams", func(t *testing.T) {
 		f, l := start()
 		f.Drop = func(uint32, uint32) bool { return f.Random.IntN(50) == 0 }
