packetnode: after a start of all processes, the first entries read the configuration at once

An entry without a configuration waits for that of another process before it reads the store, 150 ms. The wait was most of the start.

Each entry now draws its own wait of up to 150 ms. Weighed: 50 ms for all, with which all entries of the first moment read the store.

--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -34,9 +34,10 @@
 	// agentFetchSpread is the corresponding time for agents, which decide nothing by the configuration but how long they
 	// keep idle flows. They hold it for entries that restart.
 	agentFetchSpread = 3 * time.Second
-	// peerWait is the time for which an entry that has no configuration at its start waits for one of another process
-	// before it reads the store.
-	peerWait = 150 * time.Millisecond
+	// maxPeerWait is the longest time for which an entry that has no configuration at its start waits for one of another process
+	// before it reads the store. Each entry draws its own: after a start of all processes, the first ones read the store at
+	// once and serve the others.
+	maxPeerWait = 150 * time.Millisecond
 	// fetchPause coalesces a burst of changes into fewer fetches.
 	fetchPause = 50 * time.Millisecond
 	// storeRetryBase and storeRetryMax space the retries while the store is unavailable. The longest pause
@@ -153,9 +154,9 @@
 	}
 }
 
-// awaitPeers waits until another process has given this one a configuration, for at most peerWait.
+// awaitPeers waits until another process has given this one a configuration, for a random time of at most maxPeerWait.
 func (u *configUpdater) awaitPeers(ctx context.Context) {
-	for range peerWait / peerWaitPoll {
+	for range rand.N(maxPeerWait) / peerWaitPoll {
 		if ctx.Err() != nil || u.routes.Current() != nil {
 			return
 		}
