--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// handleRefused handles a refusal by an agent that held the flow, or the answer that no candidate of an offer takes it; it unlocks
+// the shard. r may be nil.
+func (e *Entry) handleRefused(shard *flowtable.Shard[record], m *mesh.Message, r *record) {
+	switch {
+	case m.Step == mesh.RefusedHeld && r.isOnlyAt(m.Origin):
+		e.rejectHeld(shard, m.Flow, r)
+	case r.awaitsAnswer():
+		e.handleRefusal(shard, m.Flow, r)
+	default:
+		shard.Unlock()
+	}
+}
+
 // handleRefusal handles the answer of an agent that no candidate of an offer takes the flow; it unlocks the shard.
 func (e *Entry) handleRefusal(shard *flowtable.Shard[record], key flow.Key, r *record) {
 	switch {
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -112,6 +112,9 @@
 		e.recordAnswerDelay(now - r.offerUpdated)
 	}
 	switch {
+	case m.Kind == mesh.KindRefused:
+		e.handleRefused(shard, m, r)
+		return
 	case m.Kind == mesh.KindTaken:
 		if r == nil {
 			r = &record{lastPacket: now}
@@ -127,14 +130,7 @@
 		}
 	case m.Kind == mesh.KindPassed && r != nil && r.taken:
 		r.handlePassedOn(m.Origin)
-	case m.Kind == mesh.KindRefused && m.Step == mesh.RefusedHeld && r.isOnlyAt(m.Origin):
-		e.rejectHeld(shard, m.Flow, r)
-		return
-	case !r.awaitsAnswer():
-	case m.Kind == mesh.KindRefused:
-		e.handleRefusal(shard, m.Flow, r)
-		return
-	case m.Terms.Current < m.Count:
+	case r.awaitsAnswer() && m.Terms.Current < m.Count:
 		r.agent, r.offerUpdated = m.Candidates[m.Terms.Current], now
 	}
 	after := r.holder()
