--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -174,13 +174,14 @@
 	return r != nil && r.taken && r.agent == agent && r.firstCopy && r.offerCount == 1 && r.others == holders{}
 }
 
-// rejectHeld resets a flow that its agent held for too long; it unlocks the shard. No host has the flow, so that the reset is
-// valid whatever its number.
+// rejectHeld resets a flow that its agent held for too long; it unlocks the shard. The caller of a flow that isn't open accepts
+// any number, and one that has opened it through another entry accepts only numbers close to its own.
 func (e *Entry) rejectHeld(shard *flowtable.Shard[record], key flow.Key, r *record) {
 	shard.Delete(key)
 	shard.Unlock()
 	refusedFlows.Inc()
-	e.resetFlow(key, 0)
+	const noNumber = 0
+	e.resetFlow(key, noNumber)
 	if e.cfg.Log.AllowRare() {
 		e.cfg.Log.Info("open", "flow", key.String(), "outcome", "refused", "why", "held too long", "heldMs", (e.cfg.Now() - r.offerUpdated).Milliseconds())
 	}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -306,7 +306,7 @@
 		return
 	}
 	if m.Step == mesh.StepRecorded {
-		// An agent of an earlier version returns the packet.
+		// Agents of earlier versions return the packet, which has been sent to several.
 		return
 	}
 	shard := e.flows.Lock(s.Key)
