--- /dev/null
+++ b/review/standins/case_many.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// manyHosts: all machines are stopped and started in turn, with a service of 14 hosts.
+func manyHosts(program, record string, trouble bool) {
+	l := newLab(record, program, []string{"za", "zb"})
+	for z := range 3 {
+		l.addEntry(z % 2)
+	}
+	for i := range 14 {
+		l.addSide(i%2, "draws", 4, 10*time.Millisecond)
+	}
+	at := netip.MustParseAddrPort("198.18.0.2:8443")
+	l.configure(7, []map[string]any{route("r-1", at, "idempotent", "draws")}, "rota", "draws")
+	l.startAll()
+	c := newClients(l, l.addr(210, 1))
+	var wg sync.WaitGroup
+	var done atomic.Bool
+	var answered, failed atomic.Int64
+	for n := range 500 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			time.Sleep(time.Duration(n) * 6 * time.Millisecond)
+			f := c.open(at)
+			if f == nil {
+				l.log("client: a flow doesn't open")
+				return
+			}
+			defer f.close()
+			for i := 0; !done.Load() && !f.closed && time.Since(f.opened) < 50*time.Second; i++ {
+				id := fmt.Sprintf("q-%d-%d", n, i)
+				r := f.request(id, "GET", 0, 3*time.Second)
+				l.log("client: request %s on flow %s: %s after %d ms", id, f.k, r.outcome, r.took.Milliseconds())
+				if r.outcome != "200" {
+					failed.Add(1)
+					return
+				}
+				answered.Add(1)
+				f.pause(time.Duration(4000+rand.IntN(8000)) * time.Millisecond)
+			}
+		}()
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		var stops sync.WaitGroup
+		roll := func(machines []*machine, gap time.Duration) {
+			defer stops.Done()
+			for _, m := range machines {
+				stops.Add(1)
+				go func() { defer stops.Done(); m.terminate(true) }()
+				time.Sleep(gap)
+			}
+		}
+		stops.Add(2)
+		go roll(l.sides, 1200*time.Millisecond)
+		go roll(l.entries, 4*time.Second)
+		stops.Wait()
+	} else {
+		time.Sleep(20 * time.Second)
+	}
+	time.Sleep(12 * time.Second)
+	done.Store(true)
+	wg.Wait()
+	l.log("requests answered: %d, not answered: %d", answered.Load(), failed.Load())
+	l.judgeFlows()
+	l.finish()
+}
