--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,4 +24,5 @@
 	"long-flow-upload": longFlowUpload,
 	"soak":             soak,
 	"moved-route":      movedRoute,
+	"stepped-host":     steppedHost,
 }
