--- a/review/standins/case_route.go
+++ b/review/standins/case_route.go
@@ -25,7 +25,7 @@
 	at := netip.MustParseAddrPort("198.18.0.2:8443")
 	l.configure(7, []map[string]any{route("r-1", at, "idempotent", "draws")}, "rota", "draws")
 	l.startAll()
-	c := newClients(l, l.addr(210, 1))
+	zones := []*clients{newClients(l, 0), newClients(l, 1)}
 	var wg sync.WaitGroup
 	var done atomic.Bool
 	var answered, failed atomic.Int64
@@ -34,7 +34,7 @@
 		go func() {
 			defer wg.Done()
 			time.Sleep(time.Duration(n) * 8 * time.Millisecond)
-			f := c.open(at)
+			f := zones[n%2].open(at)
 			if f == nil {
 				l.log("client: a flow doesn't open")
 				return
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -57,10 +57,11 @@
 		id, host, stampOf(id, host), extra, responseBody), bytes.Repeat([]byte("r"), responseBody)...)
 }
 
-// clients simulates the clients at one address.
+// clients simulates the clients at one address of a zone.
 type clients struct {
 	lab  *lab
 	ip   netip.Addr
+	zone string
 	conn *net.UDPConn
 	mu   sync.Mutex
 	// flows holds the inbox of each flow.
@@ -68,12 +69,13 @@
 	port  uint16
 }
 
-func newClients(l *lab, ip netip.Addr) *clients {
+func newClients(l *lab, zone int) *clients {
+	ip := l.addr(210, byte(zone+1))
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, portDatagram)))
 	if err != nil {
 		cannotRun("clients: %v", err)
 	}
-	c := &clients{lab: l, ip: ip, conn: conn, flows: make(map[key]chan packet), port: 20000 + uint16(rand.IntN(20000))}
+	c := &clients{lab: l, ip: ip, zone: l.zones[zone], conn: conn, flows: make(map[key]chan packet), port: 20000 + uint16(rand.IntN(20000))}
 	go c.receive()
 	return c
 }
@@ -126,7 +128,7 @@
 	f := &clientFlow{c: c, k: k, inbox: make(chan packet, 256), seq: rand.Uint32(), early: make(map[uint32]packet)}
 	c.flows[k] = f.inbox
 	c.mu.Unlock()
-	syn := func(n uint32) { c.lab.toEntry(k, encode(k.client, k.route, fSYN, f.seq, n, nil)) }
+	syn := func(n uint32) { c.lab.toEntry(k, c.zone, encode(k.client, k.route, fSYN, f.seq, n, nil)) }
 	syn(0)
 	copies := []<-chan time.Time{time.After(200 * time.Millisecond), time.After(600 * time.Millisecond)}
 	limit := time.After(1400 * time.Millisecond)
@@ -163,7 +165,7 @@
 
 func (f *clientFlow) sendAck() {
 	f.unacked = 0
-	f.c.lab.toEntry(f.k, encode(f.k.client, f.k.route, fACK, f.seq, f.ack, nil))
+	f.c.lab.toEntry(f.k, f.c.zone, encode(f.k.client, f.k.route, fACK, f.seq, f.ack, nil))
 }
 
 // result of a request.
@@ -191,7 +193,7 @@
 	end := f.seq
 	acked, tries, inFlight := chunks[0].seq, 0, 0
 	transmit := func(c chunk) {
-		f.c.lab.toEntry(f.k, encode(f.k.client, f.k.route, fACK, c.seq, f.ack, c.b))
+		f.c.lab.toEntry(f.k, f.c.zone, encode(f.k.client, f.k.route, fACK, c.seq, f.ack, c.b))
 	}
 	fill := func() {
 		for inFlight < len(chunks) && inFlight < 16 {
@@ -316,7 +318,7 @@
 	f.c.lab.clientLeft(f.k)
 	fin := encode(f.k.client, f.k.route, fACK|fFIN, f.seq, f.ack, nil)
 	for n := range 4 {
-		f.c.lab.toEntry(f.k, fin)
+		f.c.lab.toEntry(f.k, f.c.zone, fin)
 		limit := time.After(backoff(n))
 	wait:
 		for {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,7 +22,7 @@
 
 var cases = map[string]func(program, record string, trouble bool){
 	"long-flow-upload": longFlowUpload,
-	"soak":             soak,
+	"explore":          explore,
 	"moved-route":      movedRoute,
 	"stepped-host":     steppedHost,
 }
