--- a/review/standins/explore.go
+++ b/review/standins/explore.go
@@ -24,6 +24,7 @@
 //	REQ, BODY bytes of a request's and of a response's body
 //	WORK      milliseconds of a request
 //	HOSTS     hosts of the first service
+//	EVAC      1: zone zb is evacuated and taken back in each calm time
 //	FIXED     1: route 2 stays at its service
 type explorer struct {
 	*lab
@@ -42,6 +43,8 @@
 	busyMu    sync.Mutex
 	busy      map[*machine]bool
 	fixed     bool
+	// evacuated is when an evacuation of zone zb was acknowledged, zero while there is none.
+	evacuated time.Time
 	clients   [2]*clients
 }
 
@@ -65,6 +68,8 @@
 // openTime is the longest attempt to open a flow.
 const openTime = 1400 * time.Millisecond
 
+const evacuateBound = 5 * time.Second
+
 const configBound = 3 * time.Second
 
 func explore(program, record string, _ bool) {
@@ -78,6 +83,9 @@
 		},
 		second: []placed{{time.Now(), "draws"}}, third: []present{{time.Now(), false}},
 	}
+	if os.Getenv("EVAC") == "1" {
+		x.extraBounds = "evacuateMs = 5000\n"
+	}
 	for z := range 3 {
 		x.addEntry(z % 2)
 	}
@@ -136,6 +144,12 @@
 
 // judgeOpening judges ROUTE and CONFIG by the host that takes an opening packet.
 func (x *explorer) judgeOpening(h *host, k key) {
+	x.configMu.Lock()
+	evacuated := x.evacuated
+	x.configMu.Unlock()
+	if h.zone == "zb" && !evacuated.IsZero() && time.Since(evacuated) > evacuateBound && x.isCalm(time.Now()) {
+		x.broke("EVAC", "flow %s is opened at host %s %.2f s after its zone was evacuated", k, h.ip, time.Since(evacuated).Seconds())
+	}
 	if k.route != x.at[1] {
 		if h.service != "rota" {
 			x.broke("ROUTE", "flow %s is opened at service %s", k, h.service)
@@ -296,6 +310,9 @@
 		if x.random.IntN(3) == 0 {
 			x.writeConfig(x.random.IntN(2) == 0, x.randomService())
 		}
+		if x.extraBounds != "" {
+			x.evacuate(x.random.IntN(2) == 0)
+		}
 		var burst sync.WaitGroup
 		for range 2 + x.random.IntN(4) {
 			kind := kinds[x.random.IntN(len(kinds))]
@@ -331,6 +348,21 @@
 	x.setCalm(false)
 }
 
+// evacuate evacuates zone zb or takes it back.
+func (x *explorer) evacuate(on bool) {
+	x.configMu.Lock()
+	defer x.configMu.Unlock()
+	switch {
+	case on && x.evacuated.IsZero():
+		x.store.put("evacuations", "zb", map[string]any{})
+		x.evacuated = time.Now()
+	case !on && !x.evacuated.IsZero():
+		x.evacuated = time.Time{}
+		x.store.remove("evacuations", "zb")
+	}
+	x.log("zone zb evacuated: %v", on)
+}
+
 func (x *explorer) disturb(kind byte, m *machine, h *host, length time.Duration) {
 	x.log("disruption %c: %s, %v", kind, m.name, length)
 	switch kind {
--- a/review/standins/lab.go
+++ b/review/standins/lab.go
@@ -63,6 +63,8 @@
 	calmSince time.Time
 	judgeCalm bool
 	calm      [][2]time.Time
+	// extraBounds are further lines of the settings' bounds.
+	extraBounds string
 	// allowed judges whether a host's service may take a flow.
 	allowed func(h *host, k key)
 }
@@ -247,7 +249,7 @@
 recoveryS = 12
 reorderMs = 2000
 maxFlowS = 60
-[platform]
+%s[platform]
 address = "%s:%d"
 deploymentMode = "objects"
 writesPerS = 400
@@ -255,7 +257,7 @@
 historyS = 20
 valueBytes = 1048576
 minTtlMs = 1000
-`, l.addr(200, 7), portStore)
+`, l.extraBounds, l.addr(200, 7), portStore)
 }
 
 // run starts the process of the machine, as deploy/system.toml says.
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -213,3 +213,14 @@
 	}
 	s.create(kind, name, b)
 }
+
+// remove deletes an object as the operator does.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.objects[kind+"/"+name]; o != nil {
+		delete(s.objects, kind+"/"+name)
+		gone := *o
+		s.bump(&gone, true)
+	}
+}
