--- a/review/standins/case_route.go
+++ b/review/standins/case_route.go
@@ -22,7 +22,7 @@
 	for i := range 4 {
 		l.addSide(i%2, "draws", 4, 10*time.Millisecond)
 	}
-	at := netip.MustParseAddrPort("198.18.0.2:8443")
+	at := netip.AddrPortFrom(l.addr(220, 1), 8443)
 	l.configure(7, []map[string]any{route("r-1", at, "idempotent", "draws")}, "rota", "draws")
 	l.startAll()
 	zones := []*clients{newClients(l, 0), newClients(l, 1)}
--- a/review/standins/case_upload.go
+++ b/review/standins/case_upload.go
@@ -19,7 +19,7 @@
 	for i := range 7 {
 		l.addSide(i%2, "rota", 4, 30*time.Millisecond)
 	}
-	at := netip.MustParseAddrPort("198.18.0.1:8443")
+	at := netip.AddrPortFrom(l.addr(220, 1), 8443)
 	l.configure(7, []map[string]any{route("r-1", at, "non_idempotent", "rota")}, "rota")
 	l.startAll()
 	zones := []*clients{newClients(l, 0), newClients(l, 1)}
--- a/review/standins/explore.go
+++ b/review/standins/explore.go
@@ -77,12 +77,12 @@
 	x := &explorer{
 		lab: newLab(record, program, []string{"za", "zb"}), random: rand.New(rand.NewPCG(uint64(envInt("SEED", 1)), 1)), version: 7,
 		reqSize: envInt("REQ", 100), work: time.Duration(envInt("WORK", 30)) * time.Millisecond, busy: make(map[*machine]bool),
-		fixed: os.Getenv("FIXED") == "1",
-		at: [3]netip.AddrPort{
-			netip.MustParseAddrPort("198.18.0.1:8443"), netip.MustParseAddrPort("198.18.0.2:8443"), netip.MustParseAddrPort("198.18.0.3:8080"),
-		},
+		fixed:  os.Getenv("FIXED") == "1",
 		second: []placed{{time.Now(), "draws"}}, third: []present{{time.Now(), false}},
 	}
+	for i, port := range []uint16{8443, 8443, 8080} {
+		x.at[i] = netip.AddrPortFrom(x.addr(220, byte(i+1)), port)
+	}
 	if os.Getenv("EVAC") == "1" {
 		x.extraBounds = "evacuateMs = 5000\n"
 	}
--- a/review/standins/lab.go
+++ b/review/standins/lab.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -49,13 +50,14 @@
 	hosts   []*host
 	record  *os.File
 
+	// ending is set when all processes are to end.
+	ending   atomic.Bool
 	mu       sync.Mutex
 	broken   []string
 	flows    map[key]*flowRecord
 	ready    map[netip.Addr]bool
 	misses   map[netip.Addr]int
 	client   *net.UDPConn
-	started  []*machine
 	ranCount map[string]int
 	ranAt    map[string]*host
 	// calmSince is the end of the last disruption, zero while one lasts; calm are the calm times that have ended. judgeCalm
@@ -104,6 +106,9 @@
 func cannotRun(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "cannot run: "+format+"\n", args...)
 	killAll()
+	if current != nil {
+		os.RemoveAll(current.dir)
+	}
 	os.Exit(2)
 }
 
@@ -114,7 +119,8 @@
 	if current == nil {
 		return
 	}
-	for _, m := range current.started {
+	current.ending.Store(true)
+	for _, m := range append(slices.Clone(current.entries), current.sides...) {
 		m.kill()
 	}
 }
@@ -268,6 +274,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.lab.ending.Load() {
+		return
+	}
 	if m.log == nil {
 		m.log, _ = os.Create(filepath.Join(m.lab.dir, m.name+".log"))
 	}
@@ -280,9 +289,6 @@
 	}
 	exited := make(chan struct{})
 	m.cmd, m.exited, m.desired = cmd, exited, true
-	if !slices.Contains(m.lab.started, m) {
-		m.lab.started = append(m.lab.started, m)
-	}
 	go func() {
 		err := cmd.Wait()
 		m.lab.log("%s ends: %v", m.name, err)
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -8,8 +8,8 @@
 )
 
 func main() {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standins CASE PROGRAM RECORD")
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: standins CASE PROGRAM RECORD TROUBLE")
 		os.Exit(2)
 	}
 	run, ok := cases[os.Args[1]]
@@ -17,7 +17,7 @@
 		fmt.Fprintln(os.Stderr, "unknown case")
 		os.Exit(2)
 	}
-	run(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
+	run(os.Args[2], os.Args[3], os.Args[4] != "0")
 }
 
 var cases = map[string]func(program, record string, trouble bool){
