--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Plays the scenario equal-tags of review/standins-2. See claim.txt.
+cd "$(dirname "$0")/../.." || exit 2
+timeout 115 target/reviewfleet equal-tags --out review/10/record.txt
+code=$?
+if [ "$code" -gt 2 ]; then exit 2; fi
+exit "$code"
