review: the scripts' clients give up after 3 s

Cause: the scripts of cases 6 and 7 gave requests on long flows the deadline of draw-sheet, 8 s, and judged flows after their clients had given up.

Change: the deadline of slot-claim, 3 s, and no judgement after a client gives up.

--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -192,6 +192,7 @@
 			}
 		case <-timer.C:
 			if time.Now().After(end) {
+				f.c.f.noteGivenUp(f.key)
 				return timedOut
 			}
 			if !acked {
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -587,6 +587,15 @@
 	}
 }
 
+// noteGivenUp records that the client gives up a request at its deadline. What happens to the flow later isn't judged.
+func (f *fleet) noteGivenUp(key flowKey) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r := f.flows[key]; r != nil && r.ended == 0 {
+		r.ended = f.rec.now()
+	}
+}
+
 // noteRun records that a host begins to work on a request.
 func (f *fleet) noteRun(h *host, key flowKey, r request) {
 	f.rec.add("host %s runs request %s on %s", h.name, r.id, key)
--- a/review/standins-2/scenarios.go
+++ b/review/standins-2/scenarios.go
@@ -21,8 +21,9 @@
 	// shortWork and shortDeadline are those of an ordinary request.
 	shortWork     = 20 * time.Millisecond
 	shortDeadline = 2500 * time.Millisecond
-	// longDeadline is the deadline of draw-sheet.
-	longDeadline = 8 * time.Second
+	// claimDeadline is the deadline of slot-claim, longDeadline that of draw-sheet.
+	claimDeadline = 3 * time.Second
+	longDeadline  = 8 * time.Second
 )
 
 // attempt is the outcome of one request.
@@ -81,10 +82,10 @@
 	return flows, nil
 }
 
-// goOn sends another request on each open flow and judges the flows from now on.
-func goOn(f *fleet, flows []*clientFlow, prefix string, pause, work time.Duration) {
+// goOn sends another request on each open flow and judges the flows from now on, each until its request is answered or given up.
+func goOn(f *fleet, flows []*clientFlow, prefix string, pause, work, deadline time.Duration) {
 	from := f.rec.now()
-	all := onAll(flows, prefix, pause, work, longDeadline)
+	all := onAll(flows, prefix, pause, work, deadline)
 	f.rec.add("%d of %d requests on the open flows were answered, %d were reset, %d got no answer", count(all, answered), len(all),
 		count(all, resetHere), count(all, timedOut))
 	fmt.Printf("%d of %d requests on the open flows were answered\n", count(all, answered), len(all))
@@ -119,7 +120,7 @@
 		}
 	}
 	time.Sleep(2 * stableWindow)
-	goOn(f, flows, "second", pause, shortWork)
+	goOn(f, flows, "second", pause, shortWork, claimDeadline)
 	return nil
 }
 
@@ -156,7 +157,7 @@
 	time.Sleep(2 * stableWindow)
 	fresh := onAll([]*clientFlow{c.newFlow(deskEnd), c.newFlow(sheetsEnd)}, "new", pause, shortWork, shortDeadline)
 	rec.add("%d of %d new flows are served", count(fresh, answered), len(fresh))
-	goOn(f, flows, "third", pause, shortWork)
+	goOn(f, flows, "third", pause, shortWork, claimDeadline)
 	return nil
 }
 
@@ -188,7 +189,7 @@
 		}
 	}
 	time.Sleep(2 * stableWindow)
-	goOn(f, flows, "second", pause, shortWork)
+	goOn(f, flows, "second", pause, shortWork, claimDeadline)
 	return nil
 }
 
@@ -219,6 +220,6 @@
 		time.Sleep(1200 * time.Millisecond)
 	}
 	time.Sleep(stableWindow + time.Second)
-	goOn(f, flows, "sheet", pause, work)
+	goOn(f, flows, "sheet", pause, work, longDeadline)
 	return nil
 }
