--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Plays the scenario growth of review/standins-2. See claim.txt.
+# With TROUBLE=0 it leaves the disruption out. Plays the scenario growth of review/standins-2. See claim.txt.
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
 timeout 115 target/reviewfleet growth --out review/6/record.txt
 code=$?
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Plays the scenario moved-route of review/standins-2. See claim.txt.
+# With TROUBLE=0 it leaves the disruption out. Plays the scenario moved-route of review/standins-2. See claim.txt.
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
 timeout 115 target/reviewfleet moved-route --out review/7/record.txt
 code=$?
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -42,6 +42,9 @@
 	zones   []string
 	store   *exec.Cmd
 	trouble bool
+	// hostsAfter is the time after the start of the agents at which their hosts start; 0 means before them. Machines start
+	// their processes in any order, within 0.3 s.
+	hostsAfter time.Duration
 
 	mu        sync.Mutex
 	processes []*process
@@ -469,13 +472,24 @@
 
 // addMachine starts the host of a machine whose clock is ahead by some time, and its agent.
 func (f *fleet) addMachine(n int, service, name, zone string, ahead time.Duration) (*process, error) {
+	if err := f.addHost(n, service, name, zone, ahead); err != nil {
+		return nil, err
+	}
+	return f.addAgent(n, service, name, zone)
+}
+
+func (f *fleet) addHost(n int, service, name, zone string, ahead time.Duration) error {
 	h, err := f.startHost(service+"-"+name, service, zone, f.address(n), ahead)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.hosts = append(f.hosts, h)
-	f.mu.Unlock()
+	return nil
+}
+
+func (f *fleet) addAgent(n int, service, name, zone string) (*process, error) {
 	p, err := f.newProcess("agent-"+service+"-"+name, "agent", zone, service, f.address(n))
 	if err != nil {
 		return nil, err
@@ -506,12 +520,27 @@
 		return err
 	}
 	n := 40
+	var later []func() error
 	for _, service := range order {
 		for i := range services[service] {
-			if _, err := f.addMachine(n, service, fmt.Sprint(i+1), f.zones[i%len(f.zones)], 0); err != nil {
+			number, name, zone := n, fmt.Sprint(i+1), f.zones[i%len(f.zones)]
+			n++
+			if f.hostsAfter == 0 {
+				if _, err := f.addMachine(number, service, name, zone, 0); err != nil {
+					return err
+				}
+				continue
+			}
+			if _, err := f.addAgent(number, service, name, zone); err != nil {
 				return err
 			}
-			n++
+			later = append(later, func() error { return f.addHost(number, service, name, zone, 0) })
+		}
+	}
+	time.Sleep(f.hostsAfter)
+	for _, start := range later {
+		if err := start(); err != nil {
+			return err
 		}
 	}
 	for i, zone := range entryZones {
--- a/review/standins-2/scenarios.go
+++ b/review/standins-2/scenarios.go
@@ -10,9 +10,9 @@
 // zones are the availability zones.
 var zones = []string{"okn-a", "okn-b", "okn-c"}
 
-// Ends of the routes.
+// Ends of the routes. Their address is a loopback one to which nothing is sent.
 var (
-	routeAddress = netip.AddrFrom4([4]byte{198, 18, 0, 1})
+	routeAddress = netip.AddrFrom4([4]byte{127, 255, 0, 1})
 	deskEnd      = end{routeAddress, 8443}
 	sheetsEnd    = end{routeAddress, 8444}
 )
@@ -169,8 +169,9 @@
 		return err
 	}
 	defer f.stopAll()
-	const flowCount, pause = 60, 10 * time.Millisecond
-	c, err := begin(f, zones, map[string]int{"rota": 2}, []string{"rota"}, route{"desk", "rota", deskEnd})
+	f.hostsAfter = 150 * time.Millisecond
+	const flowCount, pause = 160, 3 * time.Millisecond
+	c, err := begin(f, zones, map[string]int{"rota": 7}, []string{"rota"}, route{"desk", "rota", deskEnd})
 	if err != nil {
 		return err
 	}
--- a/review/standins-2/scenarios2.go
+++ b/review/standins-2/scenarios2.go
@@ -63,6 +63,9 @@
 // entryZones are the zones of the entries of harrowgate-rota.
 var entryZones = []string{"okn-a", "okn-a", "okn-a", "okn-b", "okn-b", "okn-c"}
 
+// cutTime is the time for which the day trouble-3 of harrowgate-rota cuts two entries from the store.
+const cutTime = 4340 * time.Millisecond
+
 // relying returns the index of the entry of okn-a that relies on the others to watch the store.
 func relying(f *fleet) int {
 	n := 0
@@ -74,7 +77,7 @@
 	return n
 }
 
-// staleEntry: the five entries that watch the store are cut from it for 5.5 s, and a route moves to another service. The sixth
+// staleEntry: the five entries that watch the store are cut from it for 4.34 s, and a route moves to another service. The sixth
 // one reaches the store all the time.
 func staleEntry(rec *record) error {
 	// The entry waits for 3 to 4.5 s, by its address; the addresses are such that it waits for 4 s or more.
@@ -95,6 +98,7 @@
 		return err
 	}
 	time.Sleep(100 * time.Millisecond)
+	cutAt := rec.now()
 	for _, p := range f.entries() {
 		if f.trouble && p != entry {
 			rec.add("%s is cut from the store", p.name)
@@ -108,7 +112,7 @@
 	}
 	var wg sync.WaitGroup
 	for n := 0; rec.now() < acked+8*time.Second; n++ {
-		if rec.now() > acked+5500*time.Millisecond {
+		if rec.now() > cutAt+cutTime {
 			for _, p := range f.entries() {
 				p.proxy.cut.Store(false)
 			}
