packetentry, mesh: services are told apart by name, not by a 32-bit tag

Ruled out: the configuration, heartbeats and member records compare names.

Entries keep everything by name now. A message without digest is judged by its tag. Reports name the services of changed routes; a tag without a name counts only if one known service has it.

packettest checked that flows open at the first service; it now checks that any configuration led the flow's route to the host's service, which is the rule.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"endiveflow.example/endiveflow/flow"
@@ -139,16 +138,19 @@
 // Message is a message between two processes.
 type Message struct {
 	Kind Kind
-	// Service is the tag of the service that the message is for. An agent of another service drops the
-	// message: the address may have belonged to a host of that service before.
-	Service uint32
+	// Service is the tag of the service that the message is for, ServiceDigest the rest of its ServiceID. An agent of another
+	// service drops the message: the address may have belonged to a host of that service before. Only messages of kind KindOffer,
+	// KindDeliver, KindSearch and KindAbsenceQuery carry the digest, in the place of Flow. In a message of an agent, Service is the
+	// tag of the agent's service.
+	Service       uint32
+	ServiceDigest ServiceDigest
 	// ConfigVersion is the version of the sender's configuration.
 	ConfigVersion uint64
 	// Origin is the address of the process that the message originates from. An agent that forwards a message
 	// of an entry doesn't change it, so that the next agent answers the entry.
 	Origin uint32
 	// Flow is the flow that a message of kind KindTaken, KindPassed, KindRefused, KindMissing, KindLocated, KindFlowQuery or
-	// KindFlowHolder is about. KindOffer, KindDeliver and KindSearch leave it empty: their packet identifies the flow.
+	// KindFlowHolder is about. Messages that carry ServiceDigest don't: their packet or body identifies the flows.
 	Flow flow.Key
 	// Step is the search step, in messages of kind KindSearch and in the answers of kind KindMissing, see DirectoryStep and
 	// StepAll.
@@ -220,6 +222,8 @@
 	protocolVersion = 1
 	headerBytes     = 60
 	addressBytes    = 4
+	// flowAt is the offset of the flow, or of the service's digest.
+	flowAt = 20
 
 	flagMustTake = 1 << 0
 	flagResent   = 1 << 1
@@ -253,10 +257,14 @@
 	binary.BigEndian.PutUint32(h[4:], m.Service)
 	binary.BigEndian.PutUint64(h[8:], m.ConfigVersion)
 	binary.BigEndian.PutUint32(h[16:], m.Origin)
-	binary.BigEndian.PutUint32(h[20:], m.Flow.Caller.IP)
-	binary.BigEndian.PutUint16(h[24:], m.Flow.Caller.Port)
-	binary.BigEndian.PutUint16(h[26:], m.Flow.Service.Port)
-	binary.BigEndian.PutUint32(h[28:], m.Flow.Service.IP)
+	if m.Kind.carriesDigest() {
+		copy(h[flowAt:], m.ServiceDigest[:])
+	} else {
+		binary.BigEndian.PutUint32(h[flowAt:], m.Flow.Caller.IP)
+		binary.BigEndian.PutUint16(h[24:], m.Flow.Caller.Port)
+		binary.BigEndian.PutUint16(h[26:], m.Flow.Service.Port)
+		binary.BigEndian.PutUint32(h[28:], m.Flow.Service.IP)
+	}
 	h[32], h[33], h[34] = m.Terms.Current, m.Terms.Best, m.Terms.Priority
 	binary.BigEndian.PutUint16(h[36:], uint16(m.Terms.BestLatency))
 	binary.BigEndian.PutUint16(h[38:], uint16(m.Terms.TargetLatency))
@@ -312,10 +320,6 @@
 		Service:       binary.BigEndian.Uint32(b[4:]),
 		ConfigVersion: binary.BigEndian.Uint64(b[8:]),
 		Origin:        binary.BigEndian.Uint32(b[16:]),
-		Flow: flow.Key{
-			Caller:  flow.Endpoint{IP: binary.BigEndian.Uint32(b[20:]), Port: binary.BigEndian.Uint16(b[24:])},
-			Service: flow.Endpoint{IP: binary.BigEndian.Uint32(b[28:]), Port: binary.BigEndian.Uint16(b[26:])},
-		},
 		Terms: Terms{
 			Current: b[32], Best: b[33], Priority: b[34],
 			MustTake: b[2]&flagMustTake != 0, Resent: b[2]&flagResent != 0, LongFlows: b[2]&flagLong != 0,
@@ -329,6 +333,14 @@
 			ServiceTime: Millis(binary.BigEndian.Uint16(b[46:])), Open: b[2]&flagOpen != 0, Faulty: b[2]&flagFaulty != 0,
 		},
 	}
+	if m.Kind.carriesDigest() {
+		copy(m.ServiceDigest[:], b[flowAt:])
+	} else {
+		m.Flow = flow.Key{
+			Caller:  flow.Endpoint{IP: binary.BigEndian.Uint32(b[flowAt:]), Port: binary.BigEndian.Uint16(b[24:])},
+			Service: flow.Endpoint{IP: binary.BigEndian.Uint32(b[28:]), Port: binary.BigEndian.Uint16(b[26:])},
+		}
+	}
 	if m.Kind.carriesWork() {
 		m.Load.WorkMs = binary.BigEndian.Uint16(b[50:])
 		if m.Load.WorkMs > 0 {
@@ -362,6 +374,3 @@
 
 // bufferPool holds buffers for encoded messages, so that sending doesn't allocate.
 var bufferPool = sync.Pool{New: func() any { return new([]byte) }}
-
-// ServiceTag returns the tag of the service with a name.
-func ServiceTag(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -72,6 +72,8 @@
 	Rotation RotationStatus `cbor:"14,keyasint,omitempty"`
 	// Moved are some of the changes of routes that flows may have opened before.
 	Moved []MovedRoute `cbor:"15,keyasint,omitempty"`
+	// MovedServices are the names of the services of Moved, in the same order. Entries of earlier versions report tags only.
+	MovedServices []string `cbor:"16,keyasint,omitempty"`
 }
 
 // MovedRoute is a service that the route of an address and port no longer leads to.
--- a/packetagent/agent.go
+++ b/packetagent/agent.go
@@ -15,10 +15,11 @@
 
 // Agent is the state of the agent process beside one host. It is safe for concurrent use.
 type Agent struct {
-	cfg        Config
-	serviceTag uint32
-	started    time.Duration
-	host       *host.Tracker
+	cfg Config
+	// service identifies Config.Service in messages.
+	service mesh.ServiceID
+	started time.Duration
+	host    *host.Tracker
 	// hostMu serializes changes of the host's state: what a heartbeat acknowledges must not be undone by one that arrived earlier.
 	hostMu sync.Mutex
 	load   *placement.Host
@@ -98,7 +99,7 @@
 func New(cfg Config) *Agent {
 	cfg = cfg.withDefaults()
 	return &Agent{
-		cfg: cfg, serviceTag: mesh.ServiceTag(cfg.Service), started: cfg.Now(), load: cfg.Load,
+		cfg: cfg, service: mesh.ServiceIDOf(cfg.Service), started: cfg.Now(), load: cfg.Load,
 		host:  host.NewTracker(host.TrackerConfig{HeartbeatInterval: cfg.HeartbeatInterval}),
 		flows: flowtable.New[record](), searches: flowtable.New[search](), locations: flowtable.New[location](),
 	}
@@ -137,7 +138,7 @@
 	default:
 		return
 	}
-	if m.Service != a.serviceTag {
+	if !m.ServiceID().Matches(a.service) {
 		wrongService.Inc()
 		if a.cfg.Log.AllowRare() {
 			a.cfg.Log.Warn("packet for another service dropped", "kind", m.Kind.String(), "from", flow.IPText(m.Origin), "expected", a.cfg.Service)
@@ -174,7 +175,7 @@
 // newMessage returns a message from this agent about a flow. Notices carry what the host has learned of the flow's route.
 func (a *Agent) newMessage(k mesh.Kind, key flow.Key) mesh.Message {
 	now := a.cfg.Now()
-	m := mesh.Message{Kind: k, Service: a.serviceTag, ConfigVersion: a.cfg.ConfigVersion(), Origin: a.cfg.IP, Flow: key, Load: a.load.Load(now)}
+	m := mesh.Message{Kind: k, Service: a.service.Tag, ConfigVersion: a.cfg.ConfigVersion(), Origin: a.cfg.IP, Flow: key, Load: a.load.Load(now)}
 	switch k {
 	case mesh.KindTaken, mesh.KindPassed, mesh.KindRefused:
 		route := a.load.RouteCost(key.Service, now)
--- a/packetagent/agent_test.go
+++ b/packetagent/agent_test.go
@@ -339,6 +339,21 @@
 	require.Error(t, a.Heartbeat(host.Report{ID: "x", Service: service, Address: flow.Endpoint{IP: 1, Port: 2}, State: host.Ready, Slots: 1}))
 }
 
+// Guards against packets for a service that previously had the agent's address and whose name has the same tag.
+func TestPacketsForServiceWithEqualTagAreDropped(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", hostStartedAt, 1, host.Ready)
+	m := mesh.Message{Kind: mesh.KindOffer, Origin: entryIP, Count: 1, Body: packettest.Open(packettest.Key(1), 0)}
+	other := mesh.ServiceIDOf(service)
+	other.Digest[0]++
+	m.SetService(other)
+	a.Receive(m.Append(nil))
+	require.Empty(t, a.takeSentToHost())
+	m.SetService(mesh.ServiceIDOf(service))
+	a.Receive(m.Append(nil))
+	require.Len(t, a.takeSentToHost(), 1)
+}
+
 // Guards against a load that differs from the number of requests in the host.
 func TestLoadFollowsFlows(t *testing.T) {
 	a := newTestAgent(t)
--- a/packetentry/absence.go
+++ b/packetentry/absence.go
@@ -254,7 +254,7 @@
 	e.absences.mu.Unlock()
 	m := mesh.Message{Kind: mesh.KindAbsenceQuery, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: body.Append(nil)}
 	for _, agent := range agents {
-		m.Service = agent.service
+		m.SetService(agent.service)
 		e.send(agent.ip, &m)
 	}
 	absenceQueries.Add(len(agents))
@@ -263,7 +263,8 @@
 
 // requiredAgent is an agent that must answer a query.
 type requiredAgent struct {
-	ip, service uint32
+	ip          uint32
+	service     mesh.ServiceID
 	incarnation int64
 }
 
@@ -289,7 +290,7 @@
 			continue
 		}
 		reported = reported && (r.HostState != host.Unknown || r.HostDown)
-		agents = append(agents, requiredAgent{r.IP, mesh.ServiceTag(r.Service), r.Incarnation})
+		agents = append(agents, requiredAgent{r.IP, mesh.ServiceIDOf(r.Service), r.Incarnation})
 	}
 	slices.SortFunc(agents, func(x, y requiredAgent) int { return cmp.Compare(x.ip, y.ip) })
 	// An agent that is recorded but has not reported can't be asked, and one that has no report of its host has no answer. An
--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -57,8 +57,8 @@
 type record struct {
 	// agent is the address of the agent that has the flow or was last offered it.
 	agent uint32
-	// service is the tag of the service of the agent that took the flow, 0 if it isn't known.
-	service uint32
+	// service is the service of the agent that took the flow, zero if it isn't known.
+	service mesh.ServiceID
 	// taken reports whether the agent took the flow, passedOn whether it has passed the flow on since to an agent that
 	// isn't known yet.
 	taken, passedOn bool
@@ -206,21 +206,22 @@
 func (e *Entry) sendOffer(shard *flowtable.Shard[record], key flow.Key, r *record, route routing.Route) {
 	service := route.Service(key)
 	m := mesh.Message{
-		Kind: mesh.KindOffer, Service: mesh.ServiceTag(service), ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP,
+		Kind: mesh.KindOffer, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP,
 		Terms: mesh.Terms{
 			Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), TargetLatency: mesh.MillisOf(route.TargetLatency),
 			Resent: r.offerCount > 0 || !r.firstCopy, WarmupRate: e.cfg.Routes.Current().WarmupRate(service),
 		},
 	}
-	candidates, directories := e.roster.place(m.Service, key, r.wasUnresponsive)
+	m.SetService(mesh.ServiceIDOf(service))
+	candidates, directories := e.roster.place(service, key, r.wasUnresponsive)
 	cost := e.costs.of(key.Service)
 	if cost.ServiceTime == 0 {
-		cost.ServiceTime = e.roster.typicalServiceTime(m.Service).Duration()
+		cost.ServiceTime = e.roster.typicalServiceTime(service).Duration()
 	}
 	m.Terms.TypicalServiceTime = mesh.MillisOf(cost.ServiceTime)
 	m.Directories = directories.directories().current()
 	m.Count = e.orderByCost(key, cost, &candidates, &m.Candidates)
-	if m.Count == 0 && e.mustReject(m.Service) {
+	if m.Count == 0 && e.mustReject(service) {
 		e.rejectEvacuated(shard, key, r, service)
 		return
 	}
@@ -297,38 +298,66 @@
 	}
 	service := route.Service(s.Key)
 	m := mesh.Message{
-		Kind: mesh.KindOffer, Service: mesh.ServiceTag(service), ConfigVersion: table.Version, Origin: e.cfg.IP,
+		Kind: mesh.KindOffer, ConfigVersion: table.Version, Origin: e.cfg.IP,
 		Terms: mesh.Terms{
 			Best: mesh.NoCandidate, Priority: uint8(min(max(route.Priority, 0), 255)), TargetLatency: mesh.MillisOf(route.TargetLatency),
 			Resent: true, Waited: mesh.MillisOf(s.Waited()), WarmupRate: table.WarmupRate(service),
 		},
 		Candidates: [mesh.MaxCandidates]uint32{agent}, Count: 1, Body: packet,
 	}
+	m.SetService(mesh.ServiceIDOf(service))
 	e.send(agent, &m)
 }
 
-// deliver sends a packet of a flow to an agent. service is the tag of the service of the agent that took the flow, 0 if it
-// isn't known. An entry that has just started may hear of the flow before the agent's report arrives, and the address may
+// deliver sends a packet of a flow to an agent. service is that of the agent that took the flow, zero if it isn't known. An entry that has just started may hear of the flow before the agent's report arrives, and the address may
 // belong to an agent of another service since; then it returns false. An agent that doesn't have the flow returns the packet
 // with the step of the message, which is no step of a search that agents answer.
-func (e *Entry) deliver(agent, service uint32, packet []byte) bool {
+func (e *Entry) deliver(agent uint32, service mesh.ServiceID, packet []byte) bool {
 	if a := e.roster.agent(agent); a != nil {
-		current := mesh.ServiceTag(a.report.Load().Service)
-		if service != 0 && service != current {
-			current = 0
+		current := a.serviceID()
+		if !service.IsZero() && !service.Matches(current) {
+			return false
 		}
 		service = current
 	}
-	if service == 0 {
+	if service.IsZero() {
 		return false
 	}
-	m := mesh.Message{Kind: mesh.KindDeliver, Step: mesh.StepAll, Service: service, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: packet}
+	m := mesh.Message{Kind: mesh.KindDeliver, Step: mesh.StepAll, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Body: packet}
+	m.SetService(service)
 	forwarded.Inc()
 	e.send(agent, &m)
 	e.repeats.packetForwarded()
 	return true
 }
 
+// serviceOf returns the service of an agent that has a flow, of which a message has the tag. The tag alone is returned if the agent's
+// report has not arrived and the flow's route doesn't tell.
+func (e *Entry) serviceOf(agent, tag uint32, key flow.Key) mesh.ServiceID {
+	if a := e.roster.agent(agent); a != nil {
+		if id := a.serviceID(); id.Tag == tag {
+			return id
+		}
+	}
+	found := mesh.ServiceID{Tag: tag}
+	route, known := e.cfg.Routes.Current().Find(key.Service)
+	if !known {
+		return found
+	}
+	for _, service := range e.moved.servicesOf(route, e.cfg.Now()) {
+		id := mesh.ServiceIDOf(service)
+		switch {
+		case id.Tag != tag:
+		case found.Digest != mesh.ServiceDigest{}:
+			// Two services of the route have the tag.
+			return mesh.ServiceID{Tag: tag}
+		default:
+			found = id
+		}
+	}
+	return found
+}
+
 func (e *Entry) send(ip uint32, m *mesh.Message) {
 	e.traffic.sent.Add(uint64(m.Size()))
 	m.Send(ip, e.cfg.ToMember)
--- a/packetentry/holders.go
+++ b/packetentry/holders.go
@@ -48,7 +48,7 @@
 
 // handleTaken records that an agent of a service has taken the flow. An agent that took it before is believed, unless it passed the
 // flow on since.
-func (r *record) handleTaken(agent, service uint32) {
+func (r *record) handleTaken(agent uint32, service mesh.ServiceID) {
 	if r.isReported {
 		// What the agent says itself counts more than what another entry knows.
 		r.taken, r.isReported = false, false
--- a/packetentry/lookup.go
+++ b/packetentry/lookup.go
@@ -81,12 +81,12 @@
 // have run for a while, as the next step asks the others, and those of services that the route doesn't lead to.
 func (e *Entry) appendRecording(agents []*agent, key flow.Key, route routing.Route) []*agent {
 	now := e.cfg.Now()
-	agents = e.roster.appendFirst(agents, mesh.ServiceTag(route.Service(key)), key)
+	agents = e.roster.appendFirst(agents, route.Service(key), key)
 	agents = slices.DeleteFunc(agents, func(a *agent) bool { return now-time.Duration(a.runningSince.Load()) < minRecordingAge })
-	for _, tag := range e.roster.serviceTags() {
-		leadsTo := slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return mesh.ServiceTag(s.Service) == tag })
+	for _, service := range e.roster.serviceNames() {
+		leadsTo := slices.ContainsFunc(route.Shares, func(s routing.Share) bool { return s.Service == service })
 		if !leadsTo && len(agents) <= maxFirstAgents-2*mesh.MaxCandidates {
-			agents = e.roster.appendFirst(agents, tag, key)
+			agents = e.roster.appendFirst(agents, service, key)
 		}
 	}
 	return agents
@@ -126,7 +126,7 @@
 func (e *Entry) answerFlowQuery(query *mesh.Message) {
 	shard := e.flows.Lock(query.Flow)
 	r := shard.Get(query.Flow)
-	holder, service := r.holder(), uint32(0)
+	holder, service := r.holder(), mesh.ServiceID{}
 	if holder != 0 {
 		service = r.service
 	}
@@ -135,11 +135,11 @@
 	if a.isGone() {
 		return
 	}
-	if service == 0 {
-		service = mesh.ServiceTag(a.report.Load().Service)
+	if service.IsZero() {
+		service = a.serviceID()
 	}
 	m := mesh.Message{
-		Kind: mesh.KindFlowHolder, Service: service, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Flow: query.Flow,
+		Kind: mesh.KindFlowHolder, Service: service.Tag, ConfigVersion: e.cfg.Routes.Version(), Origin: e.cfg.IP, Flow: query.Flow,
 		Directories: [mesh.DirectoryCount]uint32{holder},
 	}
 	e.send(query.Origin, &m)
@@ -151,6 +151,7 @@
 	if e.roster.agent(holder).isGone() {
 		return
 	}
+	service := e.serviceOf(holder, m.Service, m.Flow)
 	shard := e.flows.Lock(m.Flow)
 	r := shard.Get(m.Flow)
 	if r == nil || r.taken || r.openingPacket != nil || r.offerCount > 0 || r.searchedSteps < stepRecorded || holder == r.deniedHolder {
@@ -160,7 +161,7 @@
 	packets := r.takeLookup()
 	r.drawn.giveBack()
 	r.drawn = draw{}
-	r.handleTaken(holder, m.Service)
+	r.handleTaken(holder, service)
 	r.isReported = true
 	shard.Unlock()
 	recordsFound.Inc()
@@ -168,7 +169,7 @@
 		e.cfg.Log.Info("flow found at another entry", "flow", m.Flow.String(), "agent", flow.IPText(holder), "entry", flow.IPText(m.Origin))
 	}
 	for _, packet := range packets {
-		e.deliver(holder, m.Service, packet)
+		e.deliver(holder, service, packet)
 	}
 }
 
@@ -178,7 +179,7 @@
 	if !r.isReported {
 		return false
 	}
-	r.taken, r.isReported, r.agent, r.service, r.deniedHolder = false, false, 0, 0, agent
+	r.taken, r.isReported, r.agent, r.service, r.deniedHolder = false, false, 0, mesh.ServiceID{}, agent
 	return true
 }
 
--- a/packetentry/moved.go
+++ b/packetentry/moved.go
@@ -17,6 +17,8 @@
 	// maxReportedMoved is the number of changes that a report names, so that it fits into a datagram. Which ones it names changes
 	// with each report.
 	maxReportedMoved = 16
+	// maxReportedNameBytes bounds the names of services in a report for the same reason.
+	maxReportedNameBytes = 512
 )
 
 // movedRoutes remembers the services that routes led to within the maximum age of a flow: flows that opened before a change are still
@@ -27,12 +29,14 @@
 	table *routing.Table
 	// since holds when each route ceased to lead to a service, in the time of Config.Now; at most maxMoved. Guarded by mu.
 	since map[movedRoute]time.Duration
+	// reported is the number of changes that reports have named. Guarded by mu.
+	reported int
 }
 
-// movedRoute is the route of an address and port, and the tag of a service that it no longer leads to.
+// movedRoute is the route of an address and port, and a service that it no longer leads to.
 type movedRoute struct {
 	at      flow.Endpoint
-	service uint32
+	service string
 }
 
 func compareMoved(a, b movedRoute) int {
@@ -47,7 +51,7 @@
 		return
 	}
 	m.expire(now)
-	table.EachFormerService(m.table, func(at flow.Endpoint, service string) { m.add(movedRoute{at, mesh.ServiceTag(service)}, now) })
+	table.EachFormerService(m.table, func(at flow.Endpoint, service string) { m.add(movedRoute{at, service}, now) })
 	m.table = table
 }
 
@@ -74,53 +78,95 @@
 	}
 }
 
-// servicesOf returns the tags of the services that a route leads to, and then of those that it led to when flows may have opened
-// that are open.
-func (m *movedRoutes) servicesOf(route routing.Route, now time.Duration) []uint32 {
-	tags := make([]uint32, 0, len(route.Shares)+1)
+// servicesOf returns the services that a route leads to, and then those that it led to when flows may have opened that are open.
+func (m *movedRoutes) servicesOf(route routing.Route, now time.Duration) []string {
+	services := make([]string, 0, len(route.Shares)+1)
 	for _, s := range route.Shares {
-		tags = append(tags, mesh.ServiceTag(s.Service))
+		services = append(services, s.Service)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	current := len(tags)
+	current := len(services)
 	for r, since := range m.since {
-		if r.at == route.Endpoint && now-since < maxFlowAge && !slices.Contains(tags[:current], r.service) {
-			tags = append(tags, r.service)
+		if r.at == route.Endpoint && now-since < maxFlowAge && !slices.Contains(services[:current], r.service) {
+			services = append(services, r.service)
 		}
 	}
-	slices.Sort(tags[current:])
-	return tags
+	slices.Sort(services[current:])
+	return services
 }
 
-// report returns changes for the entry's report, different ones in each turn.
-func (m *movedRoutes) report(now time.Duration, turn int) []mesh.MovedRoute {
+// report returns changes for the entry's report with the names of their services, different ones in each report.
+func (m *movedRoutes) report(now time.Duration) (routes []mesh.MovedRoute, services []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire(now)
 	if len(m.since) == 0 {
-		return nil
+		return nil, nil
 	}
 	all := make([]movedRoute, 0, len(m.since))
 	for r := range m.since {
 		all = append(all, r)
 	}
 	slices.SortFunc(all, compareMoved)
-	out := make([]mesh.MovedRoute, 0, maxReportedMoved)
+	nameBytes := 0
 	for i := range min(len(all), maxReportedMoved) {
-		r := all[(turn*maxReportedMoved+i)%len(all)]
-		out = append(out, mesh.MovedRoute{IP: r.at.IP, Port: r.at.Port, Service: r.service, AgeMs: uint32(max((now - m.since[r]).Milliseconds(), 0))})
+		r := all[m.reported%len(all)]
+		if nameBytes += len(r.service); i > 0 && nameBytes > maxReportedNameBytes {
+			break
+		}
+		m.reported++
+		routes = append(routes, mesh.MovedRoute{
+			IP: r.at.IP, Port: r.at.Port, Service: mesh.ServiceTag(r.service), AgeMs: uint32(max((now - m.since[r]).Milliseconds(), 0)),
+		})
+		services = append(services, r.service)
+	}
+	return routes, services
+}
+
+// movedAge is a change that another entry reported, with the time since.
+type movedAge struct {
+	movedRoute
+	age time.Duration
+}
+
+// movedRoutesOf returns the changes in a report. Entries of earlier versions report the tag of a service without its name; of the known
+// services, at most one must have the tag then.
+func movedRoutesOf(report mesh.EntryReport, known func() []string) []movedAge {
+	out := make([]movedAge, 0, len(report.Moved))
+	for i, r := range report.Moved {
+		service := ""
+		if i < len(report.MovedServices) {
+			service = report.MovedServices[i]
+		} else if service = onlyServiceWithTag(known(), r.Service); service == "" {
+			continue
+		}
+		out = append(out, movedAge{movedRoute{flow.Endpoint{IP: r.IP, Port: r.Port}, service}, time.Duration(r.AgeMs) * time.Millisecond})
 	}
 	return out
 }
 
+// onlyServiceWithTag returns the service with a tag, "" if there is none or more than one.
+func onlyServiceWithTag(services []string, tag uint32) (found string) {
+	for _, service := range services {
+		if mesh.ServiceTag(service) != tag {
+			continue
+		}
+		if found != "" {
+			return ""
+		}
+		found = service
+	}
+	return found
+}
+
 // merge adds the changes that another entry reported. An entry that started after a change knows of it from others only.
-func (m *movedRoutes) merge(reported []mesh.MovedRoute, now time.Duration) {
+func (m *movedRoutes) merge(reported []movedAge, now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range reported {
-		if age := time.Duration(r.AgeMs) * time.Millisecond; age < maxFlowAge {
-			m.add(movedRoute{flow.Endpoint{IP: r.IP, Port: r.Port}, r.Service}, now-age)
+		if r.age < maxFlowAge {
+			m.add(r.movedRoute, now-r.age)
 		}
 	}
 }
--- a/packetentry/parked.go
+++ b/packetentry/parked.go
@@ -59,7 +59,7 @@
 		return
 	}
 	table := e.cfg.Routes.Current()
-	slots := make(map[uint32]int)
+	slots := make(map[string]int)
 	var waiting []flow.Key
 	for _, key := range keys {
 		shard := e.flows.Lock(key)
@@ -81,16 +81,16 @@
 			e.resetUnopened(key, r)
 			continue
 		}
-		tag := mesh.ServiceTag(route.Service(key))
-		if _, counted := slots[tag]; known && !counted {
-			slots[tag] = e.placeableFlows(tag)
+		service := route.Service(key)
+		if _, counted := slots[service]; known && !counted {
+			slots[service] = e.placeableFlows(service)
 		}
-		if !known || now < r.retryAt || slots[tag] <= 0 {
+		if !known || now < r.retryAt || slots[service] <= 0 {
 			shard.Unlock()
 			waiting = append(waiting, key)
 			continue
 		}
-		slots[tag]--
+		slots[service]--
 		r.parked = false
 		e.sendOffer(shard, key, r, route)
 	}
@@ -101,17 +101,17 @@
 
 // placeableFlows returns the number of parked flows of a service to place now: the slots of its hosts that take flows, or all
 // of them if none ever will while its zones are evacuated.
-func (e *Entry) placeableFlows(tag uint32) int {
-	if e.mustReject(tag) {
+func (e *Entry) placeableFlows(service string) int {
+	if e.mustReject(service) {
 		return maxParked
 	}
-	return e.roster.openSlots(tag)
+	return e.roster.openSlots(service)
 }
 
 // mustReject reports whether all hosts of a service are in evacuated zones, as far as an entry can tell that has run for a
 // while.
-func (e *Entry) mustReject(tag uint32) bool {
-	return e.cfg.Now()-e.started >= settleTime && e.roster.isEvacuated(tag)
+func (e *Entry) mustReject(service string) bool {
+	return e.cfg.Now()-e.started >= settleTime && e.roster.isEvacuated(service)
 }
 
 // resetUnopened resets a flow that was not offered to any host.
@@ -190,5 +190,5 @@
 // isSettled reports whether the entry knows enough of the agents of a flow's service to rely on a refusal.
 func (e *Entry) isSettled(key flow.Key) bool {
 	route, known := e.cfg.Routes.Current().Find(key.Service)
-	return known && e.cfg.Now()-e.started >= settleTime && !e.roster.hasUnknownHost(mesh.ServiceTag(route.Service(key)))
+	return known && e.cfg.Now()-e.started >= settleTime && !e.roster.hasUnknownHost(route.Service(key))
 }
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -84,7 +84,7 @@
 	}
 	e.cfg.StoreReported(report.Store)
 	e.cfg.EvacuationsReported(report.Evacuations)
-	e.moved.merge(report.Moved, e.cfg.Now())
+	e.moved.merge(movedRoutesOf(report, e.roster.serviceNames), e.cfg.Now())
 	for _, ip := range report.Agents {
 		if e.roster.agent(ip) == nil {
 			e.cfg.PeerDiscovered(ip)
@@ -111,6 +111,10 @@
 
 // handleNotice handles an agent's message about a flow.
 func (e *Entry) handleNotice(m *mesh.Message) {
+	var service mesh.ServiceID
+	if m.Kind == mesh.KindTaken {
+		service = e.serviceOf(m.Origin, m.Service, m.Flow)
+	}
 	shard := e.flows.Lock(m.Flow)
 	r := shard.Get(m.Flow)
 	var waiting [][]byte
@@ -123,7 +127,7 @@
 		e.handleRefused(shard, m, r)
 		return
 	case m.Kind == mesh.KindTaken:
-		r, waiting = noteTaken(shard, m, r, now)
+		r, waiting = noteTaken(shard, m, service, r, now)
 	case m.Kind == mesh.KindMissing:
 		if r.isLostWithout(m.Origin) {
 			shard.Delete(m.Flow)
@@ -137,16 +141,16 @@
 	shard.Unlock()
 	e.logHolders(m, before, after)
 	for _, packet := range waiting {
-		e.deliver(m.Origin, m.Service, packet)
+		e.deliver(m.Origin, service, packet)
 	}
 	if m.Kind == mesh.KindMissing {
 		e.continueSearch(m)
 	}
 }
 
-// noteTaken records that an agent has taken a flow, of which r may be nil. It returns the record, and the packets that wait for a
+// noteTaken records that an agent of a service has taken a flow, of which r may be nil. It returns the record, and the packets that wait for a
 // record of the flow and have not been sent to the agent; the shard must be locked.
-func noteTaken(shard *flowtable.Shard[record], m *mesh.Message, r *record, now time.Duration) (taken *record, waiting [][]byte) {
+func noteTaken(shard *flowtable.Shard[record], m *mesh.Message, service mesh.ServiceID, r *record, now time.Duration) (taken *record, waiting [][]byte) {
 	if r == nil {
 		r = &record{lastPacket: now}
 		shard.Put(m.Flow, r)
@@ -156,7 +160,7 @@
 	if waiting = r.takeLookup(); len(waiting) > 0 {
 		waiting = waiting[1:]
 	}
-	r.handleTaken(m.Origin, m.Service)
+	r.handleTaken(m.Origin, service)
 	return r, waiting
 }
 
@@ -166,9 +170,13 @@
 	if e.cfg.Now()-e.started < settleTime {
 		return
 	}
+	a := e.roster.agent(request.Origin)
+	if a == nil {
+		return
+	}
 	m := mesh.Message{
 		Kind: mesh.KindLocated, Service: request.Service, ConfigVersion: e.cfg.Routes.Version(), Origin: request.Origin, Flow: request.Flow,
-		Step: mesh.LocatedHere, Directories: e.roster.directories(request.Service, request.Flow),
+		Step: mesh.LocatedHere, Directories: e.roster.directories(a.report.Load().Service, request.Flow),
 	}
 	e.send(request.Origin, &m)
 }
@@ -380,13 +388,14 @@
 	entries, agents := e.roster.activePeers()
 	count := e.reportCount.Add(1)
 	turn := int(count)
+	moved, movedServices := e.moved.report(e.cfg.Now())
 	body, err := mesh.EncodeReport(mesh.EntryReport{
 		IP: e.cfg.IP, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
 		IntervalMs: uint32(entryInterval.Milliseconds()), AgentIntervalMs: uint32(agentInterval.Milliseconds()),
 		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn), AgentCount: uint32(len(agents)), Store: e.cfg.StoreStatus(),
 		Evacuations: e.cfg.Evacuations.Current(), LinkBytesPerSecond: e.cfg.linkBytesPerSecond(), CPUMilli: e.cfg.cpuMilli(),
 		LoadBytesPerSecond: e.traffic.perSecond(e.cfg.Now()), Rotation: mesh.RotationStatus{State: e.rotation.current(), Version: count},
-		Moved: e.moved.report(e.cfg.Now(), turn),
+		Moved: moved, MovedServices: movedServices,
 	})
 	if err != nil {
 		return nil, err
--- a/packetentry/rendezvous.go
+++ b/packetentry/rendezvous.go
@@ -62,9 +62,9 @@
 // place returns the agents that a new flow may be offered to and the flow's directory agents, with one pass over the agents of
 // the service. Agents that are unresponsive or excluded, or whose hosts accept no flows, are candidates only if there are no
 // others; agents of evacuated zones never are.
-func (r *roster) place(tag uint32, key flow.Key, excluded func(uint32) bool) (candidates, directories ranking) {
+func (r *roster) place(service string, key flow.Key, excluded func(uint32) bool) (candidates, directories ranking) {
 	now, evacuated, seed := r.cfg.Now(), r.cfg.Evacuations.Current(), key.Hash()
-	agents := r.serviceAgents(tag)
+	agents := r.serviceAgents(service)
 	for _, fallback := range []bool{false, true} {
 		for _, a := range agents {
 			weight := flow.Mix(seed ^ a.mixedIP)
@@ -91,10 +91,10 @@
 
 // rank returns the included agents of a service with the highest weights for a flow. If agents joined recently, afterJoin is
 // true, and settled are the highest of those that didn't.
-func (r *roster) rank(tag uint32, key flow.Key, includes func(a *agent, now time.Duration) bool) (current, settled ranking, afterJoin bool) {
+func (r *roster) rank(service string, key flow.Key, includes func(a *agent, now time.Duration) bool) (current, settled ranking, afterJoin bool) {
 	now, seed := r.cfg.Now(), key.Hash()
 	afterJoin = r.joinedRecently(now)
-	for _, a := range r.serviceAgents(tag) {
+	for _, a := range r.serviceAgents(service) {
 		weight := flow.Mix(seed ^ a.mixedIP)
 		isCurrent, isSettled := current.admits(weight), afterJoin && settled.admits(weight) && !a.joinedRecently(now)
 		if !isCurrent && !isSettled || !includes(a, now) {
@@ -113,8 +113,8 @@
 // searchOrder returns the agents of a service that a search asks as directory agents of a flow. The first ones are the current
 // directory agents, which are the same at all entries with records of the same agents. If agents joined recently, those follow
 // that were directory agents before, as flows that opened then announced themselves to these.
-func (r *roster) searchOrder(tag uint32, key flow.Key) directoryOrder {
-	current, settled, afterJoin := r.rank(tag, key, (*agent).isDirectory)
+func (r *roster) searchOrder(service string, key flow.Key) directoryOrder {
+	current, settled, afterJoin := r.rank(service, key, (*agent).isDirectory)
 	order := current.directories()
 	if !afterJoin {
 		return order
@@ -132,8 +132,8 @@
 }
 
 // directories returns the agents of a service that record the location of a flow.
-func (r *roster) directories(tag uint32, key flow.Key) [mesh.DirectoryCount]uint32 {
-	return r.searchOrder(tag, key).current()
+func (r *roster) directories(service string, key flow.Key) [mesh.DirectoryCount]uint32 {
+	return r.searchOrder(service, key).current()
 }
 
 // joinedRecently reports whether any agent joined recently.
@@ -144,8 +144,8 @@
 
 // appendFirst appends to dst the agents of a service that come first for a flow, whether or not they take flows now, as they
 // may have taken it before. If agents joined recently, those are appended as well that came first before.
-func (r *roster) appendFirst(dst []*agent, tag uint32, key flow.Key) []*agent {
-	current, settled, afterJoin := r.rank(tag, key, (*agent).mayHaveFlows)
+func (r *roster) appendFirst(dst []*agent, service string, key flow.Key) []*agent {
+	current, settled, afterJoin := r.rank(service, key, (*agent).mayHaveFlows)
 	dst = appendMissing(dst, current.all()...)
 	if afterJoin {
 		dst = appendMissing(dst, settled.all()...)
@@ -179,16 +179,16 @@
 const typicalTimeAge = 50 * time.Millisecond
 
 // typicalServiceTime returns the lower median of the service times that up to 64 agents of a service reported, 0 if none did.
-func (r *roster) typicalServiceTime(tag uint32) mesh.Millis {
+func (r *roster) typicalServiceTime(service string) mesh.Millis {
 	now := r.cfg.Now()
 	r.typicalMu.Lock()
 	defer r.typicalMu.Unlock()
-	if last, ok := r.typicalTimes[tag]; ok && now-last.at < typicalTimeAge {
+	if last, ok := r.typicalTimes[service]; ok && now-last.at < typicalTimeAge {
 		return last.value
 	}
 	var times [64]mesh.Millis
 	n := 0
-	for _, a := range r.serviceAgents(tag) {
+	for _, a := range r.serviceAgents(service) {
 		if n == len(times) {
 			break
 		}
@@ -202,6 +202,6 @@
 		slices.Sort(times[:n])
 		value = times[(n-1)/2]
 	}
-	r.typicalTimes[tag] = typicalTime{value, now}
+	r.typicalTimes[service] = typicalTime{value, now}
 	return value
 }
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -126,16 +126,16 @@
 	mu sync.RWMutex
 	// agents and entries are keyed by address.
 	agents map[uint32]*agent
-	// services holds the agents of each service tag, ordered by address. The slices are replaced, never
+	// services holds the agents of each service by its name, ordered by address. The slices are replaced, never
 	// modified.
-	services map[uint32][]*agent
+	services map[string][]*agent
 	entries  map[uint32]entryPeer
 	// lookupCache holds the entries that searches ask; it is replaced, never modified.
 	lookupCache *lookupCandidates
 
-	// typicalMu guards typicalTimes, the typical service time of each service tag.
+	// typicalMu guards typicalTimes, the typical service time of each service.
 	typicalMu    sync.Mutex
-	typicalTimes map[uint32]typicalTime
+	typicalTimes map[string]typicalTime
 }
 
 // entryPeer is another entry.
@@ -150,8 +150,8 @@
 
 func newRoster(cfg Config) *roster {
 	return &roster{
-		cfg: cfg, started: cfg.Now(), agents: make(map[uint32]*agent), services: make(map[uint32][]*agent), entries: make(map[uint32]entryPeer),
-		typicalTimes: make(map[uint32]typicalTime),
+		cfg: cfg, started: cfg.Now(), agents: make(map[uint32]*agent), services: make(map[string][]*agent), entries: make(map[uint32]entryPeer),
+		typicalTimes: make(map[string]typicalTime),
 	}
 }
 
@@ -161,10 +161,10 @@
 	return r.agents[ip]
 }
 
-func (r *roster) serviceAgents(tag uint32) []*agent {
+func (r *roster) serviceAgents(service string) []*agent {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.services[tag]
+	return r.services[service]
 }
 
 // allAgents returns every agent, ordered by address, for a flow whose service isn't known.
@@ -181,8 +181,8 @@
 
 func byAddress(a, b *agent) int { return cmp.Compare(a.report.Load().IP, b.report.Load().IP) }
 
-// serviceTags returns the tags of the services that have agents, in order.
-func (r *roster) serviceTags() []uint32 {
+// serviceNames returns the services that have agents, in order.
+func (r *roster) serviceNames() []string {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return slices.Sorted(maps.Keys(r.services))
@@ -249,22 +249,24 @@
 			previous.Leaving != report.Leaving || previous.HostID != report.HostID
 }
 
+// serviceID returns the agent's service as it is identified in messages.
+func (a *agent) serviceID() mesh.ServiceID { return mesh.ServiceIDOf(a.report.Load().Service) }
+
 // addToService adds a new agent to the agents of its service; r.mu must be held. After a mass start, agents become known
 // one after the other, so that the cost of one must not be that of all.
 func (r *roster) addToService(a *agent) {
 	report := a.report.Load()
-	tag := mesh.ServiceTag(report.Service)
-	agents := r.services[tag]
+	agents := r.services[report.Service]
 	at, _ := slices.BinarySearchFunc(agents, report.IP, func(a *agent, ip uint32) int { return cmp.Compare(a.report.Load().IP, ip) })
-	r.services[tag] = slices.Insert(slices.Clone(agents), at, a)
+	r.services[report.Service] = slices.Insert(slices.Clone(agents), at, a)
 }
 
 // rebuildServices rebuilds services; r.mu must be held.
 func (r *roster) rebuildServices() {
-	services := make(map[uint32][]*agent)
+	services := make(map[string][]*agent)
 	for _, a := range r.agents {
-		tag := mesh.ServiceTag(a.report.Load().Service)
-		services[tag] = append(services[tag], a)
+		service := a.report.Load().Service
+		services[service] = append(services[service], a)
 	}
 	for _, agents := range services {
 		slices.SortFunc(agents, byAddress)
@@ -374,9 +376,9 @@
 }
 
 // openSlots returns the number of slots of the hosts of a service that take flows, as far as is known.
-func (r *roster) openSlots(tag uint32) int {
+func (r *roster) openSlots(service string) int {
 	now, slots, evacuated := r.cfg.Now(), 0, r.cfg.Evacuations.Current()
-	for _, a := range r.serviceAgents(tag) {
+	for _, a := range r.serviceAgents(service) {
 		if a.isClosing() || a.timedOut(now) || evacuated.Includes(a.report.Load().Zone) {
 			continue
 		}
@@ -388,12 +390,12 @@
 }
 
 // isEvacuated reports whether a service has agents that don't leave, all of them in evacuated zones.
-func (r *roster) isEvacuated(tag uint32) bool {
+func (r *roster) isEvacuated(service string) bool {
 	evacuated, found := r.cfg.Evacuations.Current(), false
 	if len(evacuated.Zones) == 0 {
 		return false
 	}
-	for _, a := range r.serviceAgents(tag) {
+	for _, a := range r.serviceAgents(service) {
 		switch {
 		case a.isClosing():
 		case !evacuated.Includes(a.report.Load().Zone):
@@ -406,9 +408,9 @@
 }
 
 // hasUnknownHost reports whether a host of a service has not reported to its agent yet.
-func (r *roster) hasUnknownHost(tag uint32) bool {
+func (r *roster) hasUnknownHost(service string) bool {
 	now := r.cfg.Now()
-	for _, a := range r.serviceAgents(tag) {
+	for _, a := range r.serviceAgents(service) {
 		if report := a.report.Load(); report.HostState == host.Unknown && !report.Leaving && !a.timedOut(now) {
 			return true
 		}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -118,8 +118,8 @@
 	asked := uint32(0)
 	for ; known && asked == 0 && step < mesh.DirectorySteps; step++ {
 		service, position := searchedService(route, s.Key, step)
-		m.Service = mesh.ServiceTag(service)
-		order := e.roster.searchOrder(m.Service, s.Key)
+		m.SetService(mesh.ServiceIDOf(service))
+		order := e.roster.searchOrder(service, s.Key)
 		m.Directories, asked, m.Step = order.current(), order[position], mesh.DirectoryStep(step)
 	}
 	if asked != 0 {
@@ -164,8 +164,8 @@
 func (e *Entry) searchedAgents(route routing.Route, known bool) []*agent {
 	var agents []*agent
 	if known {
-		for _, tag := range e.moved.servicesOf(route, e.cfg.Now()) {
-			agents = append(agents, e.roster.serviceAgents(tag)...)
+		for _, service := range e.moved.servicesOf(route, e.cfg.Now()) {
+			agents = append(agents, e.roster.serviceAgents(service)...)
 		}
 	} else {
 		agents = e.roster.allAgents()
@@ -201,7 +201,7 @@
 func (e *Entry) searchFirst(s flow.Segment, m mesh.Message, route routing.Route) bool {
 	var buffer [maxFirstAgents + mesh.MaxCandidates + maxOffers]*agent
 	agents := e.appendOffered(buffer[:0], s.Key)
-	service := mesh.ServiceTag(route.Service(s.Key))
+	service := route.Service(s.Key)
 	agents = e.roster.appendFirst(agents, service, s.Key)
 	for _, other := range e.moved.servicesOf(route, e.cfg.Now()) {
 		// The flow may have opened before a change of the shares.
@@ -229,8 +229,9 @@
 // sendToSeveral sends a search to one of several agents that are asked at once, with the directory agents of its service.
 func (e *Entry) sendToSeveral(m *mesh.Message, key flow.Key, a *agent) {
 	report := a.report.Load()
-	if tag := mesh.ServiceTag(report.Service); m.Service != tag || m.Directories == ([mesh.DirectoryCount]uint32{}) {
-		m.Service, m.Directories = tag, e.roster.directories(tag, key)
+	if id := mesh.ServiceIDOf(report.Service); m.ServiceID() != id || m.Directories == ([mesh.DirectoryCount]uint32{}) {
+		m.SetService(id)
+		m.Directories = e.roster.directories(report.Service, key)
 	}
 	e.send(report.IP, m)
 }
@@ -331,11 +332,11 @@
 	return mesh.DirectoryPosition(returned) + 1
 }
 
-// agentBesides returns the agent that took the flow, unless it is the given one, with the tag of its service. It returns 0 if
+// agentBesides returns the agent that took the flow, unless it is the given one, with its service. It returns 0 if
 // there is none. r may be nil.
-func (r *record) agentBesides(other uint32) (agent, service uint32) {
+func (r *record) agentBesides(other uint32) (agent uint32, service mesh.ServiceID) {
 	if agent = r.holder(); agent == 0 || agent == other {
-		return 0, 0
+		return 0, mesh.ServiceID{}
 	}
 	return agent, r.service
 }
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -71,6 +71,8 @@
 	Violations []string
 
 	openFlows map[flow.Key]*openFlow
+	// allowed holds the services that any configuration led a route to.
+	allowed map[allowedService]bool
 	// changes is the number of changes of the routes.
 	changes uint64
 	// digest is the digest of all datagrams sent so far, see Digest.
@@ -80,6 +82,12 @@
 	events      events
 }
 
+// allowedService is a service that a configuration led the route of an address and port to.
+type allowedService struct {
+	at      flow.Endpoint
+	service string
+}
+
 // Entry is an entry of the fleet.
 type Entry struct {
 	*packetentry.Entry
@@ -128,7 +136,7 @@
 		Random: rand.New(rand.NewPCG(seed, 1)), Drop: func(uint32, uint32) bool { return false }, Delay: func(uint32, uint32) time.Duration { return 0 },
 		Zone:     func(uint32) string { return "a" },
 		ToCaller: func(flow.Segment, uint32) {}, Links: make(map[uint32]*Link), Traffic: make(map[uint32]*Traffic),
-		openFlows: make(map[flow.Key]*openFlow), digest: fnv.New64a(),
+		openFlows: make(map[flow.Key]*openFlow), allowed: make(map[allowedService]bool), digest: fnv.New64a(),
 	}
 	f.Membership = func(time.Duration) packetentry.Membership { return f.ListedAgents() }
 	endpoint := Key(0).Service
@@ -249,6 +257,11 @@
 
 // table returns the current version of the routes.
 func (f *Fleet) table() *routing.Table {
+	for _, r := range f.Routes {
+		for _, s := range r.Shares {
+			f.allowed[allowedService{r.Endpoint, s.Service}] = true
+		}
+	}
 	return routing.NewTable(1+f.changes, 0, f.Routes).WithWarmupRates(f.WarmupRates)
 }
 
--- a/packettest/host.go
+++ b/packettest/host.go
@@ -118,7 +118,7 @@
 			initialSeq = f.Random.Uint32()
 			h.Flows[s.Key] = initialSeq
 			h.Opened++
-			f.checkOpening(a)
+			f.checkOpening(a, s.Key)
 		}
 		f.After(h.AnswerDelay, func() { f.fromHost(a, Accept(s.Key, initialSeq)) })
 	case !exists:
@@ -224,8 +224,8 @@
 	}
 }
 
-func (f *Fleet) checkOpening(a *Agent) {
-	if a.Host.Service != FirstService {
+func (f *Fleet) checkOpening(a *Agent, key flow.Key) {
+	if !f.allowed[allowedService{key.Service, a.Host.Service}] {
 		f.Violations = append(f.Violations, "a flow was opened at another service")
 	}
 	if a.Host.DrainAckedAt > 0 && f.now > a.Host.DrainAckedAt+drainGrace {
