packetnode, packetentry: a record in the store tells where flows of moved routes are

Ruled out: the search, which finds all flows once it knows of the change; packets to hosts of any service, as a route must not lead to others.

The store holds the services at which flows of each route may be open, those of the last configuration included. One entry writes it after a change, the others leave it when reports say so; entries that watch the store read it at their start and tell the others. A minute later it is written without former services. It has no times, as clocks differ.

Before, TestFlowsOfMovedRouteSurviveRestartOfAllProcesses failed:

Should be zero, but was 40: flows of 40 without an answer

--- a/mesh/report.go
+++ b/mesh/report.go
@@ -74,6 +74,9 @@
 	Moved []MovedRoute `cbor:"15,keyasint,omitempty"`
 	// MovedServices are the names of the services of Moved, in the same order. Entries of earlier versions report tags only.
 	MovedServices []string `cbor:"16,keyasint,omitempty"`
+	// RecordedVersion is the newest version of the configuration whose routes the store's route record covers, as far as the entry
+	// knows; 0 if it knows of none. It holds for the era in Store.
+	RecordedVersion uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // MovedRoute is a service that the route of an address and port no longer leads to.
--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -59,6 +59,10 @@
 	// what another entry reports. Either may be nil.
 	StoreStatus   func() mesh.StoreStatus
 	StoreReported func(mesh.StoreStatus)
+	// RecordedVersion returns the version of the configuration that the route record in the store covers, as far as the process knows.
+	// VersionRecorded is called with what another entry reports, and the era of the store in which it holds. Either may be nil.
+	RecordedVersion func() uint64
+	VersionRecorded func(era, version uint64)
 	// Evacuations holds the evacuated zones; nil means that none can be. EvacuationsReported is called with what another
 	// process reports; it may be nil.
 	Evacuations         *evacuation.Holder
@@ -95,6 +99,12 @@
 	if c.StoreReported == nil {
 		c.StoreReported = func(mesh.StoreStatus) {}
 	}
+	if c.RecordedVersion == nil {
+		c.RecordedVersion = func() uint64 { return 0 }
+	}
+	if c.VersionRecorded == nil {
+		c.VersionRecorded = func(uint64, uint64) {}
+	}
 	if c.StateChanged == nil {
 		c.StateChanged = func(uint32) {}
 	}
--- a/packetentry/lookup_test.go
+++ b/packetentry/lookup_test.go
@@ -51,6 +51,79 @@
 	require.Empty(t, f.Violations)
 }
 
+// Guards against flows that are lost once their route has moved to another service and all processes restart at once: no process
+// remembers which services the route led to.
+func TestFlowsOfMovedRouteSurviveRestartOfAllProcesses(t *testing.T) {
+	const flows = 40
+	f, callers := newFleet(3, 8)
+	for i := range 6 {
+		f.AddAgent(packettest.Address(201+i), packettest.SecondService)
+	}
+	f.RecordRoutes()
+	f.Run(2 * time.Second)
+	var all []*packettest.Caller
+	for i := range flows {
+		c := callers.Start(f, packettest.Key(i), through(f.Entries[i%len(f.Entries)]))
+		f.Run(50 * time.Millisecond)
+		requireAnswered(t, f, c, 1)
+		all = append(all, c)
+	}
+	f.ChangeRoutes(routing.Route{Endpoint: packettest.Key(0).Service, Shares: []routing.Share{{Service: packettest.SecondService, Weight: 1}}})
+	f.Run(5 * time.Second)
+	restartProcesses(f)
+	f.Run(5 * time.Second)
+	for _, c := range all {
+		c.Request()
+		f.Run(20 * time.Millisecond)
+	}
+	f.Run(3 * time.Second)
+	assertNoneLost(t, all, 2)
+	require.Empty(t, f.Violations)
+}
+
+// Guards against a route record without the services that routes led to before, or led to when all entries ended before they recorded
+// a change, and against former services that are kept for longer than flows last.
+func TestRouteRecord(t *testing.T) {
+	at := packettest.Key(0).Service
+	leadTo := func(services ...string) routing.Route {
+		r := routing.Route{Endpoint: at}
+		for _, service := range services {
+			r.Shares = append(r.Shares, routing.Share{Service: service, Weight: 1})
+		}
+		return r
+	}
+	servicesIn := func(e *packettest.Entry) (services []string, hasFormer bool) {
+		record, hasFormer := e.RouteRecord()
+		r, found := record.Find(at)
+		require.True(t, found)
+		for _, s := range r.Shares {
+			services = append(services, s.Service)
+		}
+		return services, hasFormer
+	}
+	f, _ := newFleet(1, 1)
+	e := f.Entries[0]
+	t.Run("after a change", func(t *testing.T) {
+		f.ChangeRoutes(leadTo("b", "c"))
+		services, hasFormer := servicesIn(e)
+		require.True(t, hasFormer)
+		require.Equal(t, []string{"b", "c", packettest.FirstService}, services)
+	})
+	t.Run("a change that was not recorded", func(t *testing.T) {
+		f.RouteRecord = routing.NewTable(1, 0, []routing.Route{leadTo("a")})
+		f.StartEntry(e)
+		services, hasFormer := servicesIn(e)
+		require.True(t, hasFormer)
+		require.Equal(t, []string{"a", "b", "c"}, services)
+	})
+	t.Run("flows have ended", func(t *testing.T) {
+		f.Run(61 * time.Second)
+		services, hasFormer := servicesIn(e)
+		require.False(t, hasFormer)
+		require.Equal(t, []string{"b", "c"}, services)
+	})
+}
+
 // Guards against a packet that reaches hosts of a service which its route has never led to.
 func TestSearchAsksNoHostsOfOtherServices(t *testing.T) {
 	f, callers := newFleet(2, 8)
@@ -165,7 +238,10 @@
 		Zone        string              `cbor:"3,keyasint"`
 		Rotation    mesh.RotationStatus `cbor:"14,keyasint,omitempty"`
 	}
-	now := mesh.EntryReport{IP: 2, Incarnation: 1, Zone: "a", Rotation: mesh.RotationStatus{Version: 3}, Moved: []mesh.MovedRoute{{IP: 1, Port: 443, Service: 7, AgeMs: 5}}}
+	now := mesh.EntryReport{
+		IP: 2, Incarnation: 1, Zone: "a", Rotation: mesh.RotationStatus{Version: 3}, Moved: []mesh.MovedRoute{{IP: 1, Port: 443, Service: 7, AgeMs: 5}},
+		MovedServices: []string{"rota"}, RecordedVersion: 9,
+	}
 	encoded, err := mesh.EncodeReport(now)
 	require.NoError(t, err)
 	var former formerReport
@@ -175,7 +251,7 @@
 	require.NoError(t, err)
 	decoded, err := mesh.DecodeReport[mesh.EntryReport](encoded)
 	require.NoError(t, err)
-	now.Moved = nil
+	now.Moved, now.MovedServices, now.RecordedVersion = nil, nil, 0
 	require.Equal(t, now, decoded)
 
 	e := newEntry(t, func(uint32, []byte) { t.Error("an answer to a kind that isn't known") })
--- a/packetentry/moved.go
+++ b/packetentry/moved.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxMoved is the number of changes of routes that are remembered.
-	maxMoved = 4096
+	// maxMoved is the number of changes of routes that are remembered. It exceeds the number of routes of the largest fleet.
+	maxMoved = 1 << 14
 	// maxReportedMoved is the number of changes that a report names, so that it fits into a datagram. Which ones it names changes
 	// with each report.
 	maxReportedMoved = 16
@@ -25,10 +25,14 @@
 // open at their hosts. The zero value is ready.
 type movedRoutes struct {
 	mu sync.Mutex
-	// table is the newest table that was compared with its predecessor. Guarded by mu.
+	// table is the newest table that was compared with its predecessor, nil before the first one. Guarded by mu.
 	table *routing.Table
-	// since holds when each route ceased to lead to a service, in the time of Config.Now; at most maxMoved. Guarded by mu.
-	since map[movedRoute]time.Duration
+	// recorded is the route record that was read before there was a table. Guarded by mu.
+	recorded *routing.Table
+	// since holds when each route ceased to lead to a service, in the time of Config.Now. Guarded by mu.
+	since map[flow.Endpoint]map[string]time.Duration
+	// count is the number of changes in since, at most maxMoved. Guarded by mu.
+	count int
 	// reported is the number of changes that reports have named. Guarded by mu.
 	reported int
 }
@@ -43,7 +47,7 @@
 	return cmp.Or(cmp.Compare(a.at.IP, b.at.IP), cmp.Compare(a.at.Port, b.at.Port), cmp.Compare(a.service, b.service))
 }
 
-// update compares the current table with the one before.
+// update compares the current table with the one before, or with the route record.
 func (m *movedRoutes) update(table *routing.Table, now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -51,29 +55,84 @@
 		return
 	}
 	m.expire(now)
-	table.EachFormerService(m.table, func(at flow.Endpoint, service string) { m.add(movedRoute{at, service}, now) })
-	m.table = table
+	for _, former := range []*routing.Table{m.table, m.recorded} {
+		table.EachFormerService(former, func(at flow.Endpoint, service string) { m.add(movedRoute{at, service}, now) })
+	}
+	m.table, m.recorded = table, nil
+}
+
+// noteRecord adds the services that the route record has and that the routes don't lead to. It has no times, as clocks differ: they
+// count as changes of this moment.
+func (m *movedRoutes) noteRecord(record *routing.Table, now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.table == nil {
+		m.recorded = record
+		return
+	}
+	m.table.EachFormerService(record, func(at flow.Endpoint, service string) { m.add(movedRoute{at, service}, now) })
+}
+
+// record returns the routes with all services at which flows of theirs may be open, and whether there are others than those that the
+// routes lead to. It returns nil before the first table.
+func (m *movedRoutes) record(now time.Duration) (record *routing.Table, hasFormer bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.table == nil {
+		return nil, false
+	}
+	m.expire(now)
+	routes := make([]routing.Route, 0, m.table.Len())
+	for r := range m.table.All() {
+		services := make([]string, 0, len(r.Shares)+len(m.since[r.Endpoint]))
+		for _, s := range r.Shares {
+			services = append(services, s.Service)
+		}
+		for service := range m.since[r.Endpoint] {
+			hasFormer = true
+			services = append(services, service)
+		}
+		slices.Sort(services)
+		recorded := routing.Route{Endpoint: r.Endpoint}
+		for _, service := range slices.Compact(services) {
+			recorded.Shares = append(recorded.Shares, routing.Share{Service: service, Weight: 1})
+		}
+		routes = append(routes, recorded)
+	}
+	return routing.NewTable(m.table.Version, 0, routes), hasFormer
 }
 
 // add adds a change, or updates the time of one that is known; m.mu must be held.
 func (m *movedRoutes) add(r movedRoute, since time.Duration) {
-	previous, known := m.since[r]
+	previous, known := m.since[r.at][r.service]
 	switch {
 	case known:
 		since = max(since, previous)
-	case len(m.since) >= maxMoved:
+	case m.count >= maxMoved:
 		return
 	case m.since == nil:
-		m.since = make(map[movedRoute]time.Duration)
+		m.since = make(map[flow.Endpoint]map[string]time.Duration)
+	}
+	if m.since[r.at] == nil {
+		m.since[r.at] = make(map[string]time.Duration)
 	}
-	m.since[r] = since
+	if !known {
+		m.count++
+	}
+	m.since[r.at][r.service] = since
 }
 
 // expire removes the changes that are older than flows; m.mu must be held.
 func (m *movedRoutes) expire(now time.Duration) {
-	for r, since := range m.since {
-		if now-since >= maxFlowAge {
-			delete(m.since, r)
+	for at, services := range m.since {
+		for service, since := range services {
+			if now-since >= maxFlowAge {
+				delete(services, service)
+				m.count--
+			}
+		}
+		if len(services) == 0 {
+			delete(m.since, at)
 		}
 	}
 }
@@ -87,9 +146,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	current := len(services)
-	for r, since := range m.since {
-		if r.at == route.Endpoint && now-since < maxFlowAge && !slices.Contains(services[:current], r.service) {
-			services = append(services, r.service)
+	for service, since := range m.since[route.Endpoint] {
+		if now-since < maxFlowAge && !slices.Contains(services[:current], service) {
+			services = append(services, service)
 		}
 	}
 	slices.Sort(services[current:])
@@ -101,12 +160,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expire(now)
-	if len(m.since) == 0 {
+	if m.count == 0 {
 		return nil, nil
 	}
-	all := make([]movedRoute, 0, len(m.since))
-	for r := range m.since {
-		all = append(all, r)
+	all := make([]movedRoute, 0, m.count)
+	for at, services := range m.since {
+		for service := range services {
+			all = append(all, movedRoute{at, service})
+		}
 	}
 	slices.SortFunc(all, compareMoved)
 	nameBytes := 0
@@ -117,7 +178,7 @@
 		}
 		m.reported++
 		routes = append(routes, mesh.MovedRoute{
-			IP: r.at.IP, Port: r.at.Port, Service: mesh.ServiceTag(r.service), AgeMs: uint32(max((now - m.since[r]).Milliseconds(), 0)),
+			IP: r.at.IP, Port: r.at.Port, Service: mesh.ServiceTag(r.service), AgeMs: uint32(max((now - m.since[r.at][r.service]).Milliseconds(), 0)),
 		})
 		services = append(services, r.service)
 	}
@@ -160,7 +221,8 @@
 	return found
 }
 
-// merge adds the changes that another entry reported. An entry that started after a change knows of it from others only.
+// merge adds the changes that another entry reported. An entry that started after a change knows of it from others or from the route
+// record only.
 func (m *movedRoutes) merge(reported []movedAge, now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -173,3 +235,13 @@
 
 // ConfigChanged is called after each newer configuration has been applied.
 func (e *Entry) ConfigChanged() { e.moved.update(e.cfg.Routes.Current(), e.cfg.Now()) }
+
+// RouteRecord returns the routes with all services at which flows of theirs may be open, for the route record in the store, and whether
+// there are others than those that the routes lead to. An entry that starts after a restart of all processes knows of former services
+// from the record only. It returns nil while there is no configuration.
+func (e *Entry) RouteRecord() (record *routing.Table, hasFormer bool) {
+	return e.moved.record(e.cfg.Now())
+}
+
+// RouteRecordRead is called with each route record that was read from the store.
+func (e *Entry) RouteRecordRead(record *routing.Table) { e.moved.noteRecord(record, e.cfg.Now()) }
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -83,6 +83,7 @@
 		e.cfg.PeerDiscovered(report.IP)
 	}
 	e.cfg.StoreReported(report.Store)
+	e.cfg.VersionRecorded(report.Store.Era, report.RecordedVersion)
 	e.cfg.EvacuationsReported(report.Evacuations)
 	e.moved.merge(movedRoutesOf(report, e.roster.serviceNames), e.cfg.Now())
 	for _, ip := range report.Agents {
@@ -395,7 +396,7 @@
 		Entries: selectPeers(entries, turn), Agents: selectPeers(agents, turn), AgentCount: uint32(len(agents)), Store: e.cfg.StoreStatus(),
 		Evacuations: e.cfg.Evacuations.Current(), LinkBytesPerSecond: e.cfg.linkBytesPerSecond(), CPUMilli: e.cfg.cpuMilli(),
 		LoadBytesPerSecond: e.traffic.perSecond(e.cfg.Now()), Rotation: mesh.RotationStatus{State: e.rotation.current(), Version: count},
-		Moved: moved, MovedServices: movedServices,
+		Moved: moved, MovedServices: movedServices, RecordedVersion: e.cfg.RecordedVersion(),
 	})
 	if err != nil {
 		return nil, err
--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -63,8 +63,9 @@
 	// port is the port at which other processes serve their configuration.
 	port uint16
 	log  *eventlog.Log
-	// applied is called after each newer configuration has been applied.
-	applied func()
+	// applied is called after each newer configuration has been applied, watching whenever the process begins to watch the store; nil
+	// if nothing depends on it.
+	applied, watching func()
 	// spread is the time over which fetches are spread, firstSpread that while the process has no configuration.
 	spread, firstSpread time.Duration
 	// encoded is the form in which other processes fetch the configuration.
@@ -193,6 +194,9 @@
 	}
 	onSuccess()
 	u.logStoreRegained()
+	if u.watching != nil {
+		u.watching()
+	}
 	u.applyObject(o)
 	for after := (platform.Listing{Revision: o.Version, Era: o.Era}); u.duty.Watches(); {
 		l, err := u.store.Watch(ctx, platform.RoutesPrefix, after)
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -10,6 +10,7 @@
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetentry"
 	"endiveflow.example/endiveflow/platform"
+	"endiveflow.example/endiveflow/routing"
 	"endiveflow.example/endiveflow/watchduty"
 )
 
@@ -35,6 +36,15 @@
 	discovered, stateChanged := make(chan uint32, 64), make(chan uint32, 64)
 	var entry *packetentry.Entry
 	duties := newStoreDuties(watchduty.Config{IP: b.ip(), Now: b.now, Peers: func() []uint32 { return entry.ZonePeers() }})
+	recorder := &routeRecorder{
+		store: b.store, log: b.log, onDuty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		version: b.routes.Version,
+		record:  func() (*routing.Table, bool) { return entry.RouteRecord() }, read: func(t *routing.Table) { entry.RouteRecordRead(t) },
+		entriesBefore: func() int {
+			entries, _ := entry.ActivePeers()
+			return entriesBefore(b.ip(), entries)
+		},
+	}
 	entry = packetentry.New(packetentry.Config{
 		IP: b.ip(), Zone: s.Zone, Incarnation: time.Now().UnixMilli(), Now: b.now, Routes: &b.routes, Log: b.log,
 		LinkBytesPerSecond: s.LinkBytesPerSecond, CPUShare: s.CPUShare,
@@ -48,6 +58,7 @@
 			}
 		},
 		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations, Membership: b.members.membership,
+		RecordedVersion: func() uint64 { return recorder.recorded.in(b.store.Era()) }, VersionRecorded: recorder.recorded.note,
 		PeerDiscovered: enqueue(discovered), StateChanged: enqueue(stateChanged),
 	})
 	var lastCallerPacket atomic.Int64
@@ -59,9 +70,13 @@
 	b.config.applied = func() {
 		entry.ConfigChanged()
 		signal(b.configured)
+		signal(recorder.changed)
 	}
+	b.config.watching = func() { signal(recorder.onDuty) }
+	b.restored = func() { signal(recorder.changed) }
 	b.config.spread, b.config.firstSpread = fetchSpread, 0
 	b.parts.add("configuration", b.config.followStore(ctx, duties.config))
+	b.parts.add("route record", recorder.run(ctx))
 	if s.EvacuationDeadline > 0 {
 		b.parts.add("evacuations", evacuationWatch{store: b.store, duty: duties.evacuations, current: b.evacuations.Current, read: b.noteEvacuations, log: b.log}.run(ctx))
 	}
--- a/packetnode/process.go
+++ b/packetnode/process.go
@@ -143,13 +143,15 @@
 	// evacuations holds the evacuated zones. evacuationsChanged is called after each change, before it is announced.
 	evacuations        evacuation.Holder
 	evacuationsChanged func(evacuation.State)
+	// restored is called when the store came back from an older copy.
+	restored func()
 }
 
 func newBase(ctx context.Context, s platform.Settings, log *eventlog.Log) (*base, error) {
 	b := &base{
 		settings: s, log: log, alarm: newAlarm(), now: monotonicClock(),
-		evacuationsChanged: func(evacuation.State) {},
-		reportNow:          make(chan struct{}, 1), configured: make(chan struct{}, 1), listed: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
+		evacuationsChanged: func(evacuation.State) {}, restored: func() {},
+		reportNow: make(chan struct{}, 1), configured: make(chan struct{}, 1), listed: make(chan struct{}, 1), storeRestored: make(chan struct{}, 1),
 	}
 	var err error
 	b.store, err = platform.New(platform.Config{
@@ -158,6 +160,7 @@
 			signal(b.storeRestored)
 			// Other processes learn of the restore from the era in reports.
 			signal(b.reportNow)
+			b.restored()
 		},
 	})
 	if err != nil {
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -63,6 +63,9 @@
 	Traffic map[uint32]*Traffic
 	// Membership returns what entries know of the member records. By default, all agents are listed at any time.
 	Membership func(since time.Duration) packetentry.Membership
+	// RouteRecord is the route record in the store, which an entry writes after each change of the routes and each one that starts
+	// reads; nil means that there is none, and that none is written.
+	RouteRecord *routing.Table
 	// Log returns the log of a process that starts at an address; nil means that lines are discarded.
 	Log func(ip uint32) *eventlog.Log
 	// ToCaller receives each packet for a caller.
@@ -243,6 +246,9 @@
 		Membership:     func(since time.Duration) packetentry.Membership { return f.Membership(since) },
 	})
 	e.Entry = started
+	if f.RouteRecord != nil {
+		e.RouteRecordRead(f.RouteRecord)
+	}
 	e.reports = f.newSchedule(e.IP)
 	f.runReports(reporting{
 		from: e.IP, schedule: e.reports, up: func() bool { return e.Up && e.Entry == started }, groups: []announce.Group{announce.Entries, announce.Agents},
@@ -265,6 +271,9 @@
 	return routing.NewTable(1+f.changes, 0, f.Routes).WithWarmupRates(f.WarmupRates)
 }
 
+// RecordRoutes writes the route record, as entries do after each change of the routes from now on.
+func (f *Fleet) RecordRoutes() { f.RouteRecord, _ = f.Entries[0].RouteRecord() }
+
 // ChangeRoutes replaces the routes of all entries that run.
 func (f *Fleet) ChangeRoutes(routes ...routing.Route) {
 	f.changes++
@@ -273,6 +282,9 @@
 		if e.Up {
 			e.routes.StoreIfNewer(f.table())
 			e.ConfigChanged()
+			if f.RouteRecord != nil {
+				f.RouteRecord, _ = e.RouteRecord()
+			}
 		}
 	}
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -130,6 +132,25 @@
 	return len(t.routes)
 }
 
+// All returns the routes, in no particular order.
+func (t *Table) All() iter.Seq[Route] {
+	if t == nil {
+		return func(func(Route) bool) {}
+	}
+	return maps.Values(t.routes)
+}
+
+// LeadsWherever reports whether each route of another table exists and leads to all services that it leads to there.
+func (t *Table) LeadsWherever(other *Table) bool {
+	for r := range other.All() {
+		own, exists := t.Find(r.Endpoint)
+		if !exists || slices.ContainsFunc(r.Shares, func(s Share) bool { return !own.leadsTo(s.Service) }) {
+			return false
+		}
+	}
+	return true
+}
+
 // EachFormerService calls f for each service that a route of a former table led to and that the route of the same address and port
 // doesn't lead to in this one. Routes that are gone are left out, as their flows end.
 func (t *Table) EachFormerService(former *Table, f func(at flow.Endpoint, service string)) {
