packetentry: a search that finds its flow returns what all of its steps drew

A search draws from the budget of the first agents and then from that of all agents, and the record of the flow kept the last draw only. Each flow that was found in the last step took its first draw for good, until no flow was searched for beyond its directory agents.

Ruled out: the budget of the last step, which was returned.

The record counts what all steps drew from each budget.

Before, TestSearchesThatFindTheirFlowsInTheLastStep failed:

Should be zero, but was 795: flows without an answer

--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -88,8 +88,8 @@
 	// number of packets searched for in this one. searchedSteps is the last step that any search proceeded to.
 	lastSearch                                  time.Duration
 	searchCount, searchedPackets, searchedSteps int
-	// drawn is what the last steps to several processes at once drew from a budget, until the search finds the flow.
-	drawn draw
+	// drawn is what the steps to several processes at once drew from their budgets, until a search finds the flow.
+	drawn draws
 	// lookup holds the packets that wait for those that may have a record of the flow; nil while there are none.
 	lookup *lookup
 	// isReported reports whether another entry named the agent, deniedHolder the agent that one named and that doesn't have the
--- a/packetentry/lookup.go
+++ b/packetentry/lookup.go
@@ -50,7 +50,7 @@
 		shard.Unlock()
 		return true
 	}
-	drawn, ok := e.repeats.takeSearch(e.repeats.firstAgents, len(agents)+len(entries))
+	drawn, ok := e.repeats.takeFirstAgents(len(agents) + len(entries))
 	if !ok {
 		shard.Unlock()
 		return false
@@ -159,8 +159,7 @@
 		return
 	}
 	packets := r.takeLookup()
-	r.drawn.giveBack()
-	r.drawn = draw{}
+	e.returnDrawn(r)
 	r.handleTaken(holder, service)
 	r.isReported = true
 	shard.Unlock()
--- a/packetentry/receive.go
+++ b/packetentry/receive.go
@@ -128,7 +128,7 @@
 		e.handleRefused(shard, m, r)
 		return
 	case m.Kind == mesh.KindTaken:
-		r, waiting = noteTaken(shard, m, service, r, now)
+		r, waiting = e.noteTaken(shard, m, service, r, now)
 	case m.Kind == mesh.KindMissing:
 		if r.isLostWithout(m.Origin) {
 			shard.Delete(m.Flow)
@@ -151,13 +151,12 @@
 
 // noteTaken records that an agent of a service has taken a flow, of which r may be nil. It returns the record, and the packets that wait for a
 // record of the flow and have not been sent to the agent; the shard must be locked.
-func noteTaken(shard *flowtable.Shard[record], m *mesh.Message, service mesh.ServiceID, r *record, now time.Duration) (taken *record, waiting [][]byte) {
+func (e *Entry) noteTaken(shard *flowtable.Shard[record], m *mesh.Message, service mesh.ServiceID, r *record, now time.Duration) (taken *record, waiting [][]byte) {
 	if r == nil {
 		r = &record{lastPacket: now}
 		shard.Put(m.Flow, r)
 	}
-	r.drawn.giveBack()
-	r.drawn = draw{}
+	e.returnDrawn(r)
 	if waiting = r.takeLookup(); len(waiting) > 0 {
 		waiting = waiting[1:]
 	}
--- a/packetentry/repeats.go
+++ b/packetentry/repeats.go
@@ -28,10 +28,14 @@
 	maxFirstAgents = 4 * mesh.MaxCandidates
 )
 
-// draw is what a search drew from a budget.
-type draw struct {
-	budget    *retry.Budget
-	datagrams int
+// draws is what the steps of a search drew from their budgets.
+type draws struct {
+	firstAgents, allAgents int32
+}
+
+// add returns the sum of what two steps drew.
+func (d draws) add(other draws) draws {
+	return draws{d.firstAgents + other.firstAgents, d.allAgents + other.allAgents}
 }
 
 // repeats limits what the entry sends on its own account: repeated offers, and the steps of a search that follow
@@ -73,19 +77,30 @@
 	return granted
 }
 
-// takeSearch draws n datagrams of a search from its budget, and reports whether they may be sent now.
-func (r *repeats) takeSearch(budget *retry.Budget, n int) (draw, bool) {
+// takeFirstAgents draws n datagrams of a search at the first agents from its budget, and reports whether they may be sent now.
+func (r *repeats) takeFirstAgents(n int) (draws, bool) {
+	return draws{firstAgents: int32(n)}, r.takeSearch(r.firstAgents, n)
+}
+
+// takeAllAgents is takeFirstAgents for the steps that follow.
+func (r *repeats) takeAllAgents(n int) (draws, bool) {
+	return draws{allAgents: int32(n)}, r.takeSearch(r.allAgents, n)
+}
+
+func (r *repeats) takeSearch(budget *retry.Budget, n int) bool {
 	if !budget.TakeAll(n, r.time()) {
 		withheldRepeats.Add(n)
-		return draw{}, false
+		return false
 	}
-	return draw{budget, n}, true
+	return true
 }
 
 // giveBack returns what a search drew that found its flow. Budgets bound the datagrams of searches that fail.
-func (d draw) giveBack() {
-	if d.budget != nil {
-		d.budget.Return(d.datagrams)
-		foundSearches.Inc()
+func (r *repeats) giveBack(d draws) {
+	if d == (draws{}) {
+		return
 	}
+	r.firstAgents.Return(int(d.firstAgents))
+	r.allAgents.Return(int(d.allAgents))
+	foundSearches.Inc()
 }
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -181,7 +181,7 @@
 	if allowed == 0 {
 		return false
 	}
-	drawn, ok := e.repeats.takeSearch(e.repeats.allAgents, allowed)
+	drawn, ok := e.repeats.takeAllAgents(allowed)
 	if !ok {
 		return false
 	}
@@ -212,7 +212,7 @@
 	if len(agents) == 0 {
 		return false
 	}
-	drawn, ok := e.repeats.takeSearch(e.repeats.firstAgents, len(agents))
+	drawn, ok := e.repeats.takeFirstAgents(len(agents))
 	if !ok {
 		return false
 	}
@@ -256,7 +256,7 @@
 
 // recordDraw records that a search takes a step to several agents at once, and what it drew for it. An opening packet without
 // a record gets none, as its next copy would count as one of a flow that is being placed.
-func (e *Entry) recordDraw(s flow.Segment, step int, drawn draw) {
+func (e *Entry) recordDraw(s flow.Segment, step int, drawn draws) {
 	now := e.cfg.Now()
 	shard := e.flows.Lock(s.Key)
 	defer shard.Unlock()
@@ -271,12 +271,15 @@
 	r.recordDraw(step, drawn)
 }
 
-// recordDraw is Entry.recordDraw for a record. Both steps that draw from the same budget are returned together.
-func (r *record) recordDraw(step int, drawn draw) {
-	if r.drawn.budget == drawn.budget {
-		drawn.datagrams += r.drawn.datagrams
-	}
-	r.searchedSteps, r.drawn = max(r.searchedSteps, step), drawn
+// recordDraw is Entry.recordDraw for a record. What all steps drew is returned together.
+func (r *record) recordDraw(step int, drawn draws) {
+	r.searchedSteps, r.drawn = max(r.searchedSteps, step), r.drawn.add(drawn)
+}
+
+// returnDrawn returns what the search for a flow drew that has been found. The shard of the flow must be locked.
+func (e *Entry) returnDrawn(r *record) {
+	e.repeats.giveBack(r.drawn)
+	r.drawn = draws{}
 }
 
 func (e *Entry) logSearch(s flow.Segment, step int, agents int, version uint64) {
