packetentry: a search asks the agents that came first when the flow opened

A step before the last one asks the agents that come first among those that joined before them, and among those that take flows. The order in which agents joined is that of the revisions of their member records, which a restart doesn't change; hosts that have run for 10 min count as the oldest.

--- a/packetentry/config.go
+++ b/packetentry/config.go
@@ -70,6 +70,9 @@
 	// Membership returns what the store's member records say of agents. If they were read before since, it requests
 	// another read. nil means that they are never known, and that no flow is reset because no host has it.
 	Membership func(since time.Duration) Membership
+	// JoinOrder returns the order in which agents joined, by address: the revisions of their member records. The map must not be
+	// modified. nil means that the order isn't known.
+	JoinOrder func() map[uint32]uint64
 	// Random returns a random number; nil means the default source of randomness.
 	Random func() uint64
 	// ScheduleTick is called with the time until Tick must be called, when a new timer is started.
@@ -105,6 +108,9 @@
 	if c.VersionRecorded == nil {
 		c.VersionRecorded = func(uint64, uint64) {}
 	}
+	if c.JoinOrder == nil {
+		c.JoinOrder = func() map[uint32]uint64 { return nil }
+	}
 	if c.StateChanged == nil {
 		c.StateChanged = func(uint32) {}
 	}
--- a/packetentry/rendezvous.go
+++ b/packetentry/rendezvous.go
@@ -1,6 +1,8 @@
 package packetentry
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -153,6 +155,72 @@
 	return dst
 }
 
+// settledHostAge is the time for which a host must have run, by the clocks of its VM and of the entry's, to have been there before each
+// open flow. It leaves minutes for clocks that differ.
+const settledHostAge = 10 * time.Minute
+
+// joiner is an agent with its place in the order in which agents joined.
+type joiner struct {
+	*agent
+	// order is 0 for agents that have run for long, and unknownOrder for those without a member record.
+	order  uint64
+	weight uint64
+}
+
+const unknownOrder = math.MaxUint64
+
+// joiners returns the agents of a service in the order in which they joined. The entry's own records don't tell for those that joined
+// before it started, but the revisions of their member records do: these are written when an agent joins, and not when it restarts.
+func (r *roster) joiners(service string, key flow.Key) []joiner {
+	settledBefore := r.cfg.Incarnation + (r.cfg.Now() - r.started - settledHostAge).Milliseconds()
+	seed, orders := key.Hash(), r.cfg.JoinOrder()
+	agents := r.serviceAgents(service)
+	out := make([]joiner, 0, len(agents))
+	for _, a := range agents {
+		report := a.report.Load()
+		order, recorded := orders[report.IP]
+		switch {
+		case report.HostStartedAt != 0 && report.HostStartedAt < settledBefore:
+			order = 0
+		case !recorded:
+			order = unknownOrder
+		}
+		out = append(out, joiner{a, order, flow.Mix(seed ^ a.mixedIP)})
+	}
+	slices.SortFunc(out, func(a, b joiner) int { return cmp.Compare(a.order, b.order) })
+	return out
+}
+
+// appendFormerFirst appends to dst the agents of a service that may have come first for a flow when it opened: those that come first
+// among the agents that joined before them, as the fleet may have had no others then, and those that do so among the ones that take
+// flows, as the others may not have taken any then either.
+func (r *roster) appendFormerFirst(dst []*agent, service string, key flow.Key) []*agent {
+	now, evacuated := r.cfg.Now(), r.cfg.Evacuations.Current()
+	takesFlows := func(a *agent) bool {
+		return a.takesFlows(now) && !a.isClosing() && !evacuated.Includes(a.report.Load().Zone)
+	}
+	var all, taking ranking
+	joined := r.joiners(service, key)
+	for start, end := 0, 0; start < len(joined); start = end {
+		for end = start; end < len(joined) && joined[end].order == joined[start].order; end++ {
+			a := joined[end]
+			if all.admits(a.weight) {
+				all.insert(a.agent, a.weight)
+			}
+			if taking.admits(a.weight) && takesFlows(a.agent) {
+				taking.insert(a.agent, a.weight)
+			}
+		}
+		for _, a := range joined[start:end] {
+			isFirst := slices.Contains(all.all(), a.agent) || slices.Contains(taking.all(), a.agent)
+			if isFirst && a.mayHaveFlows(now) {
+				dst = appendMissing(dst, a.agent)
+			}
+		}
+	}
+	return dst
+}
+
 // appendMissing appends the agents that dst doesn't contain.
 func appendMissing(dst []*agent, agents ...*agent) []*agent {
 	for _, a := range agents {
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -32,6 +32,9 @@
 	// stepFirstAgents asks the first agents in rendezvous order of the services that the route leads to or led to recently at
 	// once. Those that restarted give the packet to their hosts.
 	stepFirstAgents
+	// stepFormerFirst asks the agents that may have come first when the flow opened: others have joined since, or didn't take flows
+	// then. It is left out if these are the ones of the step before.
+	stepFormerFirst
 	// stepAllAgents asks all agents of these services.
 	stepAllAgents
 )
@@ -91,9 +94,9 @@
 	}
 	e.repeats.packetForwarded()
 	switch step {
-	case stepAllAgents:
+	case stepFormerFirst, stepAllAgents:
 		allSearchesBegun.Inc()
-		if e.search(s, packet, stepAllAgents) {
+		if e.search(s, packet, step) {
 			return
 		}
 	case stepRecorded, stepFirstAgents:
@@ -108,8 +111,8 @@
 }
 
 // search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one agent that
-// may be a directory agent of the flow, then to those that may have a record of it, then to the first agents in rendezvous order, in
-// the last step to all agents of the service. The directory agents may be others now than when the flow opened, so that more agents are asked than there are
+// may be a directory agent of the flow, then to those that may have a record of it, then to the first agents in rendezvous order and to
+// those that may have been, in the last step to all agents of the service. The directory agents may be others now than when the flow opened, so that more agents are asked than there are
 // directory agents. It reports whether the packet was sent: there may be no agent to ask, or no budget for the last two steps.
 func (e *Entry) search(s flow.Segment, packet []byte, step int) bool {
 	table := e.cfg.Routes.Current()
@@ -134,6 +137,9 @@
 	if known && step <= stepFirstAgents {
 		return e.searchFirst(s, m, route)
 	}
+	if known && step <= stepFormerFirst && e.searchFormerFirst(s, m, route) {
+		return true
+	}
 	return e.searchAll(s, m, e.searchedAgents(route, known))
 }
 
@@ -226,6 +232,31 @@
 	return true
 }
 
+// searchFormerFirst sends a search to the agents that may have come first when the flow opened, if there are others than those that come
+// first now and the budget allows it, and reports whether it did.
+func (e *Entry) searchFormerFirst(s flow.Segment, m mesh.Message, route routing.Route) bool {
+	var first, agents []*agent
+	for _, service := range e.moved.servicesOf(route, e.cfg.Now()) {
+		first = e.roster.appendFirst(first, service, s.Key)
+		agents = e.roster.appendFormerFirst(agents, service, s.Key)
+	}
+	if !slices.ContainsFunc(agents, func(a *agent) bool { return !slices.Contains(first, a) }) {
+		return false
+	}
+	drawn, ok := e.repeats.takeAllAgents(len(agents))
+	if !ok {
+		return false
+	}
+	formerFirstSearches.Inc()
+	e.recordDraw(s, stepFormerFirst, drawn)
+	e.logSearch(s, stepFormerFirst, len(agents), m.ConfigVersion)
+	m.Step = mesh.StepAll
+	for _, a := range agents {
+		e.sendToSeveral(&m, s.Key, a)
+	}
+	return true
+}
+
 // sendToSeveral sends a search to one of several agents that are asked at once, with the directory agents of its service.
 func (e *Entry) sendToSeveral(m *mesh.Message, key flow.Key, a *agent) {
 	report := a.report.Load()
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -57,7 +57,7 @@
 				duties.answeredOther(age)
 			}
 		},
-		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations, Membership: b.members.membership,
+		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations, Membership: b.members.membership, JoinOrder: b.members.joinOrder,
 		RecordedVersion: func() uint64 { return recorder.recorded.in(b.store.Era()) }, VersionRecorded: recorder.recorded.note,
 		PeerDiscovered: enqueue(discovered), StateChanged: enqueue(stateChanged),
 	})
--- a/packetnode/members.go
+++ b/packetnode/members.go
@@ -93,6 +93,8 @@
 	// each list; seeds is replaced after each reload.
 	recorded map[uint32]string
 	seeds    []uint32
+	// joinOrders are the revisions of the agents' records, replaced after each list.
+	joinOrders map[uint32]uint64
 	// current are the agents of the last read of current records, which began at readAt; 0 if there was none. recorded may be
 	// of a later read that was stale. era is its era of the store, and reliableFrom the time from which agents have written again
 	// what the store lost.
@@ -179,6 +181,13 @@
 	return done
 }
 
+// joinOrder returns the revisions of the agents' records. An agent's record is written when it joins and not when it restarts.
+func (m *memberRegistry) joinOrder() map[uint32]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.joinOrders
+}
+
 // isPresent reports whether the process is to have a record.
 func (m *memberRegistry) isPresent() bool { return m.hasHost == nil || m.hasHost() }
 
@@ -247,7 +256,7 @@
 // process's own one is among them. Of a record that can't be read only the key counts, so that what another writer stored neither
 // hides the agent that it may stand for nor the other records.
 func (m *memberRegistry) updateRecorded(objects []platform.Object) (records []storedRecord, ownWritten bool) {
-	recorded := make(map[uint32]string, len(objects))
+	recorded, joinOrders := make(map[uint32]string, len(objects)), make(map[uint32]uint64, len(objects))
 	for _, o := range objects {
 		role, ip, ok := parseMemberKey(o.Key)
 		var r memberRecord
@@ -258,6 +267,9 @@
 		switch {
 		case isReadable:
 			recorded[addressOf(ip)] = role
+			if role == roleAgent {
+				joinOrders[addressOf(ip)] = o.Version
+			}
 		case ok && role == roleAgent:
 			recorded[addressOf(ip)] = roleUnknownAgent
 		case !ok:
@@ -268,7 +280,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.recorded = recorded
+	m.recorded, m.joinOrders = recorded, joinOrders
 	return records, ownWritten
 }
 
--- a/packetnode/members_test.go
+++ b/packetnode/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
@@ -206,3 +207,30 @@
 	registry.setSeeds([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.3:1")})
 	require.Equal(t, []uint32{addressOf(netip.MustParseAddr("10.0.0.3"))}, registry.addresses(roleEntry))
 }
+
+// Guards against an order of agents that changes when their processes restart, or that lacks one that moved to another service.
+func TestJoinOrder(t *testing.T) {
+	runRegistry(t, otherMember, func(f fixture) {
+		write := func(ip, service string, base uint64) uint64 {
+			r := memberRecord{Role: roleAgent, IP: netip.MustParseAddr(ip), Zone: "a", Service: service}
+			value, err := json.Marshal(r)
+			require.NoError(f.t, err)
+			revision, err := f.client.Put(f.t.Context(), r.key(), value, base)
+			require.NoError(f.t, err)
+			return revision
+		}
+		first, second := addressOf(netip.MustParseAddr("10.0.0.8")), addressOf(netip.MustParseAddr("10.0.0.7"))
+		reused := write("10.0.0.8", "rota", 0)
+		write("10.0.0.7", "rota", 0)
+		time.Sleep(listPause + time.Second)
+		orders := f.registry.joinOrder()
+		require.Len(f.t, orders, 2, "entries are left out")
+		require.Less(f.t, orders[first], orders[second])
+		write("10.0.0.8", "rota", reused)
+		time.Sleep(listPause + time.Second)
+		require.Equal(f.t, orders, f.registry.joinOrder(), "written again without a change")
+		write("10.0.0.8", "draws", reused)
+		time.Sleep(listPause + time.Second)
+		require.Greater(f.t, f.registry.joinOrder()[first], orders[second])
+	})
+}
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -156,6 +156,15 @@
 	return m
 }
 
+// joinOrder returns the order in which agents were added.
+func (f *Fleet) joinOrder() map[uint32]uint64 {
+	orders := make(map[uint32]uint64, len(f.Agents))
+	for i, a := range f.Agents {
+		orders[a.IP] = uint64(i + 1)
+	}
+	return orders
+}
+
 // Now returns the fleet's simulated time.
 func (f *Fleet) Now() time.Duration { return f.now }
 
@@ -244,6 +253,7 @@
 		StateChanged:   func(ip uint32) { e.reports.Announce(ip) },
 		ScheduleTick:   func(d time.Duration) { f.After(d, tick) },
 		Membership:     func(since time.Duration) packetentry.Membership { return f.Membership(since) },
+		JoinOrder:      f.joinOrder,
 	})
 	e.Entry = started
 	if f.RouteRecord != nil {
--- a/packettest/growth_test.go
+++ b/packettest/growth_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/packettest"
 )
 
@@ -65,3 +66,46 @@
 	f := packettest.NewFleet(1)
 	requireAllFound(t, f, playGrowth(f, 12, 3, 3000))
 }
+
+// Guards against packets of open flows that reach other hosts, and not their own, when agents were added and all processes restart:
+// the agent that has a flow is no longer among the first in rendezvous order, and no process remembers which agents joined since.
+func TestOpenFlowsAreFoundAfterGrowthAndRestartOfAllProcesses(t *testing.T) {
+	for name, fleet := range map[string]struct{ agents, added int }{"a few more": {12, 3}, "twice as many": {40, 40}, "four times as many": {60, 180}} {
+		t.Run(name, func(t *testing.T) {
+			f := packettest.NewFleet(1)
+			requireAllFound(t, f, playGrowth(f, fleet.agents, fleet.added, 3000))
+		})
+	}
+}
+
+// Guards against packets of open flows that reach other hosts, and not their own, when all processes restart while hosts are leaving:
+// these come first in rendezvous order and took no flows when the flows opened.
+func TestOpenFlowsAreFoundAfterRestartOfAllProcessesBesideDrainingHosts(t *testing.T) {
+	f := packettest.NewFleet(1)
+	f.AddEntry(packettest.Address(1))
+	for n := range 300 {
+		f.AddAgent(packettest.Address(100+n), packettest.FirstService).Host.StartedAt -= time.Hour.Milliseconds()
+	}
+	f.Run(2 * time.Second)
+	for _, a := range f.Agents[:200] {
+		a.Host.State = host.Draining
+	}
+	f.Run(2 * time.Second)
+	callers := packettest.NewCallers(f)
+	var all []*packettest.Caller
+	for n := range 300 {
+		all = append(all, callers.Start(f, packettest.Key(n), func() *packettest.Entry { return f.Entries[0] }))
+		f.Run(10 * time.Millisecond)
+	}
+	for _, a := range f.Agents {
+		f.StartAgent(a)
+	}
+	f.StartEntry(f.Entries[0])
+	f.Run(5 * time.Second)
+	for _, c := range all {
+		c.Request()
+		f.Run(10 * time.Millisecond)
+	}
+	f.Run(3 * time.Second)
+	requireAllFound(t, f, all)
+}
