config, agent: of two services with one tag, all processes take the same

Validation rejects a service whose name has the tag of another one, but two operators who apply one each at the same time both succeed. The view mixed them: hosts of one were allowed for the other, and exceptions of one were in force at the other.

A view takes the first one by name, whatever the order in which objects arrive, and leaves out networks and exceptions of the other. Agents look their service up by name, and send it with requests to other agents; those of earlier versions send the tag alone.

The tests' agents send the name as agents do. Before, TestServicesWithEqualTags (config) failed:

expected: "bawu92b" actual: "kuwa46a"

--- a/agent/handover.go
+++ b/agent/handover.go
@@ -87,7 +87,7 @@
 // transfer, and the successor never runs them.
 type handover struct {
 	board      *node.Board
-	service    config.ServiceTag
+	service    string
 	handler    *dispatch.Handler
 	client     *http.Client
 	successors *successors
@@ -96,7 +96,7 @@
 func newHandover(cfg RoleConfig, b *node.Board, h *dispatch.Handler, peers *peer.Client, s *successors) *handover {
 	return &handover{
 		board:      b,
-		service:    config.TagOf(cfg.Settings.Service),
+		service:    cfg.Settings.Service,
 		handler:    h,
 		client:     node.HTTPClient(peers, peerTimeout),
 		successors: s,
@@ -115,7 +115,7 @@
 	if err != nil {
 		return fmt.Errorf("encoding ledger: %w", err)
 	}
-	peers := peersOf(h.board, h.service)
+	peers := peersOf(h.board, config.TagOf(h.service))
 	for _, p := range peers {
 		if p.Draining {
 			continue
--- a/agent/handover_test.go
+++ b/agent/handover_test.go
@@ -233,7 +233,7 @@
 		require.NoError(t, err)
 	}
 	r := httptest.NewRequest(http.MethodPost, path, bytes.NewReader(raw))
-	setService(r, a.Self.Record().Service)
+	setService(r, testService)
 	return serveOn(a.peerHandler, r)
 }
 
--- a/agent/helpers_test.go
+++ b/agent/helpers_test.go
@@ -94,7 +94,7 @@
 			return &http.Response{StatusCode: http.StatusCreated, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("booked"))}, nil
 		},
 		Peer: func(_ context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
-			setService(r, tag)
+			setService(r, service)
 			return f.call(addr, r)
 		},
 		Peers:     func() []dispatch.PeerInfo { return peersOf(b, tag) },
@@ -105,8 +105,8 @@
 		ParseKey:  func(text string) (dispatch.Key, error) { return parseKey(keys, tag, text) },
 		Trail:     b.Trail,
 	})
-	a.handover = &handover{board: b, service: tag, handler: a.handler, successors: successors, client: &http.Client{Transport: f}}
-	a.peerHandler = peerHandler(tag, a.handler, a.handover)
+	a.handover = &handover{board: b, service: service, handler: a.handler, successors: successors, client: &http.Client{Transport: f}}
+	a.peerHandler = peerHandler(service, a.handler, a.handover)
 	return a
 }
 
--- a/agent/peerhandler.go
+++ b/agent/peerhandler.go
@@ -12,15 +12,27 @@
 	"endiveflow.example/endiveflow/retry"
 )
 
-// headerService is the header with the service tag of the agent that sends a request to a peer.
-const headerService = "Endiveflow-Service"
+const (
+	// headerService is the header with the service tag of the agent that sends a request to a peer.
+	headerService = "Endiveflow-Service"
+	// headerServiceName is the header with the name of the service, which agents of earlier versions don't send. Two services may have
+	// the same tag, see config.View.
+	headerServiceName = "Endiveflow-Service-Name"
+)
 
 const reasonOtherService = "agent serves another service"
 
 var otherServiceTotal = metrics.GetOrCreateCounter(`endiveflow_agent_other_service_total`)
 
-func setService(r *http.Request, tag config.ServiceTag) {
-	r.Header.Set(headerService, tagText(tag))
+func setService(r *http.Request, service string) {
+	r.Header.Set(headerService, tagText(config.TagOf(service)))
+	r.Header.Set(headerServiceName, service)
+}
+
+// isFromService reports whether a request comes from an agent of a service.
+func isFromService(r *http.Request, service string) bool {
+	name := r.Header.Get(headerServiceName)
+	return r.Header.Get(headerService) == tagText(config.TagOf(service)) && (name == "" || name == service)
 }
 
 func tagText(tag config.ServiceTag) string { return strconv.FormatUint(uint64(tag), 16) }
@@ -28,14 +40,14 @@
 // peerHandler returns the handler of requests and ledger transfers from agents of the same service.
 // The service has to be verified, since all endiveflow processes share the fleet's certificates, and a stale
 // membership record can have an address that is now used by an agent of another service.
-func peerHandler(tag config.ServiceTag, h *dispatch.Handler, ho *handover) http.Handler {
+func peerHandler(service string, h *dispatch.Handler, ho *handover) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+ledgerPath, ho.receiveLedger)
 	mux.HandleFunc("POST "+successorPath, ho.receiveSuccessor)
 	requests := h.PeerHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
-		case r.Header.Get(headerService) != tagText(tag):
+		case !isFromService(r, service):
 			rejectOtherService(w, r)
 		// Handed-over requests keep the path of the caller, so only the header distinguishes them from transfers.
 		case r.Header.Get(dispatch.HeaderHandover) != "":
--- a/agent/requests.go
+++ b/agent/requests.go
@@ -26,7 +26,7 @@
 		Ring:    ring,
 		LocalIP: cfg.Settings.PeerAddress.Addr(),
 		Socket:  sockets.Peer,
-		Handler: peerHandler(config.TagOf(cfg.Settings.Service), h, ho),
+		Handler: peerHandler(cfg.Settings.Service, h, ho),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("making peer server: %w", err)
@@ -63,14 +63,17 @@
 			return sendToUpstream(client, b.Policy(cfg.Settings.Service).SilenceAfter, r)
 		},
 		Peer: func(ctx context.Context, addr netip.AddrPort, r *http.Request) (*http.Response, error) {
-			return sendToPeer(ctx, peers, tag, addr, r)
+			return sendToPeer(ctx, peers, cfg.Settings.Service, addr, r)
 		},
 		Peers:     func() []dispatch.PeerInfo { return peersOf(b, tag) },
 		Successor: successors.get,
 		Policy:    func() config.Policy { return dispatchPolicy(b, cfg.Settings.Service) },
 		Service: func() config.Service {
-			_, service, _ := b.Config.Service(tag)
-			return service
+			o, ok := b.Config.Get(config.Key{Kind: config.KindService, Name: cfg.Settings.Service})
+			if !ok || o.Deleted || o.Service == nil {
+				return config.Service{}
+			}
+			return *o.Service
 		},
 		IssueKey:    func(k dispatch.Key) string { return keys.Issue(requestKey(tag, k)) },
 		ParseKey:    func(text string) (dispatch.Key, error) { return parseKey(keys, tag, text) },
@@ -103,9 +106,9 @@
 }
 
 func sendToPeer(
-	ctx context.Context, peers *peer.Client, tag config.ServiceTag, addr netip.AddrPort, r *http.Request,
+	ctx context.Context, peers *peer.Client, service string, addr netip.AddrPort, r *http.Request,
 ) (*http.Response, error) {
-	setService(r, tag)
+	setService(r, service)
 	resp, err := peers.Do(ctx, addr, r)
 	if err != nil {
 		return nil, attemptError("sending request to peer", err, peer.ErrNotSent)
--- a/agent/requests_test.go
+++ b/agent/requests_test.go
@@ -58,7 +58,7 @@
 			r.Header.Set(dispatch.HeaderHandover, "home")
 			r.Header.Set(header.Key, key)
 		}
-		setService(r, config.TagOf("draws"))
+		setService(r, "draws")
 		resp := serveOn(a[0].peerHandler, r)
 		require.GreaterOrEqual(t, resp.StatusCode, http.StatusBadRequest)
 		require.Equal(t, name, resp.Header.Get(header.Outcome))
@@ -66,6 +66,19 @@
 	requireRuns(t, 0, a...)
 }
 
+// Guards against a request that an agent of another service sends, whose name has the same tag, and against one of an agent of an
+// earlier version, which sends the tag alone, that is rejected while VMs are replaced one after the other.
+func TestRequestsOfServiceWithEqualTag(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/slots", nil)
+	setService(r, "kuwa46a")
+	require.True(t, isFromService(r, "kuwa46a"))
+	require.False(t, isFromService(r, "bawu92b"))
+	require.False(t, isFromService(r, "bawu93b"))
+	r.Header.Del(headerServiceName)
+	require.True(t, isFromService(r, "kuwa46a"))
+	require.False(t, isFromService(r, "bawu93b"))
+}
+
 // Guards against a caller that is taken for a peer because it sends internal headers: it could
 // bypass keys, choose a class, or replace ledgers and successors.
 func TestInternalHeadersOfCallersAreIgnored(t *testing.T) {
@@ -97,7 +110,7 @@
 		Service: func() config.Service { return config.Service{} },
 	})
 	r := httptest.NewRequest(http.MethodGet, "/slots", nil)
-	for _, name := range []string{dispatch.HeaderHandover, dispatch.HeaderClass, dispatch.HeaderLoad, headerService} {
+	for _, name := range []string{dispatch.HeaderHandover, dispatch.HeaderClass, dispatch.HeaderLoad, headerService, headerServiceName} {
 		r.Header.Set(name, "home")
 	}
 	require.Equal(t, http.StatusOK, serveOn(h, r).StatusCode)
--- a/config/kinds.go
+++ b/config/kinds.go
@@ -34,7 +34,7 @@
 func (k Key) Hash() uint64 { return xxhash.Sum64String(k.String()) }
 
 // ServiceTag identifies a service in packets. It is a hash of the service's name; validation rejects two
-// services with the same tag.
+// services with the same tag. If two were applied at the same time, a View ignores one of them.
 type ServiceTag uint32
 
 // TagOf returns the tag of a service name.
--- a/config/view.go
+++ b/config/view.go
@@ -29,8 +29,9 @@
 	version atomic.Uint64
 }
 
-// serviceIndex holds the objects of one service. It includes deleted objects, as agents must learn of deletions;
-// lookups skip them.
+// serviceIndex holds the objects of the service with a tag. It includes deleted objects, as agents must learn of deletions;
+// lookups skip them. Validation rejects a second service with the tag, but two operators may apply one each at the same time; lookups skip
+// the objects of all but one then.
 type serviceIndex struct {
 	// service is empty while only upstreams or exceptions name the service.
 	service    []Object
@@ -38,12 +39,21 @@
 	exceptions []Object
 }
 
-// liveService returns the service object, unless it is unknown or deleted.
-func (ix serviceIndex) liveService() (Object, bool) {
-	if len(ix.service) == 0 || ix.service[len(ix.service)-1].Deleted {
-		return Object{}, false
+// liveService returns the service object, unless it is unknown or deleted. Of two services, it is the first one by name, so that all
+// processes return the same one.
+func (ix serviceIndex) liveService() (found Object, ok bool) {
+	for _, o := range ix.service {
+		if !o.Deleted && (!ok || o.Name < found.Name) {
+			found, ok = o, true
+		}
 	}
-	return ix.service[len(ix.service)-1], true
+	return found, ok
+}
+
+// owns reports whether objects that name a service count: it is the live one, or there is none.
+func (ix serviceIndex) owns(service string) bool {
+	live, ok := ix.liveService()
+	return !ok || live.Name == service
 }
 
 // NewView returns an empty view.
@@ -125,7 +135,7 @@
 func (v *View) AllowsHost(tag ServiceTag, host netip.Addr) bool {
 	ix, _ := v.services.Get(tag)
 	for _, o := range ix.upstreams {
-		if !o.Deleted && o.Upstream.Contains(host) {
+		if !o.Deleted && ix.owns(o.Upstream.Service) && o.Upstream.Contains(host) {
 			return true
 		}
 	}
--- a/config/view_test.go
+++ b/config/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -139,6 +140,42 @@
 	}
 }
 
+// Guards against two services whose names have the same tag, which two operators applied at the same time, and that serve each other's
+// callers: hosts of one were allowed for the other, and exceptions of one were in force at the other.
+func TestServicesWithEqualTags(t *testing.T) {
+	const first, second = "bawu92b", "kuwa46a"
+	tag := config.TagOf(first)
+	require.Equal(t, tag, config.TagOf(second))
+	ofFirst, ofSecond := netip.MustParseAddr("10.0.0.7"), netip.MustParseAddr("10.0.1.7")
+	objects := []config.Object{
+		service(first, 1), upstream("a", first, "10.0.0.0/24", 2), service(second, 3), upstream("b", second, "10.0.1.0/24", 4),
+		exception("c", "service/"+second, config.SettingDrainFor, "3s", 5),
+	}
+	for _, reverse := range []bool{false, true} {
+		v := config.NewView()
+		if reverse {
+			slices.Reverse(objects)
+		}
+		for _, o := range objects {
+			v.Apply(o)
+		}
+		name, _, ok := v.Service(tag)
+		require.True(t, ok)
+		require.Equal(t, first, name)
+		require.True(t, v.AllowsHost(tag, ofFirst))
+		require.False(t, v.AllowsHost(tag, ofSecond))
+		require.Equal(t, config.BuiltinPolicy(), v.Policy(first, netip.Addr{}))
+		require.Equal(t, "3s", v.Policy(second, netip.Addr{}).Value(config.SettingDrainFor))
+
+		v.Apply(deleted(service(first, 1), 6))
+		name, _, ok = v.Service(tag)
+		require.True(t, ok)
+		require.Equal(t, second, name)
+		require.True(t, v.AllowsHost(tag, ofSecond))
+		require.False(t, v.AllowsHost(tag, ofFirst))
+	}
+}
+
 // Guards against an agent that receives a change of another service or misses one of its own.
 func TestObjectsFor(t *testing.T) {
 	v := config.NewView()
