packetagent: a restarted agent does not vouch for a host whose clock was ahead

The host seemed to have started after the agent, and its second heartbeat was taken for a sign that the agent had been there from the start, so that the agent answered that its host lacks the flows.

Ruled out: the proof of the entry, which waits for the current incarnations of all agents.

Only the first heartbeat, which no other process can have got, shows that the agent has seen all flows. The second one counts for probes only, and only if the host says that it started before the agent.

Before, TestVerdictOnFlow and TestFlowsOfHostWhoseClockWasAhead failed:

an agent that restarted, a clock set right: expected: 0x0 actual: 0x1 "[]" should have 1 item(s), but has 0

--- a/packetagent/absence.go
+++ b/packetagent/absence.go
@@ -22,9 +22,9 @@
 	// that started with the host can have given flows to it. One that was running before the host started can only if it ends
 	// and is started again within this time.
 	togetherSkew = 40 * time.Millisecond
-	// maxFirstSequence is the largest sequence number of the first heartbeat that the agent receives of a host that started
-	// with it or later. A larger one shows that the host has run for longer, whatever the clocks say.
-	maxFirstSequence = 2
+	// firstSequence is the sequence number of a host's first heartbeat. An agent that receives it was running when the host
+	// started, whatever the clocks say.
+	firstSequence = 1
 	// maxForgotten bounds the number of forgotten flows. At 270 new flows per second, a host has as many within the maximum age
 	// of a flow.
 	maxForgotten = 1 << 14
@@ -121,10 +121,16 @@
 }
 
 // noteIncarnation records whether the agent has seen every flow of an incarnation of its host, of which r is the first report
-// that it received. The start times are those of one VM, whose clock may have been set between them; the sequence
-// number shows then that the host has run for longer than its start time says.
+// that it received. The start times are those of one VM, whose clock may have been set between them, so that they show it only
+// together with the host's first heartbeat.
 func (a *Agent) noteIncarnation(r host.Report) {
-	a.absences.setComplete(r.StartedAt > 0 && r.StartedAt+togetherSkew.Milliseconds() >= a.cfg.Incarnation && a.host.FirstSequence() <= maxFirstSequence)
+	a.absences.setComplete(r.StartedAt > 0 && r.StartedAt+togetherSkew.Milliseconds() >= a.cfg.Incarnation && a.host.FirstSequence() <= firstSequence)
+}
+
+// startedBeforeAgent reports whether the host failed to send its first heartbeat because the agent had not started. If its start time says
+// that it started after the agent, that isn't the reason, and an earlier process at this address may have given it flows.
+func (a *Agent) startedBeforeAgent(r host.Report) bool {
+	return a.host.FirstSequence() == firstSequence+1 && r.StartedAt <= a.cfg.Incarnation
 }
 
 // forgetFlow records that the agent removes its record of a flow that its host may still have, or may still answer. No
--- a/packetagent/absence_test.go
+++ b/packetagent/absence_test.go
@@ -53,6 +53,7 @@
 		"both started together":                         {agentStartedAt - 30, 1, flowabsence.Absent},
 		"the host started before":                       {agentStartedAt - 300, 1, flowabsence.Unknown},
 		"a host that has run for long, a stepped clock": {agentStartedAt + 5_000, 3, flowabsence.Unknown},
+		"an agent that restarted, a clock set right":    {agentStartedAt + 1_300, 2, flowabsence.Unknown},
 		"a host without a start time":                   {0, 1, flowabsence.Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/packetagent/hoststate.go
+++ b/packetagent/hoststate.go
@@ -77,11 +77,11 @@
 		a.endFlows("the host was replaced by another incarnation", previousHeartbeat, startedAt)
 		a.load.Reset()
 	}
-	startedRecently := a.host.FirstSequence() <= maxFirstSequence
-	if startedRecently && (known || r.StartedAt > a.cfg.Incarnation) {
+	sawStart := a.host.FirstSequence() <= firstSequence
+	if known && a.host.FirstSequence() <= firstSequence+1 || sawStart && r.StartedAt > a.cfg.Incarnation {
 		a.allFlowsKnown.Store(true)
 	}
-	a.startedTogether.Store(startedRecently && r.StartedAt+startSkew.Milliseconds() > a.cfg.Incarnation)
+	a.startedTogether.Store((sawStart || a.startedBeforeAgent(r)) && r.StartedAt+startSkew.Milliseconds() > a.cfg.Incarnation)
 }
 
 // HostLeft handles the notification of a host that it is shutting down. It returns errHostUncertain if the host may
--- a/packetagent/probe_test.go
+++ b/packetagent/probe_test.go
@@ -35,6 +35,16 @@
 	return func() int { return int(c.Get() - before) }
 }
 
+// Guards against flows that are not found, and reset by entries, after an agent restarted within seconds of its host's start: the host's clock
+// had been ahead then, so that the host seemed to have started after the agent.
+func TestFlowsOfHostWhoseClockWasAhead(t *testing.T) {
+	a := newTestAgent(t)
+	a.heartbeat("h", agentStartedAt+1_300, 2, host.Ready)
+	search := mesh.Message{Kind: mesh.KindSearch, Service: mesh.ServiceTag(service), Origin: entryIP, Step: mesh.StepAll, Body: packettest.Request(packettest.Key(1), 5, 10)}
+	a.Receive(search.Append(nil))
+	require.Len(t, a.takeSentToHost(), 1)
+}
+
 // Guards against a directory agent that gives its host packets of flows that it has no location of: the host gets packets of
 // flows that are open at others.
 func TestDirectoryAgentDoesNotProbeItsHost(t *testing.T) {
