watchduty: entries that rely on others ask the store in time

Ruled out: the entries that are cut off, whose watches end after 2.2 s, and the reports, by which the entry knew the age of the last answer.

The first entry of a zone that relies on others asks 2 s after the last known answer, each further one 0.2 s later. An answer ends its duty, where it watched for 5 s before.

--- a/watchduty/duty.go
+++ b/watchduty/duty.go
@@ -11,16 +11,16 @@
 	// WatchersPerZone is the number of entries of an availability zone that watch. The second one covers the
 	// restart of the first.
 	WatchersPerZone = 2
-	// maxAge is the time since the last known answer of the store after which an entry that relies on others begins
-	// to watch, plus a part of maxAgeSpread that differs between entries. A watch without changes answers within
-	// about 1.5 s, and word of it reaches most entries within a second.
-	maxAge       = 3 * time.Second
-	maxAgeSpread = 1500 * time.Millisecond
+	// maxAge is the time since the last known answer of the store after which the first entry of a zone that relies on others asks
+	// the store itself; each further one gives the one before it maxAgeStep, up to maxAgeSpread in all. A watch without changes answers
+	// within about 1.5 s, and word of it reaches most entries within a fraction of a second. A change that followed the last
+	// answer has to be in force 3 s later.
+	maxAge       = 2 * time.Second
+	maxAgeStep   = 200 * time.Millisecond
+	maxAgeSpread = 2500 * time.Millisecond
 	// settleTime is the time after its start in which an entry isn't elected: it has not heard of all entries of its zone
 	// yet.
 	settleTime = 1500 * time.Millisecond
-	// minStint is the time for which an entry watches that wasn't elected.
-	minStint = 5 * time.Second
 )
 
 // Config configures a Duty.
@@ -44,8 +44,6 @@
 	// Guarded by mu.
 	lastAnswer time.Duration
 	answered   bool
-	// stintEnd is the end of the minimum time for which the entry watches. Guarded by mu.
-	stintEnd time.Duration
 }
 
 // New returns the duty of an entry that knows of no answer of the store.
@@ -70,34 +68,33 @@
 }
 
 // Watches reports whether the entry watches the store now: it is one of the elected ones, it knows of no answer of the
-// store, or the others get none.
+// store, or the others get none. In the last case, an answer ends its duty until the others have got none for as long again: it
+// reads the store now and then.
 func (d *Duty) Watches() bool {
-	now := d.cfg.Now()
-	if now-d.started >= settleTime && d.isElected() {
+	now, before := d.cfg.Now(), d.entriesBefore()
+	if now-d.started >= settleTime && before < WatchersPerZone {
 		return true
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if now >= d.stintEnd && now-d.lastAnswer > maxAge+d.ageSpread() {
-		d.stintEnd = now + minStint
-	}
-	return !d.answered || now < d.stintEnd
+	return !d.answered || now-d.lastAnswer > ageLimit(before)
 }
 
-// isElected reports whether the entry is among the first of its zone, in an order that all entries agree on.
-func (d *Duty) isElected() bool {
+// entriesBefore returns the number of entries of the zone that come before this one, in an order that all entries agree on.
+func (d *Duty) entriesBefore() int {
 	before := 0
 	for _, ip := range d.cfg.Peers() {
 		if ip != d.cfg.IP && rank(ip) < rank(d.cfg.IP) {
 			before++
 		}
 	}
-	return before < WatchersPerZone
+	return before
+}
+
+// ageLimit returns the age of the last known answer from which an entry asks the store itself that comes after a number of others.
+func ageLimit(before int) time.Duration {
+	return maxAge + min(time.Duration(max(before-WatchersPerZone, 0))*maxAgeStep, maxAgeSpread)
 }
 
 // rank orders entries. The order says nothing about their addresses, which follow the order in which VMs are set up.
 func rank(ip uint32) uint64 { return flow.Mix(uint64(ip)) }
-
-func (d *Duty) ageSpread() time.Duration {
-	return time.Duration(rank(d.cfg.IP) % uint64(maxAgeSpread))
-}
--- a/watchduty/duty_test.go
+++ b/watchduty/duty_test.go
@@ -151,3 +151,32 @@
 	now = 2 * time.Second
 	require.True(t, d.Watches(), "it is the only entry")
 }
+
+// Guards against an entry that keeps an old configuration for longer than allowed, because it waits for an answer of the store to those that
+// watch for it and are cut off, while it could reach the store itself.
+func TestRelyingEntryAsksInTime(t *testing.T) {
+	const inForce, poll = 3 * time.Second, 250 * time.Millisecond
+	const entries = 5
+	var ips []uint32
+	for ip := range uint32(entries) {
+		ips = append(ips, ip+1)
+	}
+	now, relying := time.Duration(0), 0
+	for _, ip := range ips {
+		now = 0
+		d := watchduty.New(watchduty.Config{IP: ip, Now: func() time.Duration { return now }, Peers: func() []uint32 { return ips }})
+		d.Answered(0)
+		now = 10 * time.Second
+		if d.Answered(0); d.Watches() {
+			continue
+		}
+		relying++
+		now += 1900 * time.Millisecond
+		require.False(t, d.Watches(), "those that watch have time to answer")
+		now += inForce - 1900*time.Millisecond - 2*poll
+		require.True(t, d.Watches())
+		d.Answered(0)
+		require.False(t, d.Watches(), "one answer is enough")
+	}
+	require.Equal(t, entries-watchduty.WatchersPerZone, relying)
+}
