packetnode: a configuration older than the store's history is watched with pauses

The watch continued from the revision of the object; if the store's history doesn't go back to it, the watch is refused, and the next read gives the same revision.

Ruled out: the route record, with 15 calls by a log line for each call.

The entry lists the configuration's kind, and watches from the revision of the store in the list.

Before, TestWatchOfConfigurationOlderThanTheHistory failed:

"306" is not less than or equal to "3"

--- a/packetnode/config.go
+++ b/packetnode/config.go
@@ -182,38 +182,47 @@
 	}
 }
 
-// watch reads the configuration and watches it for changes until a call fails or the duty ends, which is no error.
+// watch reads the configuration and watches it for changes until a call fails or the duty ends, which is no error. The watch continues
+// from the revision of the store that the list was read at: that of the object may be older than the store's history.
 func (u *configUpdater) watch(ctx context.Context, onSuccess func()) error {
-	o, err := u.store.Get(ctx, platform.RoutesKey)
-	if errors.Is(err, errors.NotFound) {
-		// There is no configuration yet. Only the entries on duty ask again.
-		u.duty.Answered(0)
-	}
+	l, err := u.store.List(ctx, platform.RoutesPrefix, platform.Current)
 	if err != nil {
 		return fmt.Errorf("reading the configuration: %w", err)
 	}
+	if !u.applyListed(l) {
+		// There is no configuration yet. Only the entries on duty ask again.
+		u.duty.Answered(0)
+		return fmt.Errorf("reading the configuration: %w", errors.NotFoundf("object %s", platform.RoutesKey))
+	}
 	onSuccess()
 	u.logStoreRegained()
 	if u.watching != nil {
 		u.watching()
 	}
-	u.applyObject(o)
-	for after := (platform.Listing{Revision: o.Version, Era: o.Era}); u.duty.Watches(); {
+	for after := l; u.duty.Watches(); {
 		l, err := u.store.Watch(ctx, platform.RoutesPrefix, after)
 		if err != nil {
 			return fmt.Errorf("watching the configuration: %w", err)
 		}
 		onSuccess()
-		for _, o := range l.Objects {
-			if o.Key == platform.RoutesKey {
-				u.applyObject(o)
-			}
-		}
+		u.applyListed(l)
 		after = l
 	}
 	return nil
 }
 
+// applyListed applies the configuration among listed objects, and reports whether there is one.
+func (u *configUpdater) applyListed(l platform.Listing) bool {
+	found := false
+	for _, o := range l.Objects {
+		if o.Key == platform.RoutesKey {
+			u.applyObject(o)
+			found = true
+		}
+	}
+	return found
+}
+
 // applyObject applies an object of the store. If it can't be decoded, the last valid configuration stays in
 // force.
 func (u *configUpdater) applyObject(o platform.Object) {
--- a/packetnode/config_test.go
+++ b/packetnode/config_test.go
@@ -57,6 +57,37 @@
 	})
 }
 
+// Guards against an entry that reads and watches the configuration again and again without a pause, as its last change is older than the
+// store's history.
+func TestWatchOfConfigurationOlderThanTheHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.NewPlatform(standin.PlatformConfig{KeepChanges: 2})
+		operator := newStoreClient(t, store)
+		base, err := operator.Put(t.Context(), platform.RoutesKey, []byte(`{"version":1,"routes":[]}`), 0)
+		require.NoError(t, err)
+		for n := range 5 {
+			_, err := operator.Put(t.Context(), fmt.Sprintf("other/%d", n), []byte(`{}`), 0)
+			require.NoError(t, err)
+		}
+		var routes routing.Holder
+		updater := newConfigUpdater(configUpdater{
+			routes: &routes, store: newStoreClient(t, store), log: eventlog.New(eventlog.Config{Out: io.Discard}), applied: func() {},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := updater.followStore(ctx, soleEntry())
+		time.Sleep(30 * time.Second)
+		calls := store.Calls()
+		require.LessOrEqual(t, calls["get"]+calls["list"], uint64(3))
+		require.LessOrEqual(t, calls["watch"], uint64(30*time.Second/watchWait+3))
+		_, err = operator.Put(t.Context(), platform.RoutesKey, []byte(`{"version":2,"routes":[]}`), base)
+		require.NoError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		require.EqualValues(t, 2, routes.Version())
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
+
 // newStoreClient returns a client of a stand-in store with the time limits of processes.
 func newStoreClient(t *testing.T, store *standin.Platform) *platform.Client {
 	t.Helper()
