soak: a route that moves, and times of sending for what a configuration allows

The soak led no route to another service. A third route now moves from one service to the other and back, beside restarts and failures of all processes; its flows may open at both, and 3 s after a move at the new one only.

The check of removed routes counted from when a packet reached a host. The check now takes the time of sending of that very packet; a packet sent too late still fails it.

--- a/cmd/endiveflow/soak.go
+++ b/cmd/endiveflow/soak.go
@@ -23,6 +23,7 @@
 	NoSeries       bool          `help:"Leave out rolling restarts, series of reloads, and hosts that join and leave."`
 	NoEvacuations  bool          `help:"Leave out evacuations of zones."`
 	NoMassFailures bool          `help:"Leave out failures of all processes, or of all hosts and processes, at once."`
+	NoMoves        bool          `help:"Leave out a route that is led from one service to another and back."`
 	Keep           string        `help:"Directory that keeps the settings and logs of failed runs." type:"path"`
 }
 
@@ -67,7 +68,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Program: c.Program, FormerProgram: c.Former, Dir: dir, Seed: seed, FaultTime: c.Time, Entries: c.Entries, Hosts: c.Hosts, FlowsPerSecond: c.Flows, Restores: true, Series: !c.NoSeries,
-		Evacuations: !c.NoEvacuations, MassFailures: !c.NoMassFailures,
+		Evacuations: !c.NoEvacuations, MassFailures: !c.NoMassFailures, Moves: !c.NoMoves,
 	})
 	if err != nil {
 		return false, fmt.Errorf("running the soak: %w", err)
--- a/soak/check.go
+++ b/soak/check.go
@@ -77,21 +77,28 @@
 	}
 }
 
-// checkOpened checks a flow newly opened at a host. h.mu is held.
-func (r *run) checkOpened(h *host, key flow.Key) {
+// checkOpened checks a flow newly opened at a host by a packet. What a configuration allows is judged by when the caller sent the packet:
+// a process that was paused passes it on later. h.mu is held.
+func (r *run) checkOpened(h *host, key flow.Key, packet []byte) {
 	r.mu.Lock()
 	r.report.Opened++
-	droppedAt := r.routeDroppedAt
+	configured, droppedAt, movedAt, sentAt := r.configured, r.routeDroppedAt, r.routeMovedAt, r.sentPackets[withoutMarks(packet)]
 	r.mu.Unlock()
-	if h.service != packettest.FirstService {
+	if key.Service != movedRouteAddr && h.service != packettest.FirstService {
 		r.fail("flow %s was opened at service %s", key, h.service)
 	}
 	undisturbed := h.agent.undisturbedFor(undisturbedTime)
 	if !h.drainAckedAt.IsZero() && time.Since(h.drainAckedAt) > maxDrainDelay && undisturbed {
 		r.fail("flow %s was opened at host %s, %s after its drain was acknowledged", key, h.ip, time.Since(h.drainAckedAt))
 	}
-	if key.Service == toggledRouteAddr && !droppedAt.IsZero() && time.Since(droppedAt) > maxConfigDelay && undisturbed && r.storeAndEntriesUndisturbed() {
-		r.fail("flow %s was opened on a route removed %s earlier", key, time.Since(droppedAt))
+	if !undisturbed || !r.storeAndEntriesUndisturbed() {
+		return
+	}
+	if since := sentAt.Sub(droppedAt); key.Service == toggledRouteAddr && !droppedAt.IsZero() && since > maxConfigDelay {
+		r.fail("flow %s was opened on a route removed %s before its packet was sent", key, since)
+	}
+	if since := sentAt.Sub(movedAt); key.Service == movedRouteAddr && h.service != configured.movedService && since > maxConfigDelay {
+		r.fail("flow %s was opened at service %s, which its route left %s before its packet was sent", key, h.service, since)
 	}
 }
 
--- a/soak/config.go
+++ b/soak/config.go
@@ -21,7 +21,7 @@
 	// an upgrade. "" means that all run Program.
 	FormerProgram string
 	// Entries and Hosts are the numbers of processes. A quarter of the hosts, but at least one, belong to a
-	// second service, which must receive no flows.
+	// second service, which must receive no flows but those of the route that Moves adds.
 	Entries, Hosts int
 	// Restores adds restores of the store from older copies to the faults.
 	Restores bool
@@ -32,6 +32,8 @@
 	Evacuations bool
 	// MassFailures adds failures of all processes at once, with and without their hosts, to the faults.
 	MassFailures bool
+	// Moves adds a route that is led from one service to the other and back to the faults.
+	Moves bool
 	// FlowsPerSecond is the number of flows that callers open per second.
 	FlowsPerSecond int
 	// Out receives a line for each fault and failure; nil means none.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -45,7 +45,7 @@
 	}},
 	{"config", func(r *run, ctx context.Context) (string, func()) {
 		withToggled := r.random.IntN(2) == 0
-		if err := r.configure(ctx, withToggled); err != nil {
+		if err := r.toggle(ctx, withToggled); err != nil {
 			// The store is unavailable and refused the change.
 			return "configuration change refused", func() {}
 		}
--- a/soak/host.go
+++ b/soak/host.go
@@ -181,7 +181,7 @@
 			f = &hostFlow{initialSeq: rand.Uint32(), expected: s.Seq + 1}
 			f.next = f.initialSeq + 1
 			h.flows[s.Key] = f
-			h.run.checkOpened(h, s.Key)
+			h.run.checkOpened(h, s.Key, packet)
 		}
 		if !f.ended {
 			h.send(packettest.Accept(s.Key, f.initialSeq))
--- a/soak/run.go
+++ b/soak/run.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -45,34 +44,29 @@
 	report Report
 	// inRotation holds the entries that passed their readiness checks.
 	inRotation []*process
-	// sentPackets holds the packets that callers sent, without the fields that the system writes; lastEntries the
+	// sentPackets holds the packets that callers sent and when, without the fields that the system writes; lastEntries the
 	// entry that each flow's last one went to.
-	sentPackets map[string]struct{}
+	sentPackets map[string]time.Time
 	lastEntries map[flow.Key]*process
 	// open holds the open flows whose route has not been removed.
 	open map[flow.Key]*openFlow
 	// joined holds the hosts that joined during the run, with those that left.
 	joined []*host
-	// configVersion is the version of the configuration written last, withToggled whether it has the toggled route.
+	// configVersion is the version of the configuration written last, configured what it has.
 	configVersion uint64
-	withToggled   bool
+	configured    configuration
 	// evacuated is the current evacuation, nil if there is none. storeChangedAt is when the state of the store or of the
 	// connections to it last changed, allKilledAt when all processes were last killed.
 	evacuated                   *evacuation
 	storeChangedAt, allKilledAt time.Time
-	// routeDroppedAt is when the toggled route was removed; zero while it exists.
-	routeDroppedAt time.Time
+	// routeDroppedAt is when the toggled route was removed; zero while it exists. routeMovedAt is when the moved route was last led to
+	// another service.
+	routeDroppedAt, routeMovedAt time.Time
 }
 
-// Addresses of the routes: one that always exists and one that is added and removed during the run.
-var (
-	stableRouteAddr  = packettest.Key(0).Service
-	toggledRouteAddr = flow.Endpoint{IP: stableRouteAddr.IP + 1, Port: stableRouteAddr.Port}
-)
-
 // Run executes a soak run and returns its report. Violated guarantees are in the report, not in the error.
 func Run(ctx context.Context, cfg Config) (Report, error) {
-	r := &run{cfg: cfg.withDefaults(), sentPackets: make(map[string]struct{}), lastEntries: make(map[flow.Key]*process), open: make(map[flow.Key]*openFlow)}
+	r := &run{cfg: cfg.withDefaults(), sentPackets: make(map[string]time.Time), lastEntries: make(map[flow.Key]*process), open: make(map[flow.Key]*openFlow)}
 	r.random = rand.New(rand.NewPCG(r.cfg.Seed, 0))
 	// A random network separates concurrent runs on one machine.
 	r.network = [2]byte{byte(16 + rand.IntN(200)), byte(rand.IntN(256))}
@@ -108,7 +102,7 @@
 	}
 	context.AfterFunc(ctx, func() { _ = r.proxy.listener.Close() })
 	r.parts = append(r.parts, r.proxy.serve(ctx))
-	if err := r.configure(ctx, true); err != nil {
+	if err := r.configure(ctx, configuration{withToggled: true, movedService: packettest.FirstService}); err != nil {
 		return err
 	}
 	if err := r.storeMalformedObjects(ctx); err != nil {
@@ -171,39 +165,6 @@
 	return nil
 }
 
-// configure writes the next version of the configuration, with or without the toggled route.
-func (r *run) configure(ctx context.Context, withToggled bool) error {
-	o, err := r.client.Get(ctx, platform.RoutesKey)
-	version := o.Version
-	r.mu.Lock()
-	next := r.configVersion + 1
-	r.mu.Unlock()
-	text := fmt.Sprintf(`{"version":%d,"routes":[%s`, next, routeText("first", stableRouteAddr))
-	if withToggled {
-		text += "," + routeText("second", toggledRouteAddr)
-	}
-	text += `],"services":[],"limits":{"idleTimeoutMs":15000}}`
-	if err != nil {
-		version = 0
-	}
-	if _, err := r.client.Put(ctx, platform.RoutesKey, []byte(text), version); err != nil {
-		return fmt.Errorf("writing the configuration: %w", err)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if withToggled == r.withToggled && r.configVersion > 0 {
-		r.configVersion = next
-		return nil
-	}
-	r.configVersion, r.withToggled = next, withToggled
-	r.routeDroppedAt = time.Time{}
-	if !withToggled {
-		r.routeDroppedAt = time.Now()
-		maps.DeleteFunc(r.open, func(key flow.Key, _ *openFlow) bool { return key.Service == toggledRouteAddr })
-	}
-	return nil
-}
-
 // restoreStore brings the store back from a copy that lacks its last writes, and writes the configuration again
 // as the operator does. It reports whether that succeeded.
 func (r *run) restoreStore(ctx context.Context, lostWrites uint64) bool {
@@ -211,10 +172,7 @@
 	r.store.Restore(revision - min(lostWrites, revision))
 	r.setOutage(false)
 	for range restoreAttempts {
-		r.mu.Lock()
-		withToggled := r.withToggled
-		r.mu.Unlock()
-		if r.configure(ctx, withToggled) == nil && r.rewriteEvacuation(ctx) == nil {
+		if r.configure(ctx, r.currentConfiguration()) == nil && r.rewriteEvacuation(ctx) == nil {
 			return true
 		}
 		time.Sleep(restorePause)
@@ -229,11 +187,6 @@
 	restorePause    = 100 * time.Millisecond
 )
 
-func routeText(name string, at flow.Endpoint) string {
-	return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":"/%d/","type":"idempotent","timeoutMs":3000,"targetLatencyMs":250,"priority":1,"service":%q}`,
-		name, at.Addr(), at.Port, packettest.FirstService)
-}
-
 // maintainRotation checks the readiness of entries like the platform's routers: two failed checks take an
 // entry out of rotation.
 func (r *run) maintainRotation(ctx context.Context) <-chan error {
@@ -319,6 +272,9 @@
 	if r.cfg.MassFailures {
 		faults = append(faults, r.injectMassFailures(ctx))
 	}
+	if r.cfg.Moves {
+		faults = append(faults, r.injectMoves(ctx))
+	}
 	until := r.startedAt.Add(r.cfg.FaultTime + r.cfg.SettleTime)
 	ticker := time.NewTicker(time.Second / time.Duration(r.cfg.FlowsPerSecond))
 	defer ticker.Stop()
@@ -327,8 +283,11 @@
 		<-ticker.C
 		key := packettest.Key(n)
 		key.Caller.IP = flow.EndpointOf(netip.AddrPortFrom(c.ip, 0)).IP
-		if n%4 == 0 {
+		switch {
+		case n%4 == 0:
 			key.Service = toggledRouteAddr
+		case n%4 == 1 && r.cfg.Moves:
+			key.Service = movedRouteAddr
 		}
 		flows.Go(func() { c.runFlow(ctx, key, until) })
 	}
@@ -405,5 +364,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastEntries[key] = entry
-	r.sentPackets[withoutMarks(packet)] = struct{}{}
+	r.sentPackets[withoutMarks(packet)] = time.Now()
 }
--- a/soak/series.go
+++ b/soak/series.go
@@ -49,7 +49,7 @@
 				})
 			default:
 				// A change that the store refuses has no effect.
-				r.repeat(ctx, random, "configuration changes", func() { _ = r.configure(ctx, random.IntN(2) == 0) })
+				r.repeat(ctx, random, "configuration changes", func() { _ = r.toggle(ctx, random.IntN(2) == 0) })
 			}
 		}
 	})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,8 @@
 	// No failure in the past: evacuations, and failures of all processes with and without their hosts.
 	{"evacuations and mass failures", soak.Config{Seed: 8, Evacuations: true, MassFailures: true}},
 	{"restored store", soak.Config{Seed: 2, Restores: true}},
+	// No failure in the past: a route that moves between two services while all processes are killed.
+	{"moved routes and mass failures", soak.Config{Seed: 43001, Moves: true, MassFailures: true, FlowsPerSecond: 100}},
 	// Entries asked the directory agents that rendezvous hashing gave after hosts had joined or left, which had not
 	// been told where the flow is. Agents that had just started gave its packets to their hosts.
 	{"hosts join during rolling restart of entries", soak.Config{
