placement, packetagent: a flow that was held before is served first

The offer says in a flag that the flow was held, and the next agent serves it before the others that it holds.

--- a/mesh/message.go
+++ b/mesh/message.go
@@ -182,6 +182,8 @@
 	// Resent reports whether the message is sent again: an offer of a flow that was offered before or whose
 	// opening packet is a retransmission, or a search that a directory agent forwarded.
 	Resent bool
+	// HandedOver reports whether an agent held the flow and offers it to others, as its host accepts no flows any more.
+	HandedOver bool
 	// Priority is the priority of the route; 0 is the most urgent.
 	Priority uint8
 	// TargetLatency is the time within which the caller wants its answer.
@@ -225,11 +227,12 @@
 	// flowAt is the offset of the flow, or of the service's digest.
 	flowAt = 20
 
-	flagMustTake = 1 << 0
-	flagResent   = 1 << 1
-	flagOpen     = 1 << 2
-	flagFaulty   = 1 << 3
-	flagLong     = 1 << 4
+	flagMustTake   = 1 << 0
+	flagResent     = 1 << 1
+	flagOpen       = 1 << 2
+	flagFaulty     = 1 << 3
+	flagLong       = 1 << 4
+	flagHandedOver = 1 << 5
 )
 
 // MaxBytes returns the maximum size of a message with a packet of the given size.
@@ -307,6 +310,9 @@
 	if m.Terms.LongFlows {
 		f |= flagLong
 	}
+	if m.Terms.HandedOver {
+		f |= flagHandedOver
+	}
 	return f
 }
 
@@ -322,7 +328,7 @@
 		Origin:        binary.BigEndian.Uint32(b[16:]),
 		Terms: Terms{
 			Current: b[32], Best: b[33], Priority: b[34],
-			MustTake: b[2]&flagMustTake != 0, Resent: b[2]&flagResent != 0, LongFlows: b[2]&flagLong != 0,
+			MustTake: b[2]&flagMustTake != 0, Resent: b[2]&flagResent != 0, LongFlows: b[2]&flagLong != 0, HandedOver: b[2]&flagHandedOver != 0,
 			BestLatency:        Millis(binary.BigEndian.Uint16(b[36:])),
 			TargetLatency:      Millis(binary.BigEndian.Uint16(b[38:])),
 			TypicalServiceTime: Millis(binary.BigEndian.Uint16(b[40:])),
--- a/mesh/message_test.go
+++ b/mesh/message_test.go
@@ -27,7 +27,7 @@
 			Terms: mesh.Terms{
 				Current: rapid.Uint8Range(0, count-1).Draw(t, "current"), Best: rapid.Uint8().Draw(t, "best"),
 				BestLatency: mesh.Millis(rapid.Uint16().Draw(t, "bestLatency")), MustTake: rapid.Bool().Draw(t, "mustTake"),
-				Resent: rapid.Bool().Draw(t, "resent"), Priority: rapid.Uint8().Draw(t, "priority"),
+				HandedOver: rapid.Bool().Draw(t, "handedOver"), Resent: rapid.Bool().Draw(t, "resent"), Priority: rapid.Uint8().Draw(t, "priority"),
 				TargetLatency:      mesh.Millis(rapid.Uint16().Draw(t, "target")),
 				TypicalServiceTime: mesh.Millis(rapid.Uint16().Draw(t, "typicalServiceTime")),
 				Waited:             mesh.Millis(rapid.Uint16().Draw(t, "waited")),
--- a/packetagent/offer.go
+++ b/packetagent/offer.go
@@ -144,6 +144,7 @@
 			return
 		}
 		if offer := a.removeHeld(key); offer != nil {
+			offer.message.Terms.HandedOver = true
 			a.decline(key, offer, why)
 		}
 	}
--- a/packettest/stop_test.go
+++ b/packettest/stop_test.go
@@ -50,7 +50,8 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := range uint64(3) {
+			// The last six had a request without an answer: its flow was held at a stopping agent, and again at the next one.
+			for _, seed := range []uint64{0, 1, 2, 4, 8, 18, 24, 41, 50} {
 				f := newLoadedFleet(seed, 5, 12)
 				class := requests(burst(500, 1100, 4*time.Second, 5*time.Second))
 				class.Retries = 0
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -102,7 +102,7 @@
 		h.admit(work, now)
 		return Take
 	}
-	h.held = append(h.held, heldFlow{key: key, work: work, priority: t.Priority, target: t.TargetLatency.Duration(), since: now - t.Waited.Duration()})
+	h.held = append(h.held, heldFlow{key: key, work: work, priority: t.Priority, target: t.TargetLatency.Duration(), since: now - t.Waited.Duration(), handedOver: t.HandedOver})
 	return Hold
 }
 
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -16,6 +16,8 @@
 	since  time.Duration
 	// work is the expected time of its request when the flow was queued.
 	work time.Duration
+	// handedOver reports whether another agent held the flow before.
+	handedOver bool
 }
 
 // queue holds flows in order of arrival.
@@ -24,6 +26,9 @@
 // target. So flows that can still meet their target are served first, and the others when there is room left.
 // Among the first, the newest of the same priority is served first: it has the most time left for a service time
 // above the mean. Among the others, it is the oldest, whose caller gives up first.
+//
+// A flow that another agent has handed over is served before all others: how long it was held there isn't known here, and its caller would
+// give up while it waits again for its turn.
 type queue []heldFlow
 
 // dequeue removes the flow to serve next; the queue must not be empty. requestDelay is the expected time
@@ -42,6 +47,8 @@
 func (f heldFlow) precedes(older heldFlow, now, requestDelay time.Duration) bool {
 	meets, olderMeets := f.meetsTarget(now, requestDelay), older.meetsTarget(now, requestDelay)
 	switch {
+	case f.handedOver != older.handedOver:
+		return f.handedOver
 	case meets != olderMeets:
 		return meets
 	case f.priority != older.priority:
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// Guards against callers that time out because their flows wait for their turn again at a second agent.
+func TestHandedOverFlowIsServedFirst(t *testing.T) {
+	h := busyHost(4)
+	decide(h, 1, 1, 0)
+	o := mesh.Terms{Best: 0, MustTake: true, HandedOver: true, Priority: 2, TargetLatency: mesh.MillisOf(150 * time.Millisecond), Waited: mesh.MillisOf(time.Second / 2)}
+	require.Equal(t, placement.Hold, h.Decide(flowKey(2), o, 1, 0).Action)
+	h.SetSlots(6)
+	for _, want := range []int{2, 1} {
+		key, ok := h.Dequeue(0)
+		require.True(t, ok)
+		require.Equal(t, flowKey(want), key)
+	}
+}
+
 // Guards against callers that time out although all can be served: at 1.5 times the capacity for a second, a
 // backlog of half a second of work builds up, and afterwards half of the capacity is free for it. When the
 // newest late flow was served first, those that had waited longest timed out.
