packetentry: few agents are all asked at once, as before

The search at the agents that came first when a flow opened delayed the one at all agents by a copy of the packet, also for services whose agents are hardly more.

--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -33,7 +33,7 @@
 	// once. Those that restarted give the packet to their hosts.
 	stepFirstAgents
 	// stepFormerFirst asks the agents that may have come first when the flow opened: others have joined since, or didn't take flows
-	// then. It is left out if these are the ones of the step before.
+	// then. It is left out if these are the ones of the step before, or if there are few others.
 	stepFormerFirst
 	// stepAllAgents asks all agents of these services.
 	stepAllAgents
@@ -233,8 +233,12 @@
 }
 
 // searchFormerFirst sends a search to the agents that may have come first when the flow opened, if there are others than those that come
-// first now and the budget allows it, and reports whether it did.
+// first now and the budget allows it, and reports whether it did. If all agents are few, it doesn't, as the search at all of them costs
+// hardly more.
 func (e *Entry) searchFormerFirst(s flow.Segment, m mesh.Message, route routing.Route) bool {
+	if len(e.searchedAgents(route, true)) <= maxFirstAgents {
+		return false
+	}
 	var first, agents []*agent
 	for _, service := range e.moved.servicesOf(route, e.cfg.Now()) {
 		first = e.roster.appendFirst(first, service, s.Key)
