packetentry, packetnode: searches and reports of large fleets cost less; former services leave the record

Reading the changes again: the step to the agents that came first when a flow opened ranked all agents before it looked at its budget, so that flows that no host has would cause that for each packet; a part is drawn first now. Reports sorted all changes of routes each time; they are sorted when they change. A restarted entry that found the record up to date didn't write it again once former services had no flows: TestRestartedEntryRemovesFormerServices.

--- a/packetentry/entry.go
+++ b/packetentry/entry.go
@@ -309,9 +309,10 @@
 	e.send(agent, &m)
 }
 
-// deliver sends a packet of a flow to an agent. service is that of the agent that took the flow, zero if it isn't known. An entry that has just started may hear of the flow before the agent's report arrives, and the address may
-// belong to an agent of another service since; then it returns false. An agent that doesn't have the flow returns the packet
-// with the step of the message, which is no step of a search that agents answer.
+// deliver sends a packet of a flow to an agent. service is that of the agent that took the flow, zero if it isn't known. An entry that has
+// just started may hear of the flow before the agent's report arrives, and the address may belong to an agent of another service since; then
+// it returns false. An agent that doesn't have the flow returns the packet with the step of the message, which is no step of a search that
+// agents answer.
 func (e *Entry) deliver(agent uint32, service mesh.ServiceID, packet []byte) bool {
 	if a := e.roster.agent(agent); a != nil {
 		current := a.serviceID()
--- a/packetentry/lookup_test.go
+++ b/packetentry/lookup_test.go
@@ -93,13 +93,12 @@
 		return r
 	}
 	servicesIn := func(e *packettest.Entry) (services []string, hasFormer bool) {
-		record, hasFormer := e.RouteRecord()
-		r, found := record.Find(at)
+		r, found := e.RouteRecord().Find(at)
 		require.True(t, found)
 		for _, s := range r.Shares {
 			services = append(services, s.Service)
 		}
-		return services, hasFormer
+		return services, e.HasFormerServices()
 	}
 	f, _ := newFleet(1, 1)
 	e := f.Entries[0]
--- a/packetentry/moved.go
+++ b/packetentry/moved.go
@@ -33,7 +33,9 @@
 	since map[flow.Endpoint]map[string]time.Duration
 	// count is the number of changes in since, at most maxMoved. Guarded by mu.
 	count int
-	// reported is the number of changes that reports have named. Guarded by mu.
+	// order holds the changes in order, nil after one was added or removed; reported is the number of changes that reports have named.
+	// Guarded by mu.
+	order    []movedRoute
 	reported int
 }
 
@@ -73,13 +75,20 @@
 	m.table.EachFormerService(record, func(at flow.Endpoint, service string) { m.add(movedRoute{at, service}, now) })
 }
 
-// record returns the routes with all services at which flows of theirs may be open, and whether there are others than those that the
-// routes lead to. It returns nil before the first table.
-func (m *movedRoutes) record(now time.Duration) (record *routing.Table, hasFormer bool) {
+// hasFormer reports whether flows may be open at services that their routes no longer lead to.
+func (m *movedRoutes) hasFormer(now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expire(now)
+	return m.count > 0
+}
+
+// record returns the routes with all services at which flows of theirs may be open, or nil before the first table.
+func (m *movedRoutes) record(now time.Duration) *routing.Table {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.table == nil {
-		return nil, false
+		return nil
 	}
 	m.expire(now)
 	routes := make([]routing.Route, 0, m.table.Len())
@@ -89,7 +98,6 @@
 			services = append(services, s.Service)
 		}
 		for service := range m.since[r.Endpoint] {
-			hasFormer = true
 			services = append(services, service)
 		}
 		slices.Sort(services)
@@ -99,7 +107,7 @@
 		}
 		routes = append(routes, recorded)
 	}
-	return routing.NewTable(m.table.Version, 0, routes), hasFormer
+	return routing.NewTable(m.table.Version, 0, routes)
 }
 
 // add adds a change, or updates the time of one that is known; m.mu must be held.
@@ -118,6 +126,7 @@
 	}
 	if !known {
 		m.count++
+		m.order = nil
 	}
 	m.since[r.at][r.service] = since
 }
@@ -129,6 +138,7 @@
 			if now-since >= maxFlowAge {
 				delete(services, service)
 				m.count--
+				m.order = nil
 			}
 		}
 		if len(services) == 0 {
@@ -163,16 +173,17 @@
 	if m.count == 0 {
 		return nil, nil
 	}
-	all := make([]movedRoute, 0, m.count)
-	for at, services := range m.since {
-		for service := range services {
-			all = append(all, movedRoute{at, service})
+	if m.order == nil {
+		for at, services := range m.since {
+			for service := range services {
+				m.order = append(m.order, movedRoute{at, service})
+			}
 		}
+		slices.SortFunc(m.order, compareMoved)
 	}
-	slices.SortFunc(all, compareMoved)
 	nameBytes := 0
-	for i := range min(len(all), maxReportedMoved) {
-		r := all[m.reported%len(all)]
+	for i := range min(len(m.order), maxReportedMoved) {
+		r := m.order[m.reported%len(m.order)]
 		if nameBytes += len(r.service); i > 0 && nameBytes > maxReportedNameBytes {
 			break
 		}
@@ -236,12 +247,12 @@
 // ConfigChanged is called after each newer configuration has been applied.
 func (e *Entry) ConfigChanged() { e.moved.update(e.cfg.Routes.Current(), e.cfg.Now()) }
 
-// RouteRecord returns the routes with all services at which flows of theirs may be open, for the route record in the store, and whether
-// there are others than those that the routes lead to. An entry that starts after a restart of all processes knows of former services
-// from the record only. It returns nil while there is no configuration.
-func (e *Entry) RouteRecord() (record *routing.Table, hasFormer bool) {
-	return e.moved.record(e.cfg.Now())
-}
+// RouteRecord returns the routes with all services at which flows of theirs may be open, for the route record in the store: an entry that
+// starts after a restart of all processes knows of former services from the record only. It returns nil while there is no configuration.
+func (e *Entry) RouteRecord() *routing.Table { return e.moved.record(e.cfg.Now()) }
+
+// HasFormerServices reports whether flows may be open at services that their routes no longer lead to.
+func (e *Entry) HasFormerServices() bool { return e.moved.hasFormer(e.cfg.Now()) }
 
 // RouteRecordRead is called with each route record that was read from the store.
 func (e *Entry) RouteRecordRead(record *routing.Table) { e.moved.noteRecord(record, e.cfg.Now()) }
--- a/packetentry/repeats.go
+++ b/packetentry/repeats.go
@@ -79,12 +79,18 @@
 
 // takeFirstAgents draws n datagrams of a search at the first agents from its budget, and reports whether they may be sent now.
 func (r *repeats) takeFirstAgents(n int) (draws, bool) {
-	return draws{firstAgents: int32(n)}, r.takeSearch(r.firstAgents, n)
+	if !r.takeSearch(r.firstAgents, n) {
+		return draws{}, false
+	}
+	return draws{firstAgents: int32(n)}, true
 }
 
 // takeAllAgents is takeFirstAgents for the steps that follow.
 func (r *repeats) takeAllAgents(n int) (draws, bool) {
-	return draws{allAgents: int32(n)}, r.takeSearch(r.allAgents, n)
+	if !r.takeSearch(r.allAgents, n) {
+		return draws{}, false
+	}
+	return draws{allAgents: int32(n)}, true
 }
 
 func (r *repeats) takeSearch(budget *retry.Budget, n int) bool {
@@ -95,12 +101,16 @@
 	return true
 }
 
+// putBack returns what was drawn and not used.
+func (r *repeats) putBack(d draws) {
+	r.firstAgents.Return(int(d.firstAgents))
+	r.allAgents.Return(int(d.allAgents))
+}
+
 // giveBack returns what a search drew that found its flow. Budgets bound the datagrams of searches that fail.
 func (r *repeats) giveBack(d draws) {
-	if d == (draws{}) {
-		return
+	if d != (draws{}) {
+		r.putBack(d)
+		foundSearches.Inc()
 	}
-	r.firstAgents.Return(int(d.firstAgents))
-	r.allAgents.Return(int(d.allAgents))
-	foundSearches.Inc()
 }
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -236,23 +236,31 @@
 // first now and the budget allows it, and reports whether it did. If all agents are few, it doesn't, as the search at all of them costs
 // hardly more.
 func (e *Entry) searchFormerFirst(s flow.Segment, m mesh.Message, route routing.Route) bool {
-	if len(e.searchedAgents(route, true)) <= maxFirstAgents {
+	services, count := e.moved.servicesOf(route, e.cfg.Now()), 0
+	for _, service := range services {
+		count += len(e.roster.serviceAgents(service))
+	}
+	if count <= maxFirstAgents {
+		return false
+	}
+	// A part is drawn before the agents are ranked, which takes time: flows that no host has must not cause it for each packet.
+	drawn, ok := e.repeats.takeAllAgents(mesh.MaxCandidates)
+	if !ok {
 		return false
 	}
 	var first, agents []*agent
-	for _, service := range e.moved.servicesOf(route, e.cfg.Now()) {
+	for _, service := range services {
 		first = e.roster.appendFirst(first, service, s.Key)
 		agents = e.roster.appendFormerFirst(agents, service, s.Key)
 	}
-	if !slices.ContainsFunc(agents, func(a *agent) bool { return !slices.Contains(first, a) }) {
-		return false
-	}
-	drawn, ok := e.repeats.takeAllAgents(len(agents))
-	if !ok {
+	hasOthers := slices.ContainsFunc(agents, func(a *agent) bool { return !slices.Contains(first, a) })
+	rest, ok := e.repeats.takeAllAgents(max(len(agents)-mesh.MaxCandidates, 0))
+	if !hasOthers || !ok {
+		e.repeats.putBack(drawn.add(rest))
 		return false
 	}
 	formerFirstSearches.Inc()
-	e.recordDraw(s, stepFormerFirst, drawn)
+	e.recordDraw(s, stepFormerFirst, drawn.add(rest))
 	e.logSearch(s, stepFormerFirst, len(agents), m.ConfigVersion)
 	m.Step = mesh.StepAll
 	for _, a := range agents {
--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -39,7 +39,8 @@
 	recorder := &routeRecorder{
 		store: b.store, log: b.log, onDuty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
 		version: b.routes.Version,
-		record:  func() (*routing.Table, bool) { return entry.RouteRecord() }, read: func(t *routing.Table) { entry.RouteRecordRead(t) },
+		record:  func() *routing.Table { return entry.RouteRecord() }, hasFormer: func() bool { return entry.HasFormerServices() },
+		read: func(t *routing.Table) { entry.RouteRecordRead(t) },
 		entriesBefore: func() int {
 			entries, _ := entry.ActivePeers()
 			return entriesBefore(b.ip(), entries)
--- a/packetnode/routerecord.go
+++ b/packetnode/routerecord.go
@@ -49,9 +49,10 @@
 	log   *eventlog.Log
 	// version returns the version of the current configuration.
 	version func() uint64
-	// record and read are Entry.RouteRecord and Entry.RouteRecordRead.
-	record func() (*routing.Table, bool)
-	read   func(*routing.Table)
+	// record, hasFormer and read are Entry.RouteRecord, Entry.HasFormerServices and Entry.RouteRecordRead.
+	record    func() *routing.Table
+	hasFormer func() bool
+	read      func(*routing.Table)
 	// entriesBefore returns the number of entries that write the record before this one.
 	entriesBefore func() int
 	// onDuty is signalled when the entry begins to watch the store, changed after each newer configuration and after a restore of the
@@ -193,19 +194,21 @@
 
 // update writes the record if it lacks services of the current configuration, or former ones.
 func (r *routeRecorder) update(ctx context.Context) error {
+	if !r.isCovered() {
+		if err := r.readOnce(ctx); err != nil {
+			return err
+		}
+	}
+	if r.known && r.expiry == nil && r.hasFormer() {
+		r.expiry = time.After(formerServiceAge + time.Duration(r.entriesBefore())*recordTurn)
+	}
 	if r.isCovered() {
 		return nil
 	}
-	if err := r.readOnce(ctx); err != nil {
-		return err
-	}
-	record, hasFormer := r.record()
+	record := r.record()
 	if record == nil {
 		return nil
 	}
-	if hasFormer && r.expiry == nil {
-		r.expiry = time.After(formerServiceAge)
-	}
 	if r.stored.LeadsWherever(record) {
 		r.recorded.note(r.era, record.Version)
 		return nil
@@ -218,11 +221,11 @@
 	if err := r.readOnce(ctx); err != nil {
 		return err
 	}
-	record, hasFormer := r.record()
+	record := r.record()
 	if record == nil {
 		return nil
 	}
-	if hasFormer {
+	if r.hasFormer() {
 		r.expiry = time.After(formerServiceAge)
 	}
 	if record.LeadsWherever(r.stored) && r.stored.LeadsWherever(record) {
--- a/packetnode/routerecord_test.go
+++ b/packetnode/routerecord_test.go
@@ -45,7 +45,15 @@
 	f := new(recorderFixture)
 	f.routeRecorder = &routeRecorder{
 		store: newStoreClient(t, store), log: eventlog.New(eventlog.Config{Out: io.Discard}), onDuty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		record: f.table, entriesBefore: func() int { return entriesBefore },
+		record: func() *routing.Table {
+			table, _ := f.table()
+			return table
+		},
+		hasFormer: func() bool {
+			_, hasFormer := f.table()
+			return hasFormer
+		},
+		entriesBefore: func() int { return entriesBefore },
 		version: func() uint64 {
 			table, _ := f.table()
 			return routing.VersionOf(table)
@@ -243,3 +251,22 @@
 		requireRecorded(t, store, "draws", "rota", "sheets")
 	})
 }
+
+// Guards against former services that stay in the record because the entry that wrote them ended.
+func TestRestartedEntryRemovesFormerServices(t *testing.T) {
+	runRecorders(t, func(t *testing.T, store *standin.Platform, start func(int) *recorderFixture) {
+		value, err := encodeRouteRecord(tableLeadingTo(1, "draws", "rota"))
+		require.NoError(t, err)
+		_, err = newStoreClient(t, store).Put(t.Context(), routeRecordKey, value, 0)
+		require.NoError(t, err)
+		f := start(0)
+		f.setTable(tableLeadingTo(1, "draws"), true)
+		signal(f.onDuty)
+		pass(time.Second)
+		signal(f.changed)
+		pass(2 * time.Second)
+		f.setTable(tableLeadingTo(1, "draws"), false)
+		pass(formerServiceAge)
+		requireRecorded(t, store, "draws")
+	})
+}
--- a/packettest/fleet.go
+++ b/packettest/fleet.go
@@ -282,7 +282,7 @@
 }
 
 // RecordRoutes writes the route record, as entries do after each change of the routes from now on.
-func (f *Fleet) RecordRoutes() { f.RouteRecord, _ = f.Entries[0].RouteRecord() }
+func (f *Fleet) RecordRoutes() { f.RouteRecord = f.Entries[0].RouteRecord() }
 
 // ChangeRoutes replaces the routes of all entries that run.
 func (f *Fleet) ChangeRoutes(routes ...routing.Route) {
@@ -293,7 +293,7 @@
 			e.routes.StoreIfNewer(f.table())
 			e.ConfigChanged()
 			if f.RouteRecord != nil {
-				f.RouteRecord, _ = e.RouteRecord()
+				f.RouteRecord = e.RouteRecord()
 			}
 		}
 	}
