--- a/packetnode/routerecord.go
+++ b/packetnode/routerecord.go
@@ -209,7 +209,7 @@
 	if record == nil {
 		return nil
 	}
-	if r.stored.LeadsWherever(record) {
+	if r.stored.Covers(record) {
 		r.recorded.note(r.era, record.Version)
 		return nil
 	}
@@ -228,7 +228,7 @@
 	if r.hasFormer() {
 		r.expiry = time.After(formerServiceAge)
 	}
-	if record.LeadsWherever(r.stored) && r.stored.LeadsWherever(record) {
+	if record.Covers(r.stored) && r.stored.Covers(record) {
 		return nil
 	}
 	return r.write(ctx, record)
--- a/routing/table.go
+++ b/routing/table.go
@@ -140,8 +140,8 @@
 	return maps.Values(t.routes)
 }
 
-// LeadsWherever reports whether each route of another table exists and leads to all services that it leads to there.
-func (t *Table) LeadsWherever(other *Table) bool {
+// Covers reports whether the table has each route of another one, leading to all services that it leads to there.
+func (t *Table) Covers(other *Table) bool {
 	for r := range other.All() {
 		own, exists := t.Find(r.Endpoint)
 		if !exists || slices.ContainsFunc(r.Shares, func(s Share) bool { return !own.leadsTo(s.Service) }) {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -62,3 +62,34 @@
 	require.False(t, h.StoreIfNewer(plain.WithWarmupRates(nil)))
 	require.EqualValues(t, 12, h.Current().WarmupRate("rota"))
 }
+
+// Guards against a route record that is taken for complete although it lacks a route, or a service of one.
+func TestCovers(t *testing.T) {
+	at := func(port uint16) flow.Endpoint { return flow.Endpoint{IP: 1, Port: port} }
+	tableOf := func(services ...[]string) *routing.Table {
+		var routes []routing.Route
+		for n, names := range services {
+			r := routing.Route{Endpoint: at(uint16(n))}
+			for _, name := range names {
+				r.Shares = append(r.Shares, routing.Share{Service: name, Weight: 1})
+			}
+			routes = append(routes, r)
+		}
+		return routing.NewTable(1, 0, routes)
+	}
+	var none *routing.Table
+	table := tableOf([]string{"a", "b"}, []string{"c"})
+	for name, c := range map[string]struct {
+		other *routing.Table
+		want  bool
+	}{
+		"the same":        {tableOf([]string{"b", "a"}, []string{"c"}), true},
+		"fewer services":  {tableOf([]string{"b"}), true},
+		"another service": {tableOf([]string{"a", "c"}), false},
+		"another route":   {tableOf([]string{"a"}, []string{"c"}, []string{"c"}), false},
+		"no table":        {none, true},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, table.Covers(c.other)) })
+	}
+	require.False(t, none.Covers(table))
+}
