config: the view indexes services by name

The fix for two services with one tag filtered objects in each look-up, and parsed the target of each exception again. The index was by tag, which is why the objects of two services mixed. It is by name now; a tag leads to its names, of which the first live one has it. Policies look their service up without a filter, and agents call ServiceNamed instead of a look-up of their own. Behaviour and tests are the same.

--- a/agent/requests.go
+++ b/agent/requests.go
@@ -69,11 +69,8 @@
 		Successor: successors.get,
 		Policy:    func() config.Policy { return dispatchPolicy(b, cfg.Settings.Service) },
 		Service: func() config.Service {
-			o, ok := b.Config.Get(config.Key{Kind: config.KindService, Name: cfg.Settings.Service})
-			if !ok || o.Deleted || o.Service == nil {
-				return config.Service{}
-			}
-			return *o.Service
+			service, _ := b.Config.ServiceNamed(cfg.Settings.Service)
+			return service
 		},
 		IssueKey:    func(k dispatch.Key) string { return keys.Issue(requestKey(tag, k)) },
 		ParseKey:    func(text string) (dispatch.Key, error) { return parseKey(keys, tag, text) },
--- a/config/effective.go
+++ b/config/effective.go
@@ -64,14 +64,10 @@
 			apply(o, s, value)
 		}
 	}
-	ix, _ := v.services.Get(TagOf(service))
+	ix, _ := v.services.Get(service)
 	onHost, _ := v.hosts.Get(host)
 	for _, list := range [][]Object{ix.exceptions, onHost} {
 		for _, o := range list {
-			if target, err := ParseTarget(o.Exception.Target); err == nil && target.Service != "" && target.Service != service {
-				// The tag of the target is that of the service.
-				continue
-			}
 			if !o.Deleted {
 				apply(o, o.Exception.Setting, o.Exception.Value)
 			}
--- a/config/index.go
+++ b/config/index.go
@@ -72,9 +72,9 @@
 func (v *View) updateIndex(o Object, change func([]Object) []Object) {
 	switch {
 	case o.Service != nil:
-		v.updateService(TagOf(o.Name), func(ix *serviceIndex) { ix.service = change(ix.service) })
+		v.updateService(o.Name, func(ix *serviceIndex) { ix.service = change(ix.service) })
 	case o.Upstream != nil:
-		v.updateService(TagOf(o.Upstream.Service), func(ix *serviceIndex) { ix.upstreams = change(ix.upstreams) })
+		v.updateService(o.Upstream.Service, func(ix *serviceIndex) { ix.upstreams = change(ix.upstreams) })
 	case o.Exception != nil:
 		v.updateExceptions(o, change)
 	}
@@ -86,15 +86,22 @@
 		return
 	}
 	if target.Service != "" {
-		v.updateService(TagOf(target.Service), func(ix *serviceIndex) { ix.exceptions = change(ix.exceptions) })
+		v.updateService(target.Service, func(ix *serviceIndex) { ix.exceptions = change(ix.exceptions) })
 		return
 	}
 	v.hosts.Update(target.Host, func(old []Object, _ bool) ([]Object, bool) { return change(old), true })
 }
 
-func (v *View) updateService(tag ServiceTag, change func(*serviceIndex)) {
-	v.services.Update(tag, func(old serviceIndex, _ bool) (serviceIndex, bool) {
+func (v *View) updateService(name string, change func(*serviceIndex)) {
+	v.services.Update(name, func(old serviceIndex, _ bool) (serviceIndex, bool) {
 		change(&old)
 		return old, true
 	})
+	v.names.Update(TagOf(name), func(old []string, _ bool) ([]string, bool) {
+		at, known := slices.BinarySearch(old, name)
+		if known {
+			return old, false
+		}
+		return slices.Insert(slices.Clone(old), at, name), true
+	})
 }
--- a/config/view.go
+++ b/config/view.go
@@ -20,8 +20,11 @@
 	// mu serializes Apply, so that the indexes change in the same order as the objects.
 	mu      sync.Mutex
 	objects *board.Section[Key, Object]
-	// services indexes objects by service; its values are immutable.
-	services *board.Section[ServiceTag, serviceIndex]
+	// services indexes objects by the name of their service; its values are immutable.
+	services *board.Section[string, serviceIndex]
+	// names holds the names of services by tag, in order; its values are immutable. Validation rejects a second service with a tag, but
+	// two operators may apply one each at the same time; the first live one has the tag then.
+	names *board.Section[ServiceTag, []string]
 	// hosts indexes exceptions by host; its values are immutable.
 	hosts *board.Section[netip.Addr, []Object]
 	// digest is the sum of the digests of the objects, see DigestOf.
@@ -29,9 +32,8 @@
 	version atomic.Uint64
 }
 
-// serviceIndex holds the objects of the service with a tag. It includes deleted objects, as agents must learn of deletions;
-// lookups skip them. Validation rejects a second service with the tag, but two operators may apply one each at the same time; lookups skip
-// the objects of all but one then.
+// serviceIndex holds the objects of one service. It includes deleted objects, as agents must learn of deletions;
+// lookups skip them.
 type serviceIndex struct {
 	// service is empty while only upstreams or exceptions name the service.
 	service    []Object
@@ -39,28 +41,20 @@
 	exceptions []Object
 }
 
-// liveService returns the service object, unless it is unknown or deleted. Of two services, it is the first one by name, so that all
-// processes return the same one.
-func (ix serviceIndex) liveService() (found Object, ok bool) {
-	for _, o := range ix.service {
-		if !o.Deleted && (!ok || o.Name < found.Name) {
-			found, ok = o, true
-		}
+// liveService returns the service object, unless it is unknown or deleted.
+func (ix serviceIndex) liveService() (Object, bool) {
+	if len(ix.service) == 0 || ix.service[len(ix.service)-1].Deleted {
+		return Object{}, false
 	}
-	return found, ok
-}
-
-// owns reports whether objects that name a service count: it is the live one, or there is none.
-func (ix serviceIndex) owns(service string) bool {
-	live, ok := ix.liveService()
-	return !ok || live.Name == service
+	return ix.service[len(ix.service)-1], true
 }
 
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
 		objects:  board.NewSection[Key, Object](board.Config[Key]{Hash: Key.Hash}),
-		services: board.NewSection[ServiceTag, serviceIndex](board.Config[ServiceTag]{Hash: func(t ServiceTag) uint64 { return uint64(t) }}),
+		services: board.NewSection[string, serviceIndex](board.Config[string]{Hash: xxhash.Sum64String}),
+		names:    board.NewSection[ServiceTag, []string](board.Config[ServiceTag]{Hash: func(t ServiceTag) uint64 { return uint64(t) }}),
 		hosts:    board.NewSection[netip.Addr, []Object](board.Config[netip.Addr]{Hash: hashAddr}),
 	}
 }
@@ -110,12 +104,12 @@
 	return out
 }
 
-// Services returns the live services by name.
+// Services returns the live services by name, one for each tag.
 func (v *View) Services() map[string]Service {
 	out := make(map[string]Service)
-	for _, ix := range v.services.Snapshot() {
-		if o, ok := ix.liveService(); ok {
-			out[o.Name] = *o.Service
+	for tag := range v.names.Snapshot() {
+		if name, service, ok := v.Service(tag); ok {
+			out[name] = service
 		}
 	}
 	return out
@@ -123,20 +117,37 @@
 
 // Service returns the name and the specification of the live service with a tag.
 func (v *View) Service(tag ServiceTag) (string, Service, bool) {
-	ix, _ := v.services.Get(tag)
+	names, _ := v.names.Get(tag)
+	for _, name := range names {
+		if service, ok := v.ServiceNamed(name); ok {
+			return name, service, true
+		}
+	}
+	return "", Service{}, false
+}
+
+// ServiceNamed returns the specification of the live service with a name.
+func (v *View) ServiceNamed(name string) (Service, bool) {
+	ix, _ := v.services.Get(name)
 	o, ok := ix.liveService()
 	if !ok {
-		return "", Service{}, false
+		return Service{}, false
 	}
-	return o.Name, *o.Service, true
+	return *o.Service, true
 }
 
 // AllowsHost reports whether a network of an Upstream of the service contains the host.
 func (v *View) AllowsHost(tag ServiceTag, host netip.Addr) bool {
-	ix, _ := v.services.Get(tag)
-	for _, o := range ix.upstreams {
-		if !o.Deleted && ix.owns(o.Upstream.Service) && o.Upstream.Contains(host) {
-			return true
+	names, _ := v.names.Get(tag)
+	if live, _, ok := v.Service(tag); ok {
+		names = []string{live}
+	}
+	for _, name := range names {
+		ix, _ := v.services.Get(name)
+		for _, o := range ix.upstreams {
+			if !o.Deleted && o.Upstream.Contains(host) {
+				return true
+			}
 		}
 	}
 	return false
@@ -156,13 +167,18 @@
 // and exceptions, Defaults, and the exceptions of hosts in its networks. Deleted objects are included, so that
 // the agent learns of deletions. Views with the same objects return the same list.
 func (v *View) ObjectsFor(tag ServiceTag) []Object {
-	ix, _ := v.services.Get(tag)
-	out := slices.Concat(ix.service, ix.upstreams, ix.exceptions)
+	var out, upstreams []Object
+	names, _ := v.names.Get(tag)
+	for _, name := range names {
+		ix, _ := v.services.Get(name)
+		out = slices.Concat(out, ix.service, ix.upstreams, ix.exceptions)
+		upstreams = append(upstreams, ix.upstreams...)
+	}
 	if o, ok := v.Get(Key{Kind: KindDefaults, Name: DefaultsName}); ok {
 		out = append(out, o)
 	}
 	for host, exceptions := range v.hosts.Snapshot() {
-		if slices.ContainsFunc(ix.upstreams, func(o Object) bool { return o.Upstream.Contains(host) }) {
+		if slices.ContainsFunc(upstreams, func(o Object) bool { return o.Upstream.Contains(host) }) {
 			out = append(out, exceptions...)
 		}
 	}
