packetnode, watchduty: one order of entries

The route recorder counted the entries before its own in a copy of the order by which entries watch the store; it calls watchduty.EntriesBefore now. It is built after the entry, of whose methods it then needs no wrappers.

--- a/packetnode/entry.go
+++ b/packetnode/entry.go
@@ -10,7 +10,6 @@
 	"endiveflow.example/endiveflow/mesh"
 	"endiveflow.example/endiveflow/packetentry"
 	"endiveflow.example/endiveflow/platform"
-	"endiveflow.example/endiveflow/routing"
 	"endiveflow.example/endiveflow/watchduty"
 )
 
@@ -36,16 +35,7 @@
 	discovered, stateChanged := make(chan uint32, 64), make(chan uint32, 64)
 	var entry *packetentry.Entry
 	duties := newStoreDuties(watchduty.Config{IP: b.ip(), Now: b.now, Peers: func() []uint32 { return entry.ZonePeers() }})
-	recorder := &routeRecorder{
-		store: b.store, log: b.log, onDuty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		version: b.routes.Version,
-		record:  func() *routing.Table { return entry.RouteRecord() }, hasFormer: func() bool { return entry.HasFormerServices() },
-		read: func(t *routing.Table) { entry.RouteRecordRead(t) },
-		entriesBefore: func() int {
-			entries, _ := entry.ActivePeers()
-			return entriesBefore(b.ip(), entries)
-		},
-	}
+	recorded := new(recordedVersion)
 	entry = packetentry.New(packetentry.Config{
 		IP: b.ip(), Zone: s.Zone, Incarnation: time.Now().UnixMilli(), Now: b.now, Routes: &b.routes, Log: b.log,
 		LinkBytesPerSecond: s.LinkBytesPerSecond, CPUShare: s.CPUShare,
@@ -59,9 +49,17 @@
 			}
 		},
 		Evacuations: &b.evacuations, EvacuationsReported: b.noteEvacuations, Membership: b.members.membership, JoinOrder: b.members.joinOrder,
-		RecordedVersion: func() uint64 { return recorder.recorded.in(b.store.Era()) }, VersionRecorded: recorder.recorded.note,
+		RecordedVersion: func() uint64 { return recorded.in(b.store.Era()) }, VersionRecorded: recorded.note,
 		PeerDiscovered: enqueue(discovered), StateChanged: enqueue(stateChanged),
 	})
+	recorder := &routeRecorder{
+		store: b.store, log: b.log, version: b.routes.Version, record: entry.RouteRecord, hasFormer: entry.HasFormerServices, read: entry.RouteRecordRead,
+		entriesBefore: func() int {
+			entries, _ := entry.ActivePeers()
+			return watchduty.EntriesBefore(b.ip(), entries)
+		},
+		onDuty: make(chan struct{}, 1), changed: make(chan struct{}, 1), recorded: recorded,
+	}
 	var lastCallerPacket atomic.Int64
 	b.parts.add("callers", receive(callerConn, func(packet []byte) {
 		lastCallerPacket.Store(int64(b.now()))
--- a/packetnode/routerecord.go
+++ b/packetnode/routerecord.go
@@ -11,7 +11,6 @@
 	"github.com/juju/errors"
 
 	"endiveflow.example/endiveflow/eventlog"
-	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/platform"
 	"endiveflow.example/endiveflow/routing"
 )
@@ -58,7 +57,8 @@
 	// onDuty is signalled when the entry begins to watch the store, changed after each newer configuration and after a restore of the
 	// store.
 	onDuty, changed chan struct{}
-	recorded        recordedVersion
+	// recorded is what this entry and others know of the record.
+	recorded *recordedVersion
 
 	// The fields below are used only by the goroutine of run. base is the object that was read or written last, 0 if there was none,
 	// stored its table; both hold for era if known is set.
@@ -99,17 +99,6 @@
 	return v.version
 }
 
-// entriesBefore returns the number of entries that come before an address in the order of ranks.
-func entriesBefore(ip uint32, entries []uint32) int {
-	before := 0
-	for _, other := range entries {
-		if other != ip && flow.Mix(uint64(other)) < flow.Mix(uint64(ip)) {
-			before++
-		}
-	}
-	return before
-}
-
 // run maintains the record until ctx ends.
 func (r *routeRecorder) run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
--- a/packetnode/routerecord_test.go
+++ b/packetnode/routerecord_test.go
@@ -45,6 +45,7 @@
 	f := new(recorderFixture)
 	f.routeRecorder = &routeRecorder{
 		store: newStoreClient(t, store), log: eventlog.New(eventlog.Config{Out: io.Discard}), onDuty: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		recorded: new(recordedVersion),
 		record: func() *routing.Table {
 			table, _ := f.table()
 			return table
--- a/watchduty/duty.go
+++ b/watchduty/duty.go
@@ -71,7 +71,7 @@
 // store, or the others get none. In the last case, an answer ends its duty until the others have got none for as long again: it
 // reads the store now and then.
 func (d *Duty) Watches() bool {
-	now, before := d.cfg.Now(), d.entriesBefore()
+	now, before := d.cfg.Now(), EntriesBefore(d.cfg.IP, d.cfg.Peers())
 	if now-d.started >= settleTime && before < WatchersPerZone {
 		return true
 	}
@@ -80,21 +80,22 @@
 	return !d.answered || now-d.lastAnswer > ageLimit(before)
 }
 
-// entriesBefore returns the number of entries of the zone that come before this one, in an order that all entries agree on.
-func (d *Duty) entriesBefore() int {
+// ageLimit returns the age of the last known answer from which an entry asks the store itself that comes after a number of others.
+func ageLimit(before int) time.Duration {
+	return maxAge + min(time.Duration(max(before-WatchersPerZone, 0))*maxAgeStep, maxAgeSpread)
+}
+
+// EntriesBefore returns how many of the given entries come before the one at an address, in an order that all entries agree on. The entry may
+// be among them.
+func EntriesBefore(ip uint32, entries []uint32) int {
 	before := 0
-	for _, ip := range d.cfg.Peers() {
-		if ip != d.cfg.IP && rank(ip) < rank(d.cfg.IP) {
+	for _, other := range entries {
+		if other != ip && rank(other) < rank(ip) {
 			before++
 		}
 	}
 	return before
 }
 
-// ageLimit returns the age of the last known answer from which an entry asks the store itself that comes after a number of others.
-func ageLimit(before int) time.Duration {
-	return maxAge + min(time.Duration(max(before-WatchersPerZone, 0))*maxAgeStep, maxAgeSpread)
-}
-
 // rank orders entries. The order says nothing about their addresses, which follow the order in which VMs are set up.
 func rank(ip uint32) uint64 { return flow.Mix(uint64(ip)) }
