packetentry: searches at several agents share their last part

Three searches recorded what they drew, logged and sent the same way: askAtOnce. The route record lists a route's services by the function that searches use. Whether an agent takes flows, stays and isn't evacuated is asked in one place.

--- a/packetentry/moved.go
+++ b/packetentry/moved.go
@@ -93,13 +93,7 @@
 	m.expire(now)
 	routes := make([]routing.Route, 0, m.table.Len())
 	for r := range m.table.All() {
-		services := make([]string, 0, len(r.Shares)+len(m.since[r.Endpoint]))
-		for _, s := range r.Shares {
-			services = append(services, s.Service)
-		}
-		for service := range m.since[r.Endpoint] {
-			services = append(services, service)
-		}
+		services := m.services(r, now)
 		slices.Sort(services)
 		recorded := routing.Route{Endpoint: r.Endpoint}
 		for _, service := range slices.Compact(services) {
@@ -149,12 +143,17 @@
 
 // servicesOf returns the services that a route leads to, and then those that it led to when flows may have opened that are open.
 func (m *movedRoutes) servicesOf(route routing.Route, now time.Duration) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.services(route, now)
+}
+
+// services is servicesOf; m.mu must be held.
+func (m *movedRoutes) services(route routing.Route, now time.Duration) []string {
 	services := make([]string, 0, len(route.Shares)+1)
 	for _, s := range route.Shares {
 		services = append(services, s.Service)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	current := len(services)
 	for service, since := range m.since[route.Endpoint] {
 		if now-since < maxFlowAge && !slices.Contains(services[:current], service) {
--- a/packetentry/rendezvous.go
+++ b/packetentry/rendezvous.go
@@ -196,9 +196,6 @@
 // flows, as the others may not have taken any then either.
 func (r *roster) appendFormerFirst(dst []*agent, service string, key flow.Key) []*agent {
 	now, evacuated := r.cfg.Now(), r.cfg.Evacuations.Current()
-	takesFlows := func(a *agent) bool {
-		return a.takesFlows(now) && !a.isClosing() && !evacuated.Includes(a.report.Load().Zone)
-	}
 	var all, taking ranking
 	joined := r.joiners(service, key)
 	for start, end := 0, 0; start < len(joined); start = end {
@@ -207,7 +204,7 @@
 			if all.admits(a.weight) {
 				all.insert(a.agent, a.weight)
 			}
-			if taking.admits(a.weight) && takesFlows(a.agent) {
+			if taking.admits(a.weight) && a.isAvailable(now, evacuated) {
 				taking.insert(a.agent, a.weight)
 			}
 		}
--- a/packetentry/roster.go
+++ b/packetentry/roster.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"endiveflow.example/endiveflow/evacuation"
 	"endiveflow.example/endiveflow/flow"
 	"endiveflow.example/endiveflow/host"
 	"endiveflow.example/endiveflow/incarnation"
@@ -96,6 +97,11 @@
 	return a.open.Load() && int64(now) >= a.unresponsiveUntil.Load() && !a.timedOut(now)
 }
 
+// isAvailable reports whether the agent takes flows, doesn't leave, and isn't in an evacuated zone.
+func (a *agent) isAvailable(now time.Duration, evacuated evacuation.State) bool {
+	return a.takesFlows(now) && !a.isClosing() && !evacuated.Includes(a.report.Load().Zone)
+}
+
 // joinedRecently reports whether flows may be open that were placed before the agent was known.
 func (a *agent) joinedRecently(now time.Duration) bool {
 	return a.joined && now-a.joinedAt < maxFlowAge
@@ -379,10 +385,7 @@
 func (r *roster) openSlots(service string) int {
 	now, slots, evacuated := r.cfg.Now(), 0, r.cfg.Evacuations.Current()
 	for _, a := range r.serviceAgents(service) {
-		if a.isClosing() || a.timedOut(now) || evacuated.Includes(a.report.Load().Zone) {
-			continue
-		}
-		if a.takesFlows(now) {
+		if a.isAvailable(now, evacuated) {
 			slots += int(a.candidate(r.cfg.Zone, now).Load.Slots)
 		}
 	}
--- a/packetentry/search.go
+++ b/packetentry/search.go
@@ -112,8 +112,9 @@
 
 // search sends a packet of a flow to the agents that may have a record of the flow: in the first steps to one agent that
 // may be a directory agent of the flow, then to those that may have a record of it, then to the first agents in rendezvous order and to
-// those that may have been, in the last step to all agents of the service. The directory agents may be others now than when the flow opened, so that more agents are asked than there are
-// directory agents. It reports whether the packet was sent: there may be no agent to ask, or no budget for the last two steps.
+// those that may have been, in the last step to all agents of the service. The directory agents may be others now than when the flow opened,
+// so that more agents are asked than there are directory agents. It reports whether the packet was sent: there may be no agent to ask, or no
+// budget for the last steps.
 func (e *Entry) search(s flow.Segment, packet []byte, step int) bool {
 	table := e.cfg.Routes.Current()
 	route, known := table.Find(s.Key.Service)
@@ -192,13 +193,8 @@
 		return false
 	}
 	floods.Inc()
-	e.recordDraw(s, stepAllAgents, drawn)
-	e.logSearch(s, stepAllAgents, allowed, m.ConfigVersion)
 	first := int(e.searchTurn.Add(uint64(allowed)) % uint64(len(agents)))
-	m.Step = mesh.StepAll
-	for i := range allowed {
-		e.sendToSeveral(&m, s.Key, agents[(first+i)%len(agents)])
-	}
+	e.askAtOnce(s, m, stepAllAgents, slices.Concat(agents[first:], agents[:first])[:allowed], drawn)
 	return true
 }
 
@@ -223,12 +219,7 @@
 		return false
 	}
 	firstSearches.Inc()
-	e.recordDraw(s, stepFirstAgents, drawn)
-	e.logSearch(s, stepFirstAgents, len(agents), m.ConfigVersion)
-	m.Step = mesh.StepAll
-	for _, a := range agents {
-		e.sendToSeveral(&m, s.Key, a)
-	}
+	e.askAtOnce(s, m, stepFirstAgents, agents, drawn)
 	return true
 }
 
@@ -260,13 +251,18 @@
 		return false
 	}
 	formerFirstSearches.Inc()
-	e.recordDraw(s, stepFormerFirst, drawn.add(rest))
-	e.logSearch(s, stepFormerFirst, len(agents), m.ConfigVersion)
+	e.askAtOnce(s, m, stepFormerFirst, agents, drawn.add(rest))
+	return true
+}
+
+// askAtOnce sends a search to several agents at once, for a step that has drawn its cost.
+func (e *Entry) askAtOnce(s flow.Segment, m mesh.Message, step int, agents []*agent, drawn draws) {
+	e.recordDraw(s, step, drawn)
+	e.logSearch(s, step, len(agents), m.ConfigVersion)
 	m.Step = mesh.StepAll
 	for _, a := range agents {
 		e.sendToSeveral(&m, s.Key, a)
 	}
-	return true
 }
 
 // sendToSeveral sends a search to one of several agents that are asked at once, with the directory agents of its service.
