--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -18,9 +18,10 @@
 	return id
 }
 
-// clients is the machine of all clients.
+// clients is the machine of the clients of a zone.
 type clients struct {
 	lab  *lab
+	zone string
 	ip   netip.Addr
 	conn *net.UDPConn
 	mu   sync.Mutex
@@ -41,13 +42,13 @@
 	reset   bool
 }
 
-func (l *lab) newClients() (*clients, error) {
-	ip := l.address(clientKind, 0)
+func (l *lab) newClients(n int) (*clients, error) {
+	ip := l.address(clientKind, n)
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, packetsPort)))
 	if err != nil {
 		return nil, fmt.Errorf("listening as clients: %w", err)
 	}
-	c := &clients{lab: l, ip: ip, conn: conn, next: 20000, byIt: make(map[string]*clientFlow)}
+	c := &clients{lab: l, zone: zones[n], ip: ip, conn: conn, next: 20000, byIt: make(map[string]*clientFlow)}
 	go func() {
 		b := make([]byte, 2000)
 		for {
@@ -87,7 +88,12 @@
 	}
 }
 
-// dial returns a flow that isn't open.
+// dial returns a flow of the next zone's clients that isn't open.
+func (l *lab) dial(to netip.AddrPort) *clientFlow {
+	l.dialed++
+	return l.clients[l.dialed%len(l.clients)].dial(to)
+}
+
 func (c *clients) dial(to netip.AddrPort) *clientFlow {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -103,7 +109,7 @@
 	if p.has(flagACK) {
 		f.lastAck = p.ack
 	}
-	f.c.lab.route(f.name, f.src, f.dst, p.bytes(), f.c.conn)
+	f.c.lab.route(f, p)
 }
 
 // open opens the flow: an opening packet, copies after 200 ms and 600 ms, and the end of the attempt after 1.4 s.
--- a/review/standins-3/lab.go
+++ b/review/standins-3/lab.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -60,16 +59,19 @@
 	entries []*process
 	agents  []*process
 	hosts   []*host
-	clients *clients
+	clients []*clients
+	dialed  int
 
 	mu         sync.Mutex
 	version    uint64
 	revision   uint64
 	inRotation []*process
 	failures   []string
-	flows      map[string]*flowTrace
-	runs       map[string][]string
-	requests   map[string]bool
+	// couldNotRun is set if a step of the case failed.
+	couldNotRun bool
+	flows       map[string]*flowTrace
+	runs        map[string][]string
+	requests    map[string]bool
 	// touchedAt is when the last disruption ended; rules with time bounds hold stableWindow later.
 	touchedAt time.Time
 }
@@ -127,6 +129,16 @@
 	_, _ = fmt.Fprintln(l.record, line)
 }
 
+// fail records that the case can't be judged.
+func (l *lab) fail(err error) {
+	if err != nil {
+		l.note("could not run: %v", err)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.couldNotRun = true
+	}
+}
+
 func (l *lab) broken(rule, format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -136,19 +148,35 @@
 }
 
 // route sends a client's packet to the entry that the routers select.
-func (l *lab) route(name string, src, dst netip.AddrPort, b []byte, conn *net.UDPConn) {
+func (l *lab) route(f *clientFlow, p packet) {
+	to := l.entryOf(f)
+	l.note("sent %s to %s: %v", f.name, to.name, p)
+	_, _ = f.c.conn.WriteToUDPAddrPort(p.bytes(), netip.AddrPortFrom(to.ip, packetsPort))
+}
+
+// entryOf returns the entry of the client's zone that the routers select for a flow.
+func (l *lab) entryOf(f *clientFlow) *process {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(src.String() + dst.String()))
+	_, _ = h.Write([]byte(f.name))
 	l.mu.Lock()
-	entries := l.inRotation
-	if len(entries) == 0 {
-		entries = l.entries
+	defer l.mu.Unlock()
+	ready, all := inZone(l.inRotation, f.c.zone), inZone(l.entries, f.c.zone)
+	switch {
+	case len(ready) == 0 && len(l.inRotation) > 0:
+		ready = l.inRotation
+	case 2*len(ready) < len(all):
+		ready = all
+	}
+	return ready[int(h.Sum32())%len(ready)]
+}
+
+func inZone(processes []*process, zone string) (in []*process) {
+	for _, p := range processes {
+		if p.zone == zone {
+			in = append(in, p)
+		}
 	}
-	to := entries[int(h.Sum32())%len(entries)]
-	p, _ := parse(b)
-	l.noteLocked("sent %s to %s: %v", name, to.name, p)
-	l.mu.Unlock()
-	_, _ = conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(to.ip, packetsPort))
+	return in
 }
 
 func (l *lab) trace(name string) *flowTrace {
@@ -292,7 +320,7 @@
 			named = append(named, map[string]any{"name": h.service, "healthPath": "/health"})
 		}
 	}
-	value, err := json.Marshal(map[string]any{"version": l.version, "routes": list, "services": named, "limits": map[string]any{"idleTimeoutMs": 20000}})
+	value, err := json.Marshal(map[string]any{"version": l.version, "routes": list, "services": named, "limits": map[string]any{"idleTimeoutMs": 45000}})
 	if err != nil {
 		return err
 	}
@@ -314,6 +342,7 @@
 	lab      *lab
 	role     string
 	name     string
+	zone     string
 	ip       netip.Addr
 	settings string
 
@@ -395,7 +424,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	return &process{lab: l, role: role, name: name, ip: ip, settings: path}, nil
+	return &process{lab: l, role: role, name: name, zone: zone, ip: ip, settings: path}, nil
 }
 
 func (p *process) start() error {
@@ -477,8 +506,8 @@
 	}
 }
 
-// begin starts hosts of services, in the given numbers, their agents and entries, and waits until they serve.
-func (l *lab) begin(entries int, services []string, counts []int, routes []route) error {
+// begin starts hosts of services, in the given numbers, their agents, and entries in the given zones, and waits until they serve.
+func (l *lab) begin(entryZones []int, services []string, counts []int, routes []route) error {
 	n := 0
 	for i, service := range services {
 		for range counts[i] {
@@ -498,8 +527,8 @@
 	if err := l.configure(routes); err != nil {
 		return err
 	}
-	for i := range entries {
-		p, err := l.newProcess("entry", fmt.Sprintf("entry-%d", i), l.address(entryKind, i), zones[i%len(zones)], "")
+	for i, zone := range entryZones {
+		p, err := l.newProcess("entry", fmt.Sprintf("entry-%d", i), l.address(entryKind, i), zones[zone], "")
 		if err != nil {
 			return err
 		}
@@ -515,9 +544,12 @@
 			return err
 		}
 	}
-	var err error
-	if l.clients, err = l.newClients(); err != nil {
-		return err
+	for n := range zones {
+		c, err := l.newClients(n)
+		if err != nil {
+			return err
+		}
+		l.clients = append(l.clients, c)
 	}
 	go l.watchRotation()
 	for limit := time.Now().Add(15 * time.Second); ; time.Sleep(100 * time.Millisecond) {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -31,6 +31,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.couldNotRun {
+		return 2
+	}
 	for _, f := range l.failures {
 		fmt.Println(f)
 	}
--- a/review/standins-3/scenarios.go
+++ b/review/standins-3/scenarios.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 var scenarios = map[string]func(*lab, bool) error{
 	"former-services": formerServices,
 	"moved-routes":    movedRoutes,
+	"rolling":         rolling,
 }
 
 func (l *lab) routeAt(n int) netip.AddrPort {
@@ -51,28 +53,29 @@
 	l.note("all machines are in touch, %d flows go on", len(flows))
 	var wg sync.WaitGroup
 	for n, f := range flows {
-		wg.Go(func() {
-			id := fmt.Sprintf("r-%d", n)
-			if _, ok := f.request(id, requestDeadline); !ok {
-				l.note("request %s on %s got no answer, reset %v", id, f.name, f.reset)
-			}
-		})
+		wg.Go(func() { l.ask(f, n) })
 		time.Sleep(2 * time.Millisecond)
 	}
 	wg.Wait()
 }
 
+// ask sends a request on the nth flow.
+func (l *lab) ask(f *clientFlow, n int) {
+	id := fmt.Sprintf("r-%d", n)
+	if _, ok := f.request(id, requestDeadline); !ok {
+		l.note("request %s on %s got no answer, reset %v", id, f.name, f.reset)
+	}
+}
+
 const (
 	// downTime is how long killed processes are down, requestDeadline when clients give up.
 	downTime        = time.Second
 	requestDeadline = 6 * time.Second
 )
 
-// movedRoutes: a configuration leads many routes to the other service. Right after its acknowledgement, all processes of the system
-// are killed. The flows that opened before are at hosts that go on running; they pause, and go on when all machines are in touch
-// again.
-func movedRoutes(l *lab, trouble bool) error {
-	const count, addresses, flowCount = 350, 40, 200
+// moveMany begins with routes to the service draws, opens flows on them, and leads the routes to the service rota.
+func (l *lab) moveMany(entryZones, hosts []int, flowCount int) (flows []*clientFlow, err error) {
+	const count, addresses = 350, 40
 	routes := func(service string) []route {
 		list := []route{{l.routeAt(addresses), "rota"}, {l.routeAt(addresses + 1), "draws"}}
 		for n := range count {
@@ -81,20 +84,91 @@
 		return list
 	}
 	before := routes("draws")
-	if err := l.begin(9, []string{"rota", "draws"}, []int{5, 2}, before); err != nil {
-		return err
+	if err := l.begin(entryZones, []string{"rota", "draws"}, hosts, before); err != nil {
+		return nil, err
 	}
-	var flows []*clientFlow
 	for n := range flowCount {
-		r := before[2+n*count/flowCount]
-		if f := l.clients.dial(r.at); f.open() {
+		if f := l.dial(before[2+n*count/flowCount].at); f.open() {
 			flows = append(flows, f)
 		}
 	}
 	if len(flows) == 0 {
-		return fmt.Errorf("no flow opened")
+		return nil, fmt.Errorf("no flow opened")
+	}
+	l.note("%d flows are open", len(flows))
+	return flows, l.configure(routes("rota"))
+}
+
+// rolling: a configuration leads many routes to the other service. Then all processes are stopped and started in turn, those beside the
+// hosts first. The flows that opened before the change pause meanwhile, and go on when the entry that gets their packets is in rotation
+// again.
+func rolling(l *lab, trouble bool) error {
+	flows, err := l.moveMany([]int{0, 0, 0, 1, 1, 2}, []int{7, 3}, 300)
+	if err != nil {
+		return err
+	}
+	if trouble {
+		var wg sync.WaitGroup
+		for _, p := range l.agents {
+			wg.Go(func() { l.fail(p.replace()) })
+			time.Sleep(rollGap)
+		}
+		wg.Wait()
+	}
+	// No host was disturbed in the stable window, nor was the process beside it.
+	time.Sleep(stableWindow + 500*time.Millisecond)
+	var asked sync.WaitGroup
+	isAsked := make(map[*clientFlow]bool)
+	for _, p := range l.entries {
+		if trouble {
+			l.fail(p.replace())
+			l.awaitRotation(p)
+		}
+		for n, f := range flows {
+			if isAsked[f] || l.entryOf(f) != p {
+				continue
+			}
+			isAsked[f] = true
+			asked.Go(func() { l.ask(f, n) })
+		}
+	}
+	asked.Wait()
+	l.noteRecordsRead()
+	l.touchedAt = l.began.Add(-stableWindow)
+	l.checkFlows(nil)
+	return nil
+}
+
+// rollGap is the pause between two stops in turn.
+const rollGap = 1200 * time.Millisecond
+
+// replace stops a process and starts it again.
+func (p *process) replace() error {
+	p.terminate()
+	time.Sleep(restartPause)
+	p.lab.note("starting %s", p.name)
+	return p.start()
+}
+
+// awaitRotation waits until the routers use an entry.
+func (l *lab) awaitRotation(p *process) {
+	for limit := time.Now().Add(5 * time.Second); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		l.mu.Lock()
+		isUsed := slices.Contains(l.inRotation, p)
+		l.mu.Unlock()
+		if isUsed {
+			l.note("%s is in rotation", p.name)
+			return
+		}
 	}
-	if err := l.configure(routes("rota")); err != nil {
+}
+
+// movedRoutes: a configuration leads many routes to the other service. Right after its acknowledgement, all processes of the system
+// are killed. The flows that opened before are at hosts that go on running; they pause, and go on when all machines are in touch
+// again.
+func movedRoutes(l *lab, trouble bool) error {
+	flows, err := l.moveMany([]int{0, 0, 0, 1, 1, 1, 2, 2, 2}, []int{5, 2}, 200)
+	if err != nil {
 		return err
 	}
 	if trouble {
@@ -134,7 +208,7 @@
 func formerServices(l *lab, trouble bool) error {
 	const gap = 330 * time.Millisecond
 	first, second, added := l.routeAt(0), l.routeAt(1), l.routeAt(2)
-	if err := l.begin(3, []string{"rota", "draws"}, []int{5, 2}, []route{{first, "rota"}, {second, "draws"}}); err != nil {
+	if err := l.begin([]int{0, 1, 2}, []string{"rota", "draws"}, []int{5, 2}, []route{{first, "rota"}, {second, "draws"}}); err != nil {
 		return err
 	}
 	// Entries that started at the same time know each other after their second list of the member records. An earlier change follows,
@@ -155,7 +229,7 @@
 	time.Sleep(200 * time.Millisecond)
 	var flows []*clientFlow
 	for range 4 {
-		if f := l.clients.dial(added); f.open() {
+		if f := l.dial(added); f.open() {
 			flows = append(flows, f)
 		}
 	}
