review: clients give up at their deadline, and the judge stops there

Cause: the judge counted the 2 s of FLOW (b) also after a client had given up and sent nothing more, and the flows of an entry went on all at the same moment.

--- a/review/standins-3/lab.go
+++ b/review/standins-3/lab.go
@@ -80,6 +80,7 @@
 type flowTrace struct {
 	host     string
 	openedAt time.Time
+	// endedAt is when both ends had closed the flow, or its client gave up.
 	endedAt  time.Time
 	arrivals []arrival
 	resets   []time.Time
@@ -211,6 +212,15 @@
 	l.noteLocked("ended %s", name)
 }
 
+// gaveUp records that a client gave its flow up, so that it sends nothing more.
+func (l *lab) gaveUp(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.trace(name); t.endedAt.IsZero() {
+		t.endedAt = time.Now()
+	}
+}
+
 func (l *lab) resetArrived(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
